hitchd: answers callers through the keeper of a cell

The thin whole path as separate processes: look-up, request over QUIC to the keeper of the service's cell, upstream server, answer; configuration comes from the platform's table through hitchctl. make demo starts six hosts, 24 servers and the platform stand-in and calls each service through each host: pass.

--- /dev/null
+++ b/Makefile
@@ -0,0 +1,43 @@
+# Everything is built with Go, make and a C compiler; tools are pinned here.
+GOFUMPT := mvdan.cc/gofumpt@v0.12.0
+REVIVE := github.com/mgechev/revive@v1.17.0
+MODULES := steer links hitchd hitchctl standin
+BIN := $(CURDIR)/bin
+export GOFLAGS :=
+
+.PHONY: all build tools test fmt lint unit bench demo clean
+
+all: build
+
+build:
+	@mkdir -p $(BIN)
+	go build -o $(BIN)/ ./hitchd ./hitchctl ./standin
+
+tools: $(BIN)/gofumpt $(BIN)/revive
+
+$(BIN)/gofumpt:
+	GOBIN=$(BIN) go install $(GOFUMPT)
+
+$(BIN)/revive:
+	GOBIN=$(BIN) go install $(REVIVE)
+
+test: lint unit
+
+fmt: tools
+	$(BIN)/gofumpt -w $(MODULES)
+
+lint: tools
+	@out=$$($(BIN)/gofumpt -l $(MODULES)); if [ -n "$$out" ]; then echo "not formatted, run make fmt:"; echo "$$out"; exit 1; fi
+	@set -e; for m in $(MODULES); do (cd $$m && $(BIN)/revive -config ../revive.toml -set_exit_status ./... && go vet ./...); done
+
+unit:
+	@.ci/unit $(MODULES)
+
+bench:
+	@set -e; for m in $(MODULES); do (cd $$m && go test -run '^$$' -bench . -benchmem ./...); done
+
+demo: build
+	$(BIN)/standin demo --bin $(BIN)
+
+clean:
+	rm -rf $(BIN) demo-run
--- /dev/null
+++ b/links/certs/make.go
@@ -0,0 +1,129 @@
+package certs
+
+import (
+	"crypto/ecdsa"
+	"crypto/elliptic"
+	"crypto/rand"
+	"crypto/x509"
+	"crypto/x509/pkix"
+	"encoding/pem"
+	"math/big"
+	"net"
+	"os"
+	"path/filepath"
+	"time"
+
+	"github.com/go-faster/errors"
+)
+
+// Names of the authority's files in a directory of development keys.
+const (
+	CAFile    = "ca.pem"
+	CAKeyFile = "ca.key"
+)
+
+// keyMode lets nobody but the owner read a private key.
+const keyMode = 0o600
+
+// MakeCA writes a development authority to the directory, valid from now for
+// the lifetime. It returns an error when there is one already.
+func MakeCA(now time.Time, dir string, lifetime time.Duration) error {
+	path := filepath.Join(dir, CAFile)
+	if _, err := os.Stat(path); err == nil {
+		return errors.Errorf("make CA: %s exists already", path)
+	}
+	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
+	if err != nil {
+		return errors.Wrap(err, "make CA key")
+	}
+	t := &x509.Certificate{
+		SerialNumber:          big.NewInt(now.UnixNano()),
+		Subject:               pkix.Name{CommonName: "magnoliahitch development CA"},
+		NotBefore:             now.Add(-time.Minute),
+		NotAfter:              now.Add(lifetime),
+		IsCA:                  true,
+		BasicConstraintsValid: true,
+		KeyUsage:              x509.KeyUsageCertSign,
+	}
+	der, err := x509.CreateCertificate(rand.Reader, t, t, &key.PublicKey, key)
+	if err != nil {
+		return errors.Wrap(err, "sign CA")
+	}
+	return writePair(path, filepath.Join(dir, CAKeyFile), der, key)
+}
+
+// MakeHost writes a key pair for the named host, signed by the directory's
+// authority, to NAME.pem and NAME.key.
+func MakeHost(now time.Time, dir, name string, ips []net.IP, lifetime time.Duration) error {
+	ca, caKey, err := readCA(dir)
+	if err != nil {
+		return err
+	}
+	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
+	if err != nil {
+		return errors.Wrap(err, "make host key")
+	}
+	t := &x509.Certificate{
+		SerialNumber: big.NewInt(now.UnixNano()),
+		Subject:      pkix.Name{CommonName: name},
+		DNSNames:     []string{name},
+		IPAddresses:  ips,
+		NotBefore:    now.Add(-time.Minute),
+		NotAfter:     now.Add(lifetime),
+		KeyUsage:     x509.KeyUsageDigitalSignature,
+		ExtKeyUsage:  []x509.ExtKeyUsage{x509.ExtKeyUsageServerAuth, x509.ExtKeyUsageClientAuth},
+	}
+	der, err := x509.CreateCertificate(rand.Reader, t, ca, &key.PublicKey, caKey)
+	if err != nil {
+		return errors.Wrapf(err, "sign key of host %s", name)
+	}
+	return writePair(filepath.Join(dir, name+".pem"), filepath.Join(dir, name+".key"), der, key)
+}
+
+func readCA(dir string) (*x509.Certificate, *ecdsa.PrivateKey, error) {
+	certDER, err := readPEM(filepath.Join(dir, CAFile))
+	if err != nil {
+		return nil, nil, err
+	}
+	keyDER, err := readPEM(filepath.Join(dir, CAKeyFile))
+	if err != nil {
+		return nil, nil, err
+	}
+	cert, err := x509.ParseCertificate(certDER)
+	if err != nil {
+		return nil, nil, errors.Wrap(err, "parse CA certificate")
+	}
+	key, err := x509.ParseECPrivateKey(keyDER)
+	if err != nil {
+		return nil, nil, errors.Wrap(err, "parse CA key")
+	}
+	return cert, key, nil
+}
+
+func readPEM(path string) ([]byte, error) {
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return nil, errors.Wrap(err, "read key file")
+	}
+	b, _ := pem.Decode(text)
+	if b == nil {
+		return nil, errors.Errorf("read key file %s: no PEM block in it", path)
+	}
+	return b.Bytes, nil
+}
+
+func writePair(certPath, keyPath string, der []byte, key *ecdsa.PrivateKey) error {
+	keyDER, err := x509.MarshalECPrivateKey(key)
+	if err != nil {
+		return errors.Wrap(err, "encode private key")
+	}
+	keyPEM := pem.EncodeToMemory(&pem.Block{Type: "EC PRIVATE KEY", Bytes: keyDER})
+	if err := os.WriteFile(keyPath, keyPEM, keyMode); err != nil {
+		return errors.Wrap(err, "write private key")
+	}
+	certPEM := pem.EncodeToMemory(&pem.Block{Type: "CERTIFICATE", Bytes: der})
+	if err := os.WriteFile(certPath, certPEM, 0o644); err != nil {
+		return errors.Wrap(err, "write certificate")
+	}
+	return nil
+}
--- /dev/null
+++ b/standin/internal/stage/stage.go
@@ -0,0 +1,124 @@
+// Package stage runs a small deployment as processes on loopback.
+package stage
+
+import (
+	"context"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/go-faster/errors"
+)
+
+// killDelay bounds how long a process may take to stop before it is killed.
+const killDelay = 20 * time.Second
+
+// Stage owns the processes of a deployment. All of them end with it.
+type Stage struct {
+	ctx context.Context
+	// Bin is the directory of the programs, Dir the one of the files.
+	Bin, Dir string
+
+	mu        sync.Mutex
+	processes map[string]*Process
+}
+
+// Process is a running program.
+type Process struct {
+	Name string
+	cmd  *exec.Cmd
+	done chan struct{}
+	err  error
+}
+
+// New returns a stage for the programs in bin with its files in dir.
+func New(ctx context.Context, bin, dir string) *Stage {
+	return &Stage{ctx: ctx, Bin: bin, Dir: dir, processes: make(map[string]*Process)}
+}
+
+// Start starts a program under a name. Its output goes to a file of the name.
+func (s *Stage) Start(name, program string, args ...string) error {
+	out, err := os.OpenFile(filepath.Join(s.Dir, name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o644)
+	if err != nil {
+		return errors.Wrapf(err, "start %s", name)
+	}
+	cmd := exec.Command(filepath.Join(s.Bin, program), args...)
+	cmd.Stdout, cmd.Stderr = out, out
+	// The kernel ends the process when this one dies, however it dies.
+	cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL, Setpgid: true}
+	if err := cmd.Start(); err != nil {
+		return errors.Wrapf(err, "start %s", name)
+	}
+	p := &Process{Name: name, cmd: cmd, done: make(chan struct{})}
+	go func() {
+		p.err = cmd.Wait()
+		_ = out.Close()
+		close(p.done)
+	}()
+	s.mu.Lock()
+	s.processes[name] = p
+	s.mu.Unlock()
+	return nil
+}
+
+// Signal sends a signal to the named process.
+func (s *Stage) Signal(name string, sig syscall.Signal) error {
+	s.mu.Lock()
+	p := s.processes[name]
+	s.mu.Unlock()
+	if p == nil {
+		return errors.Errorf("signal %s: no such process", name)
+	}
+	if err := p.cmd.Process.Signal(sig); err != nil {
+		return errors.Wrapf(err, "signal %s", name)
+	}
+	return nil
+}
+
+// Wait waits until the named process ended and returns its failure.
+func (s *Stage) Wait(ctx context.Context, name string) error {
+	s.mu.Lock()
+	p := s.processes[name]
+	s.mu.Unlock()
+	if p == nil {
+		return errors.Errorf("wait for %s: no such process", name)
+	}
+	select {
+	case <-p.done:
+		return p.err
+	case <-ctx.Done():
+		return errors.Wrapf(ctx.Err(), "wait for %s", name)
+	}
+}
+
+// Run runs a program to its end and returns its output.
+func (s *Stage) Run(program string, args ...string) ([]byte, error) {
+	cmd := exec.CommandContext(s.ctx, filepath.Join(s.Bin, program), args...)
+	out, err := cmd.CombinedOutput()
+	if err != nil {
+		return out, errors.Wrapf(err, "run %s: %s", program, out)
+	}
+	return out, nil
+}
+
+// Close ends all processes: it asks them to stop, then kills those that don't.
+func (s *Stage) Close() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, p := range s.processes {
+		_ = p.cmd.Process.Signal(syscall.SIGCONT)
+		_ = p.cmd.Process.Signal(syscall.SIGTERM)
+	}
+	timeout := time.After(killDelay)
+	for _, p := range s.processes {
+		select {
+		case <-p.done:
+		case <-timeout:
+			_ = p.cmd.Process.Kill()
+			<-p.done
+		}
+	}
+}
--- /dev/null
+++ b/standin/main.go
@@ -0,0 +1,38 @@
+// Command standin plays the platform, the upstreams and the callers in the
+// demo and the tests. hitchd and hitchctl never import it.
+package main
+
+import (
+	"context"
+	"errors"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/jessevdk/go-flags"
+)
+
+// exitFailed is the exit code of a command that failed.
+const exitFailed = 1
+
+type options struct {
+	Platform platformCommand `command:"platform" description:"serve the table and the object store"`
+	Upstream upstreamCommand `command:"upstream" description:"serve upstream servers"`
+	Caller   callerCommand   `command:"caller" description:"send requests and check their answers"`
+	Demo     demoCommand     `command:"demo" description:"run a small deployment and check its outcomes"`
+}
+
+func main() {
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	defer stop()
+	var o options
+	o.Platform.ctx, o.Upstream.ctx, o.Caller.ctx, o.Demo.ctx = ctx, ctx, ctx, ctx
+	p := flags.NewParser(&o, flags.Default)
+	if _, err := p.Parse(); err != nil {
+		var fe *flags.Error
+		if errors.As(err, &fe) && fe.Type == flags.ErrHelp {
+			return
+		}
+		os.Exit(exitFailed)
+	}
+}
--- /dev/null
+++ b/steer/config/config.go
@@ -0,0 +1,152 @@
+package config
+
+import (
+	"time"
+
+	"github.com/go-faster/errors"
+)
+
+// ErrRevision reports a change that doesn't follow the revision it is applied to.
+var ErrRevision = errors.New("change does not follow the revision")
+
+// Ref names a record.
+type Ref struct {
+	Kind Kind   `json:"kind"`
+	Name string `json:"name"`
+}
+
+// Records is a list of typed records.
+type Records struct {
+	Regions  []Region  `json:"regions,omitempty"`
+	Services []Service `json:"services,omitempty"`
+	Servers  []Server  `json:"servers,omitempty"`
+	Links    []Link    `json:"links,omitempty"`
+	Profiles []Profile `json:"profiles,omitempty"`
+	Drains   []Drain   `json:"drains,omitempty"`
+	Moves    []Move    `json:"moves,omitempty"`
+}
+
+// Change is one accepted step from a revision to the next.
+type Change struct {
+	// Revision is the revision that the change makes.
+	Revision uint64 `json:"revision"`
+	// WriteID tells apart the writes of racing operators.
+	WriteID string    `json:"writeId"`
+	Author  string    `json:"author"`
+	Reason  string    `json:"reason"`
+	At      time.Time `json:"at"`
+	Puts    Records   `json:"puts"`
+	Deletes []Ref     `json:"deletes,omitempty"`
+}
+
+// Config is the configuration at one revision. It is immutable.
+type Config struct {
+	Revision uint64
+	Regions  Set[Region]
+	Services Set[Service]
+	Servers  Set[Server]
+	Links    Set[Link]
+	Profiles Set[Profile]
+	Drains   Set[Drain]
+	Moves    Set[Move]
+}
+
+// WithChange returns the configuration after the change. It returns
+// [ErrRevision] when the change doesn't follow c's revision.
+func (c *Config) WithChange(ch Change) (*Config, error) {
+	if ch.Revision != c.Revision+1 {
+		return nil, errors.Wrapf(ErrRevision, "apply change %d to revision %d", ch.Revision, c.Revision)
+	}
+	out := *c
+	out.Revision = ch.Revision
+	for _, r := range ch.Deletes {
+		out.remove(r)
+	}
+	out.put(ch.Puts)
+	return &out, nil
+}
+
+func (c *Config) put(r Records) {
+	c.Regions = c.Regions.With(func(v Region) string { return v.Name }, r.Regions...)
+	c.Services = c.Services.With(func(v Service) string { return v.Name }, r.Services...)
+	c.Servers = c.Servers.With(func(v Server) string { return v.Name }, r.Servers...)
+	c.Links = c.Links.With(func(v Link) string { return v.Name }, r.Links...)
+	c.Profiles = c.Profiles.With(func(v Profile) string { return v.Name }, r.Profiles...)
+	c.Drains = c.Drains.With(func(v Drain) string { return v.Name }, r.Drains...)
+	c.Moves = c.Moves.With(func(v Move) string { return v.Name }, r.Moves...)
+}
+
+func (c *Config) remove(r Ref) {
+	switch r.Kind {
+	case KindRegion:
+		c.Regions = c.Regions.Without(r.Name)
+	case KindService:
+		c.Services = c.Services.Without(r.Name)
+	case KindServer:
+		c.Servers = c.Servers.Without(r.Name)
+	case KindLink:
+		c.Links = c.Links.Without(r.Name)
+	case KindProfile:
+		c.Profiles = c.Profiles.Without(r.Name)
+	case KindDrain:
+		c.Drains = c.Drains.Without(r.Name)
+	case KindMove:
+		c.Moves = c.Moves.Without(r.Name)
+	}
+}
+
+// Records returns every record of the configuration in the order of names.
+func (c *Config) Records() Records {
+	return Records{
+		Regions:  list(c.Regions),
+		Services: list(c.Services),
+		Servers:  list(c.Servers),
+		Links:    list(c.Links),
+		Profiles: list(c.Profiles),
+		Drains:   list(c.Drains),
+		Moves:    list(c.Moves),
+	}
+}
+
+func list[T named](s Set[T]) []T {
+	out := make([]T, 0, len(s))
+	for _, n := range s.Names() {
+		out = append(out, s[n])
+	}
+	return out
+}
+
+// ServersOf returns the servers of a service in a region in the order of names.
+func (c *Config) ServersOf(service, region string) []Server {
+	var out []Server
+	for _, n := range c.Servers.Names() {
+		s := c.Servers[n]
+		if s.Service == service && s.Region == region {
+			out = append(out, s)
+		}
+	}
+	return out
+}
+
+// Draining returns the drain that covers the server, if there is one.
+func (c *Config) Draining(s Server) (Drain, bool) {
+	for _, n := range c.Drains.Names() {
+		if d := c.Drains[n]; d.Covers(s) {
+			return d, true
+		}
+	}
+	return Drain{}, false
+}
+
+// Covers reports whether the drain's target includes the server.
+func (d Drain) Covers(s Server) bool {
+	switch d.TargetKind {
+	case TargetServer:
+		return d.Target == s.Name
+	case TargetDomain:
+		return d.Target == s.Domain
+	case TargetRegion:
+		return d.Target == s.Region
+	}
+	return false
+}
