--- a/Makefile
+++ b/Makefile
@@ -3,6 +3,8 @@
 REVIVE := github.com/mgechev/revive@v1.17.0
 MODULES := steer links hitchd hitchctl standin
 BIN := $(CURDIR)/bin
+# First port of the demo on loopback.
+PORT := 17000
 export GOFLAGS :=
 
 .PHONY: all build tools test fmt lint unit bench demo clean
@@ -37,7 +39,7 @@
 	@set -e; for m in $(MODULES); do (cd $$m && go test -run '^$$' -bench . -benchmem ./...); done
 
 demo: build
-	$(BIN)/standin demo --bin $(BIN)
+	$(BIN)/standin demo --bin $(BIN) --port $(PORT)
 
 clean:
 	rm -rf $(BIN) demo-run
--- a/hitchd/internal/call/call.go
+++ b/hitchd/internal/call/call.go
@@ -42,7 +42,11 @@
 	Block  string
 	// Operation is the operation id of non-idempotent work.
 	Operation string
-	Deadline  time.Time
+	// Deadline is on the clock of package clock.
+	Deadline time.Time
+	// Origin is the caller's home region. It differs from the cell's region
+	// when the request was shifted.
+	Origin string
 }
 
 // Idempotent reports whether the request may run more than once.
--- a/hitchd/internal/front/front.go
+++ b/hitchd/internal/front/front.go
@@ -15,6 +15,7 @@
 	"github.com/labstack/echo/v4"
 
 	"magnoliahitch/hitchd/internal/call"
+	"magnoliahitch/links/clock"
 	"magnoliahitch/steer/config"
 	"magnoliahitch/steer/member"
 	"magnoliahitch/steer/place"
@@ -120,7 +121,7 @@
 	if err != nil {
 		return err
 	}
-	ctx, cancel := context.WithDeadline(c.Request().Context(), r.Deadline)
+	ctx, cancel := context.WithTimeout(c.Request().Context(), r.Deadline.Sub(clock.Now()))
 	defer cancel()
 	c.Response().Header().Set(call.HeaderRequestID, r.ID)
 	a, err := f.next.Do(ctx, r)
@@ -174,7 +175,7 @@
 		}
 		ms = min(ms, n)
 	}
-	return time.Now().Add(time.Duration(ms) * time.Millisecond), nil
+	return clock.Now().Add(time.Duration(ms) * time.Millisecond), nil
 }
 
 func writeAnswer(w *echo.Response, a *call.Answer) error {
--- a/hitchd/internal/hosts/hosts.go
+++ b/hitchd/internal/hosts/hosts.go
@@ -61,19 +61,19 @@
 	return out
 }
 
-// Keeper returns the host that keeps the cell.
-func (h *Hosts) Keeper(c place.Cell) (member.Host, bool) {
-	ranked := place.Rank(c.String(), place.InRegion(h.Live(), c.Region))
+// Keeper returns the host that keeps the cell, as far as this host knows.
+func (h *Hosts) Keeper(_ time.Time, k place.Key) (member.Host, bool) {
+	ranked := place.Rank(k.String(), place.InRegion(h.Live(), k.Region))
 	if len(ranked) == 0 {
 		return member.Host{}, false
 	}
 	return ranked[0], true
 }
 
-// Holds reports whether this host keeps the cell.
-func (h *Hosts) Holds(c place.Cell) bool {
-	k, ok := h.Keeper(c)
-	return ok && k.Name == h.Self().Name
+// Holds reports whether this host keeps the cell at now.
+func (h *Hosts) Holds(now time.Time, k place.Key) bool {
+	host, ok := h.Keeper(now, k)
+	return ok && host.Name == h.Self().Name
 }
 
 // Leave marks this host as leaving.
--- a/hitchd/internal/keep/keep.go
+++ b/hitchd/internal/keep/keep.go
@@ -10,6 +10,7 @@
 	"github.com/hashicorp/go-hclog"
 
 	"magnoliahitch/hitchd/internal/call"
+	"magnoliahitch/links/clock"
 	"magnoliahitch/steer/config"
 	"magnoliahitch/steer/place"
 	"magnoliahitch/steer/result"
@@ -18,7 +19,7 @@
 
 // Holder tells whether this host keeps a cell.
 type Holder interface {
-	Holds(c place.Cell) bool
+	Holds(now time.Time, k place.Key) bool
 }
 
 // Keeper runs the cells of this host. Each cell has its own lock.
@@ -65,18 +66,18 @@
 // Do admits the request to its cell, waits for a slot and sends it to the
 // server. It refuses when this host doesn't keep the cell.
 func (k *Keeper) Do(ctx context.Context, r *call.Request) (*call.Answer, error) {
-	if !k.holder.Holds(r.Cell) {
+	if !k.holder.Holds(clock.Now(), r.Cell.Key()) {
 		return nil, result.Refuse(result.ReasonNotKeeper, "admit request", k.name)
 	}
-	c := k.cell(time.Now(), r.Cell)
-	s, err := c.acquire(ctx, time.Now(), r, k.name)
+	c := k.cell(clock.Now(), r.Cell)
+	s, err := c.acquire(ctx, clock.Now(), r, k.name)
 	if err != nil {
 		k.log.Info("placement", "request", r.ID, "cell", r.Cell, "refused", err)
 		return nil, err
 	}
 	k.log.Info("placement", "request", r.ID, "cell", r.Cell, "server", s.Server.Name)
-	if !k.holder.Holds(r.Cell) {
-		c.finish(time.Now(), slots.End{ID: r.ID, Server: s.Server.Name, Outcome: result.NotRun})
+	if !k.holder.Holds(clock.Now(), r.Cell.Key()) {
+		c.finish(clock.Now(), slots.End{ID: r.ID, Server: s.Server.Name, Outcome: result.NotRun})
 		return nil, result.Refuse(result.ReasonFenced, "send request", k.name)
 	}
 	return k.send(ctx, c, r, s.Server)
@@ -87,10 +88,10 @@
 	a, err := k.sender.send(ctx, r, s)
 	if err != nil {
 		end.Outcome = result.OutcomeOf(err)
-		c.finish(time.Now(), end)
+		c.finish(clock.Now(), end)
 		return nil, err
 	}
-	a.Body = &endingBody{ReadCloser: a.Body, end: func() { c.finish(time.Now(), end) }}
+	a.Body = &endingBody{ReadCloser: a.Body, end: func() { c.finish(clock.Now(), end) }}
 	return a, nil
 }
 
@@ -142,7 +143,7 @@
 	case s := <-ready:
 		return s, nil
 	case <-ctx.Done():
-		c.abandon(time.Now(), r.ID, ready)
+		c.abandon(clock.Now(), r.ID, ready)
 		return slots.Start{}, result.Refuse(result.ReasonDeadline, "wait for slot", peer)
 	}
 }
--- a/hitchd/internal/keep/send.go
+++ b/hitchd/internal/keep/send.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"magnoliahitch/hitchd/internal/call"
+	"magnoliahitch/links/clock"
 	"magnoliahitch/steer/config"
 	"magnoliahitch/steer/result"
 )
@@ -78,7 +79,7 @@
 	if r.Operation != "" {
 		req.Header.Set(call.HeaderOperation, r.Operation)
 	}
-	left := time.Until(r.Deadline).Milliseconds()
+	left := r.Deadline.Sub(clock.Now()).Milliseconds()
 	req.Header.Set(call.HeaderDeadline, strconv.FormatInt(left, 10))
 	return req, nil
 }
--- a/hitchd/internal/peer/forward.go
+++ b/hitchd/internal/peer/forward.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"magnoliahitch/hitchd/internal/call"
+	"magnoliahitch/links/clock"
 	"magnoliahitch/steer/config"
 	"magnoliahitch/steer/member"
 	"magnoliahitch/steer/place"
@@ -68,7 +69,7 @@
 	req.Header.Set(call.HeaderBlock, r.Block)
 	req.Header.Set(call.HeaderRequestID, r.ID)
 	req.Header.Set(call.HeaderOperation, r.Operation)
-	left := time.Until(r.Deadline).Milliseconds()
+	left := r.Deadline.Sub(clock.Now()).Milliseconds()
 	req.Header.Set(call.HeaderDeadline, strconv.FormatInt(left, 10))
 }
 
@@ -96,7 +97,7 @@
 			writeError(w, result.Refuse(result.ReasonBadRequest, "read forwarded request", req.RemoteAddr))
 			return
 		}
-		ctx, cancel := context.WithDeadline(req.Context(), r.Deadline)
+		ctx, cancel := context.WithTimeout(req.Context(), r.Deadline.Sub(clock.Now()))
 		defer cancel()
 		a, err := next.Do(ctx, r)
 		if err != nil {
@@ -126,7 +127,7 @@
 		Class:     config.Class(req.Header.Get(headerClass)),
 		Block:     req.Header.Get(call.HeaderBlock),
 		Operation: req.Header.Get(call.HeaderOperation),
-		Deadline:  time.Now().Add(time.Duration(ms) * time.Millisecond),
+		Deadline:  clock.Now().Add(time.Duration(ms) * time.Millisecond),
 		Header:    call.EndToEnd(req.Header),
 		Body:      req.Body,
 	}
--- a/hitchd/internal/route/route.go
+++ b/hitchd/internal/route/route.go
@@ -3,10 +3,12 @@
 
 import (
 	"context"
+	"time"
 
 	"github.com/hashicorp/go-hclog"
 
 	"magnoliahitch/hitchd/internal/call"
+	"magnoliahitch/links/clock"
 	"magnoliahitch/steer/member"
 	"magnoliahitch/steer/place"
 	"magnoliahitch/steer/result"
@@ -14,7 +16,7 @@
 
 // Keepers tells which host keeps a cell.
 type Keepers interface {
-	Keeper(c place.Cell) (member.Host, bool)
+	Keeper(now time.Time, k place.Key) (member.Host, bool)
 	Self() member.Host
 }
 
@@ -38,7 +40,7 @@
 
 // Do sends the request to the keeper of its cell.
 func (t *Router) Do(ctx context.Context, r *call.Request) (*call.Answer, error) {
-	keeper, ok := t.keepers.Keeper(r.Cell)
+	keeper, ok := t.keepers.Keeper(clock.Now(), r.Cell.Key())
 	if !ok {
 		t.log.Info("route", "request", r.ID, "cell", r.Cell, "refused", result.ReasonNoKeeper)
 		return nil, result.Refuse(result.ReasonNoKeeper, "find keeper", t.keepers.Self().Name)
--- a/hitchd/serve.go
+++ b/hitchd/serve.go
@@ -20,6 +20,7 @@
 	"magnoliahitch/hitchd/internal/spread"
 	"magnoliahitch/hitchd/internal/view"
 	"magnoliahitch/links/certs"
+	"magnoliahitch/links/clock"
 	"magnoliahitch/links/plat"
 	"magnoliahitch/steer/config"
 	"magnoliahitch/steer/member"
@@ -60,7 +61,7 @@
 	conf := view.New()
 	known := hosts.New(self, table, log.Named("hosts"))
 	keeper := keep.New(self.Name, known, log.Named("keep"))
-	conf.Watch(func(c *config.Config) { keeper.Configure(time.Now(), c) })
+	conf.Watch(func(c *config.Config) { keeper.Configure(clock.Now(), c) })
 	client := peer.NewClient(keys)
 	router := route.New(known, keeper, client, log.Named("route"))
 	changes := spread.New(table, conf, log.Named("spread"))
--- /dev/null
+++ b/links/mem/mem.go
@@ -0,0 +1,184 @@
+// Package mem is a table and an object store in memory with faults that can
+// be set: the inside of the platform stand-in, and the fake of tests.
+package mem
+
+import (
+	"context"
+	"maps"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"magnoliahitch/links/plat"
+)
+
+// Fault is what is wrong with the store. The zero value is a healthy store.
+type Fault struct {
+	// Down makes each call fail without effect.
+	Down bool `json:"down"`
+	// LoseCommits is the number of coming commits that take effect while
+	// their answer is lost.
+	LoseCommits int `json:"loseCommits"`
+	// Delay is added to each call.
+	Delay time.Duration `json:"delay"`
+}
+
+// Store is a table and an object store. It implements [plat.Table] and
+// [plat.Objects].
+type Store struct {
+	mu      sync.Mutex
+	fault   Fault
+	version int64
+	rows    map[string]plat.Row
+	objects map[string][]byte
+	reads   int64
+	writes  int64
+}
+
+// New returns an empty store.
+func New() *Store {
+	return &Store{rows: make(map[string]plat.Row), objects: make(map[string][]byte)}
+}
+
+// SetFault changes what is wrong with the store.
+func (s *Store) SetFault(f Fault) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.fault = f
+}
+
+// Counts returns how many reads and writes the store served.
+func (s *Store) Counts() (reads, writes int64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.reads, s.writes
+}
+
+// Copy returns a copy of the store's present rows and objects.
+func (s *Store) Copy() *Store {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return &Store{version: s.version, rows: maps.Clone(s.rows), objects: maps.Clone(s.objects)}
+}
+
+// Restore brings back the rows and objects of an older copy.
+func (s *Store) Restore(old *Store) {
+	c := old.Copy()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.version, s.rows, s.objects = c.version, c.rows, c.objects
+}
+
+// begin waits for the delay and fails when the store is down.
+func (s *Store) begin(ctx context.Context) error {
+	s.mu.Lock()
+	f := s.fault
+	s.mu.Unlock()
+	if f.Delay > 0 {
+		t := time.NewTimer(f.Delay)
+		defer t.Stop()
+		select {
+		case <-t.C:
+		case <-ctx.Done():
+			return plat.ErrDown
+		}
+	}
+	if f.Down || ctx.Err() != nil {
+		return plat.ErrDown
+	}
+	return nil
+}
+
+// Get returns the row, or [plat.ErrMissing].
+func (s *Store) Get(ctx context.Context, key string) (plat.Row, error) {
+	if err := s.begin(ctx); err != nil {
+		return plat.Row{}, err
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.reads++
+	row, ok := s.rows[key]
+	if !ok {
+		return plat.Row{}, plat.ErrMissing
+	}
+	return row, nil
+}
+
+// List returns at most limit rows under the prefix that follow the key after.
+func (s *Store) List(ctx context.Context, prefix, after string, limit int) ([]plat.Row, error) {
+	if err := s.begin(ctx); err != nil {
+		return nil, err
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.reads++
+	var keys []string
+	for k := range s.rows {
+		if strings.HasPrefix(k, prefix) && k > after {
+			keys = append(keys, k)
+		}
+	}
+	slices.Sort(keys)
+	keys = keys[:min(limit, len(keys))]
+	rows := make([]plat.Row, 0, len(keys))
+	for _, k := range keys {
+		rows = append(rows, s.rows[k])
+	}
+	return rows, nil
+}
+
+// Commit runs the transaction. It returns [plat.ErrConflict], or
+// [plat.ErrUnknown] when the answer is lost.
+func (s *Store) Commit(ctx context.Context, t plat.Txn) (int64, error) {
+	if err := s.begin(ctx); err != nil {
+		return 0, err
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.writes++
+	for _, k := range t.Checks {
+		if s.rows[k.Key].Version != k.Version {
+			return 0, plat.ErrConflict
+		}
+	}
+	s.version++
+	for _, p := range t.Puts {
+		s.rows[p.Key] = plat.Row{Key: p.Key, Version: s.version, Value: p.Value}
+	}
+	for _, k := range t.Deletes {
+		delete(s.rows, k)
+	}
+	if s.fault.LoseCommits > 0 {
+		s.fault.LoseCommits--
+		return 0, plat.ErrUnknown
+	}
+	return s.version, nil
+}
+
+// Load returns the object, or [plat.ErrMissing].
+func (s *Store) Load(ctx context.Context, key string) ([]byte, error) {
+	if err := s.begin(ctx); err != nil {
+		return nil, err
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.reads++
+	data, ok := s.objects[key]
+	if !ok {
+		return nil, plat.ErrMissing
+	}
+	return data, nil
+}
+
+// Store writes the object.
+func (s *Store) Store(ctx context.Context, key string, data []byte) error {
+	if err := s.begin(ctx); err != nil {
+		return err
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.writes++
+	s.objects[key] = data
+	return nil
+}
--- a/standin/demo.go
+++ b/standin/demo.go
@@ -16,9 +16,10 @@
 const startTimeout = 30 * time.Second
 
 type demoCommand struct {
-	Bin string `long:"bin" description:"directory of the programs" default:"bin"`
-	Dir string `long:"dir" description:"directory for keys, settings and logs" default:"demo-run"`
-	ctx context.Context
+	Bin  string `long:"bin" description:"directory of the programs" default:"bin"`
+	Dir  string `long:"dir" description:"directory for keys, settings and logs" default:"demo-run"`
+	Port int    `long:"port" description:"first port of the deployment" default:"17000"`
+	ctx  context.Context
 }
 
 // smallPall is the pall lending deployment in small.
@@ -55,6 +56,7 @@
 	s := stage.New(c.ctx, c.Bin, c.Dir)
 	defer s.Close()
 	d := smallPall
+	d.Port = c.Port
 	if err := s.Write(d); err != nil {
 		return err
 	}
--- a/standin/internal/stage/deploy.go
+++ b/standin/internal/stage/deploy.go
@@ -9,11 +9,10 @@
 	"github.com/go-faster/errors"
 )
 
-// First ports of a deployment on loopback.
+// Offsets of ports from the deployment's first one.
 const (
-	platformPort = 17000
-	hostPort     = 17100
-	upstreamPort = 17400
+	hostPort     = 100
+	upstreamPort = 400
 	portsPerHost = 3
 )
 
@@ -27,6 +26,8 @@
 	HostsPerDomain int
 	// Profiles is the INI text of the profiles and links.
 	Profiles string
+	// Port is the first port of the deployment on loopback.
+	Port int
 }
 
 // Service is a service of a deployment.
@@ -46,7 +47,7 @@
 	for _, r := range d.Regions {
 		for _, dom := range domains(r) {
 			for i := range d.HostsPerDomain {
-				p := hostPort + len(out)*portsPerHost
+				p := d.Port + hostPort + len(out)*portsPerHost
 				out = append(out, Host{
 					Name:         fmt.Sprintf("%s-%d", dom, i+1),
 					Region:       r,
@@ -77,7 +78,7 @@
 					Service: s.Name,
 					Region:  r,
 					Domain:  domains(r)[i%2],
-					Addr:    address(upstreamPort + len(out)),
+					Addr:    address(d.Port + upstreamPort + len(out)),
 				})
 			}
 		}
@@ -86,7 +87,7 @@
 }
 
 // Platform returns the base address of the platform stand-in.
-func (Deployment) Platform() string { return "http://" + address(platformPort) }
+func (d Deployment) Platform() string { return "http://" + address(d.Port) }
 
 func domains(region string) []string { return []string{region + "-a", region + "-b"} }
 
@@ -172,7 +173,7 @@
 
 // StartAll starts the platform, the upstream servers and the entry hosts.
 func (s *Stage) StartAll(d Deployment) error {
-	if err := s.Start("platform", "standin", "platform", "--listen", address(platformPort)); err != nil {
+	if err := s.Start("platform", "standin", "platform", "--listen", address(d.Port)); err != nil {
 		return err
 	}
 	for _, u := range d.Servers() {
--- a/standin/internal/store/store.go
+++ b/standin/internal/store/store.go
@@ -1,45 +1,48 @@
-// Package store is the stand-in for the platform: a transactional table and
-// an object store in memory.
+// Package store serves the platform stand-in over HTTP.
 package store
 
 import (
+	"context"
 	"io"
 	"net/http"
 	"net/url"
-	"slices"
 	"strconv"
-	"strings"
 	"sync"
+	"time"
 
+	"github.com/go-faster/errors"
 	"github.com/labstack/echo/v4"
 
+	"magnoliahitch/links/mem"
 	"magnoliahitch/links/plat"
 )
 
 // maxObject bounds objects, in bytes.
 const maxObject = 64 << 20
 
-// Store is the platform.
-type Store struct {
-	mu      sync.Mutex
-	version int64
-	rows    map[string]plat.Row
-	objects map[string][]byte
+// Server is the platform. Faults are set over HTTP.
+type Server struct {
+	store *mem.Store
+
+	mu    sync.Mutex
+	saved *mem.Store
 }
 
 // New returns an empty platform.
-func New() *Store {
-	return &Store{rows: make(map[string]plat.Row), objects: make(map[string][]byte)}
-}
+func New() *Server { return &Server{store: mem.New()} }
 
 // Handler returns the platform's HTTP handler.
-func (s *Store) Handler() http.Handler {
+func (s *Server) Handler() http.Handler {
 	e := echo.New()
 	e.GET("/table/row", s.get)
 	e.GET("/table/rows", s.list)
 	e.POST("/table/txn", s.commit)
 	e.GET("/object/:key", s.load)
-	e.PUT("/object/:key", s.store)
+	e.PUT("/object/:key", s.put)
+	e.POST("/standin/fault", s.fault)
+	e.POST("/standin/save", s.save)
+	e.POST("/standin/restore", s.restore)
+	e.GET("/standin/counts", s.counts)
 	return e
 }
 
@@ -51,88 +54,61 @@
 	Version int64 `json:"version"`
 }
 
-func (s *Store) get(c echo.Context) error {
-	s.mu.Lock()
-	row, ok := s.rows[c.QueryParam("key")]
-	s.mu.Unlock()
-	if !ok {
+// answer writes out, or the status of the store's failure. A lost answer
+// cuts the connection.
+func answer(c echo.Context, out any, err error) error {
+	switch {
+	case err == nil && out == nil:
+		return c.NoContent(http.StatusNoContent)
+	case err == nil:
+		return c.JSON(http.StatusOK, out)
+	case errors.Is(err, plat.ErrMissing):
 		return echo.ErrNotFound
+	case errors.Is(err, plat.ErrConflict):
+		return echo.NewHTTPError(http.StatusConflict, err.Error())
+	case errors.Is(err, plat.ErrUnknown):
+		panic(http.ErrAbortHandler)
 	}
-	return c.JSON(http.StatusOK, row)
+	return echo.ErrServiceUnavailable
+}
+
+func (s *Server) get(c echo.Context) error {
+	row, err := s.store.Get(c.Request().Context(), c.QueryParam("key"))
+	return answer(c, row, err)
 }
 
-func (s *Store) list(c echo.Context) error {
+func (s *Server) list(c echo.Context) error {
 	limit, err := strconv.Atoi(c.QueryParam("limit"))
 	if err != nil || limit <= 0 {
 		return echo.ErrBadRequest
 	}
-	return c.JSON(http.StatusOK, rowsAnswer{s.List(c.QueryParam("prefix"), c.QueryParam("after"), limit)})
-}
-
-// List returns at most limit rows under the prefix that follow the key after.
-func (s *Store) List(prefix, after string, limit int) []plat.Row {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	var keys []string
-	for k := range s.rows {
-		if strings.HasPrefix(k, prefix) && k > after {
-			keys = append(keys, k)
-		}
-	}
-	slices.Sort(keys)
-	rows := make([]plat.Row, 0, min(limit, len(keys)))
-	for _, k := range keys[:min(limit, len(keys))] {
-		rows = append(rows, s.rows[k])
-	}
-	return rows
+	rows, err := s.store.List(c.Request().Context(), c.QueryParam("prefix"), c.QueryParam("after"), limit)
+	return answer(c, rowsAnswer{rows}, err)
 }
 
-func (s *Store) commit(c echo.Context) error {
+// commit runs to its end also when the client gives up, as a real store does.
+func (s *Server) commit(c echo.Context) error {
 	var t plat.Txn
 	if err := c.Bind(&t); err != nil {
 		return err
 	}
-	version, err := s.Commit(t)
-	if err != nil {
-		return echo.NewHTTPError(http.StatusConflict, err.Error())
-	}
-	return c.JSON(http.StatusOK, commitAnswer{version})
+	version, err := s.store.Commit(context.WithoutCancel(c.Request().Context()), t)
+	return answer(c, commitAnswer{version}, err)
 }
 
-// Commit runs the transaction, or returns [plat.ErrConflict].
-func (s *Store) Commit(t plat.Txn) (int64, error) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	for _, k := range t.Checks {
-		if s.rows[k.Key].Version != k.Version {
-			return 0, plat.ErrConflict
-		}
-	}
-	s.version++
-	for _, p := range t.Puts {
-		s.rows[p.Key] = plat.Row{Key: p.Key, Version: s.version, Value: p.Value}
-	}
-	for _, k := range t.Deletes {
-		delete(s.rows, k)
-	}
-	return s.version, nil
-}
-
-func (s *Store) load(c echo.Context) error {
+func (s *Server) load(c echo.Context) error {
 	key, err := url.PathUnescape(c.Param("key"))
 	if err != nil {
 		return echo.ErrBadRequest
 	}
-	s.mu.Lock()
-	data, ok := s.objects[key]
-	s.mu.Unlock()
-	if !ok {
-		return echo.ErrNotFound
+	data, err := s.store.Load(c.Request().Context(), key)
+	if err != nil {
+		return answer(c, nil, err)
 	}
 	return c.Blob(http.StatusOK, "application/octet-stream", data)
 }
 
-func (s *Store) store(c echo.Context) error {
+func (s *Server) put(c echo.Context) error {
 	key, err := url.PathUnescape(c.Param("key"))
 	if err != nil {
 		return echo.ErrBadRequest
@@ -141,8 +117,52 @@
 	if err != nil {
 		return err
 	}
+	return answer(c, nil, s.store.Store(c.Request().Context(), key, data))
+}
+
+// faultRequest says what is wrong with the platform from now on.
+type faultRequest struct {
+	Down        bool `json:"down"`
+	LoseCommits int  `json:"loseCommits"`
+	DelayMs     int  `json:"delayMs"`
+}
+
+func (s *Server) fault(c echo.Context) error {
+	var in faultRequest
+	if err := c.Bind(&in); err != nil {
+		return err
+	}
+	s.store.SetFault(mem.Fault{
+		Down:        in.Down,
+		LoseCommits: in.LoseCommits,
+		Delay:       time.Duration(in.DelayMs) * time.Millisecond,
+	})
+	return c.NoContent(http.StatusNoContent)
+}
+
+func (s *Server) save(c echo.Context) error {
 	s.mu.Lock()
-	s.objects[key] = data
-	s.mu.Unlock()
+	defer s.mu.Unlock()
+	s.saved = s.store.Copy()
 	return c.NoContent(http.StatusNoContent)
 }
+
+func (s *Server) restore(c echo.Context) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.saved == nil {
+		return echo.NewHTTPError(http.StatusConflict, "nothing was saved")
+	}
+	s.store.Restore(s.saved)
+	return c.NoContent(http.StatusNoContent)
+}
+
+type countsAnswer struct {
+	Reads  int64 `json:"reads"`
+	Writes int64 `json:"writes"`
+}
+
+func (s *Server) counts(c echo.Context) error {
+	reads, writes := s.store.Counts()
+	return c.JSON(http.StatusOK, countsAnswer{reads, writes})
+}
--- /dev/null
+++ b/steer/place/keys.go
@@ -0,0 +1,25 @@
+package place
+
+import (
+	"cmp"
+	"slices"
+
+	"magnoliahitch/steer/config"
+)
+
+// Keys returns the key of every cell that the configuration calls for, in order.
+func Keys(c *config.Config) []Key {
+	seen := make(map[Key]bool)
+	for _, s := range c.Servers {
+		seen[Cell{s.Region, s.Service}.Key()] = true
+	}
+	for n, l := range c.Links {
+		seen[Key{Link, l.From, n}] = true
+	}
+	out := make([]Key, 0, len(seen))
+	for k := range seen {
+		out = append(out, k)
+	}
+	slices.SortFunc(out, func(a, b Key) int { return cmp.Compare(a.String(), b.String()) })
+	return out
+}
