--- a/steer/config/config.go
+++ b/steer/config/config.go
@@ -30,6 +30,8 @@
 type Change struct {
 	// Revision is the revision that the change makes.
 	Revision uint64 `json:"revision"`
+	// Prev is the digest of the change before, empty for the first.
+	Prev string `json:"prev"`
 	// WriteID tells apart the writes of racing operators.
 	WriteID string    `json:"writeId"`
 	Author  string    `json:"author"`
@@ -42,6 +44,9 @@
 // Config is the configuration at one revision. It is immutable.
 type Config struct {
 	Revision uint64
+	// Digest is the one of the history up to the revision. It is empty when
+	// the configuration was made by [Config.WithChange] alone.
+	Digest   string
 	Regions  Set[Region]
 	Services Set[Service]
 	Servers  Set[Server]
@@ -51,14 +56,15 @@
 	Moves    Set[Move]
 }
 
-// WithChange returns the configuration after the change. It returns
-// [ErrRevision] when the change doesn't follow c's revision.
+// WithChange returns a preview of the configuration after the change, without
+// the digest of its history. It returns [ErrRevision] when the change doesn't
+// follow c's revision.
 func (c *Config) WithChange(ch Change) (*Config, error) {
 	if ch.Revision != c.Revision+1 {
 		return nil, errors.Wrapf(ErrRevision, "apply change %d to revision %d", ch.Revision, c.Revision)
 	}
 	out := *c
-	out.Revision = ch.Revision
+	out.Revision, out.Digest = ch.Revision, ""
 	for _, r := range ch.Deletes {
 		out.remove(r)
 	}
--- /dev/null
+++ b/steer/config/mark_test.go
@@ -0,0 +1,121 @@
+package config
+
+import (
+	"errors"
+	"fmt"
+	"reflect"
+	"testing"
+)
+
+// history returns a log and the configuration after n changes by an author.
+func history(t *testing.T, n uint64, author string) (Log, *Config) {
+	t.Helper()
+	var l Log
+	c := &Config{}
+	for i := uint64(1); i <= n; i++ {
+		e, err := Encode(Change{
+			Revision: i, Prev: c.Digest, Author: author, WriteID: fmt.Sprint(author, i),
+			Puts: Records{Regions: []Region{{Name: fmt.Sprint("r", i), Domains: []string{fmt.Sprint("d", i)}}}},
+		})
+		if err != nil {
+			t.Fatal(err)
+		}
+		if c, err = c.WithEntry(e); err != nil {
+			t.Fatal(err)
+		}
+		l = l.With(e)
+	}
+	return l, c
+}
+
+func TestDecide(t *testing.T) {
+	own, c := history(t, 5, "ann")
+	other, _ := history(t, 9, "bob")
+	far, _ := history(t, 9, "ann")
+	three, _ := history(t, 3, "ann")
+	forkedThree, _ := history(t, 3, "bob")
+	for _, tt := range []struct {
+		name   string
+		theirs Mark
+		base   uint64
+		want   Step
+	}{
+		{"same", c.Mark(), 0, StepNone},
+		{"ahead", far.End(), 0, StepChanges},
+		{"ahead with a short log", far.End(), 6, StepSnapshot},
+		{"ahead from here", far.End(), 5, StepChanges},
+		{"lags", three.End(), 0, StepOffer},
+		{"empty", Mark{}, 0, StepOffer},
+		{"forked and lags", forkedThree.End(), 0, StepFork},
+		{"forked", Mark{5, other.End().Digest}, 0, StepFork},
+	} {
+		if got := Decide(own, tt.theirs, tt.base); got != tt.want {
+			t.Errorf("%s: got %s, want %s", tt.name, got, tt.want)
+		}
+	}
+}
+
+func TestEntryOfAnotherHistoryIsRefused(t *testing.T) {
+	_, c := history(t, 5, "ann")
+	other, _ := history(t, 6, "bob")
+	e, _ := other.At(6)
+	if _, err := c.WithEntry(e); !errors.Is(err, ErrFork) {
+		t.Errorf("got %v, want %v", err, ErrFork)
+	}
+	e, _ = other.At(5)
+	if _, err := c.WithEntry(e); !errors.Is(err, ErrRevision) {
+		t.Errorf("got %v, want %v", err, ErrRevision)
+	}
+}
+
+func TestLogKeepsTheLastEntries(t *testing.T) {
+	l, c := history(t, MaxLogEntries+3, "ann")
+	if got := l.Base().Revision; got != 3 {
+		t.Errorf("got base %d, want 3", got)
+	}
+	if _, ok := l.After(2, 1<<20); ok {
+		t.Error("got entries before the base, want none")
+	}
+	got, ok := l.After(3, 1)
+	if !ok || len(got) != 1 || got[0].Change.Revision != 4 {
+		t.Errorf("got %d entries, want the one that follows", len(got))
+	}
+	if l.End() != c.Mark() {
+		t.Errorf("got end %v, want %v", l.End(), c.Mark())
+	}
+	if e, ok := l.ByWriteID("ann7"); !ok || e.Change.Revision != 7 {
+		t.Errorf("got %v, want the entry of revision 7", e.Change.Revision)
+	}
+}
+
+func TestSnapshotIsCheckedByItsDigest(t *testing.T) {
+	_, c := history(t, 3, "ann")
+	data, err := EncodeSnapshot(c)
+	if err != nil {
+		t.Fatal(err)
+	}
+	got, err := DecodeSnapshot(data)
+	if err != nil || !reflect.DeepEqual(got.Records(), c.Records()) || got.Mark() != c.Mark() {
+		t.Errorf("got %v and %v, want the same configuration", got, err)
+	}
+	for i := range data {
+		bad := append([]byte(nil), data...)
+		bad[i] ^= 1
+		if _, err := DecodeSnapshot(bad); err == nil {
+			t.Fatalf("got no error with byte %d changed", i)
+		}
+	}
+	if _, err := DecodeSnapshot(data[:len(data)/2]); !errors.Is(err, ErrSnapshot) {
+		t.Errorf("got %v, want %v", err, ErrSnapshot)
+	}
+}
+
+func TestDiffNamesRecordsAndKeys(t *testing.T) {
+	a := configOf(t, "[profile p]\nqueueWaitMs = 5\n[profile q]\nqueueWaitMs = 5\n")
+	b := configOf(t, "[profile p]\nqueueWaitMs = 6\n[region r]\ndomains = d\n")
+	got := fmt.Sprint(Diff(a, b)[:2])
+	want := "[{add region r [{domains  [\"d\"]}]} {change profile p [{queueWaitMs 5 6}]}]"
+	if got != want {
+		t.Errorf("got %s, want %s", got, want)
+	}
+}
--- a/steer/config/record.go
+++ b/steer/config/record.go
@@ -112,6 +112,9 @@
 	CapRate float64 `json:"capRate" ini:"capRate"`
 	// CapMbps caps the shifted traffic in Mbit/s.
 	CapMbps float64 `json:"capMbps" ini:"capMbps"`
+	// Until is the planned end as RFC 3339 text. It is shown to operators; the
+	// drain itself ends when it is cancelled.
+	Until string `json:"until,omitempty" ini:"until"`
 }
 
 // Move declares that a share of a service's traffic goes from one region to
