spread: exchange changes between hosts and never go back

Every host polled the table, and a lost answer, a restored store or a start with the store down was not handled.

A commit's outcome is settled by sending the same transaction again and reading its row back. A table that lost accepted changes gets them written back by compare-and-set before anything else is accepted; one that accepted others meanwhile is refused as a fork.

--- a/hitchd/internal/admin/admin.go
+++ b/hitchd/internal/admin/admin.go
@@ -27,7 +27,7 @@
 
 // Committer accepts changes.
 type Committer interface {
-	Commit(ctx context.Context, ch config.Change) error
+	Commit(ctx context.Context, ch config.Change) (config.Entry, error)
 	Pull(ctx context.Context) error
 }
 
@@ -136,7 +136,7 @@
 	if faults := next.Faults(); len(faults) > 0 {
 		return c.JSON(http.StatusUnprocessableEntity, changeAnswer{Revision: conf.Revision, Error: "configuration has faults", Faults: faults})
 	}
-	if err := a.commit.Commit(ctx, ch); err != nil {
+	if _, err := a.commit.Commit(ctx, ch); err != nil {
 		return c.JSON(commitStatus(err), changeAnswer{Revision: conf.Revision, Error: err.Error()})
 	}
 	a.log.Info("change accepted", "revision", ch.Revision, "author", ch.Author, "reason", ch.Reason)
--- /dev/null
+++ b/hitchd/internal/spread/commit.go
@@ -0,0 +1,167 @@
+package spread
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"github.com/go-faster/errors"
+
+	"magnoliahitch/links/plat"
+	"magnoliahitch/steer/config"
+)
+
+// Errors of a commit.
+var (
+	// ErrConflict reports that another operator's change was accepted first.
+	ErrConflict = errors.New("another change was accepted first")
+	// ErrUnknown reports that the table didn't tell whether the change was
+	// accepted. The same change with the same write id may be sent again.
+	ErrUnknown = errors.New("not known whether the change was accepted")
+)
+
+// Conflict tells which change was accepted instead. It is [ErrConflict].
+type Conflict struct {
+	// Current is the greatest accepted revision.
+	Current uint64
+	// Winner is the change that made it.
+	Winner config.Change
+}
+
+// Error describes the winner.
+func (c *Conflict) Error() string {
+	return fmt.Sprintf("revision %d is in force, made by %s at %s: %s", c.Current, c.Winner.Author, c.Winner.At.Format(time.RFC3339), c.Winner.Reason)
+}
+
+// Unwrap returns [ErrConflict].
+func (c *Conflict) Unwrap() error { return ErrConflict }
+
+// Delays between tries to learn the outcome of a commit.
+const (
+	settleDelay    = 50 * time.Millisecond
+	maxSettleDelay = time.Second
+)
+
+// Commit accepts the change when its revision follows the greatest accepted
+// one, and brings it into force here. It returns a [Conflict] when another
+// change came first, and [ErrUnknown] when the context ended before the
+// outcome was known. A change whose write id was accepted before is not
+// accepted again; its entry is returned.
+func (s *Spread) Commit(ctx context.Context, ch config.Change) (config.Entry, error) {
+	s.followPeers(ctx)
+	if err := s.Pull(ctx); err != nil {
+		return config.Entry{}, err
+	}
+	held := s.held()
+	if e, ok := held.ByWriteID(ch.WriteID); ok && ch.WriteID != "" {
+		return e, nil
+	}
+	if ch.Revision != held.End().Revision+1 {
+		return config.Entry{}, s.conflict(ctx, held)
+	}
+	h, version, err := s.head(ctx)
+	if err != nil {
+		return config.Entry{}, errors.Wrap(err, "read head")
+	}
+	if h.Mark != held.End() {
+		return config.Entry{}, s.conflict(ctx, held)
+	}
+	ch.Prev = h.Digest
+	e, err := config.Encode(ch)
+	if err != nil {
+		return config.Entry{}, err
+	}
+	if err := s.settle(ctx, e, version); err != nil {
+		return config.Entry{}, err
+	}
+	_, err = s.adopt("operator", toAll, []config.Entry{e})
+	return e, err
+}
+
+// settle sends the transaction until its outcome is known. Every try demands
+// the same version of the head row, so at most one of them takes effect.
+func (s *Spread) settle(ctx context.Context, e config.Entry, version int64) error {
+	unknown := false
+	for delay := settleDelay; ; delay = min(2*delay, maxSettleDelay) {
+		_, err := s.putEntries(ctx, []config.Entry{e}, version)
+		switch {
+		case err == nil:
+			return nil
+		case errors.Is(err, plat.ErrConflict):
+			err = s.readBack(ctx, e)
+			if err == nil || errors.Is(err, ErrConflict) || !unknown {
+				return err
+			}
+		case errors.Is(err, plat.ErrUnknown):
+			unknown = true
+		case !unknown:
+			// The first try had no effect.
+			return errors.Wrapf(err, "commit revision %d", e.Change.Revision)
+		}
+		s.log.Warn("commit has no answer yet", "revision", e.Change.Revision, "error", err)
+		select {
+		case <-ctx.Done():
+			return errors.Wrapf(ErrUnknown, "commit revision %d", e.Change.Revision)
+		case <-time.After(delay):
+		}
+	}
+}
+
+// readBack looks at the row that the change would have written. It returns nil
+// when the change is there, a [Conflict] when another one is.
+func (s *Spread) readBack(ctx context.Context, e config.Entry) error {
+	row, err := s.table.Get(ctx, changeKey(e.Change.Revision))
+	if err != nil {
+		return errors.Wrapf(err, "read change %d back", e.Change.Revision)
+	}
+	there, err := config.Decode(row.Value)
+	if err != nil {
+		return err
+	}
+	if there.Mark() == e.Mark() {
+		return nil
+	}
+	return &Conflict{Current: there.Change.Revision, Winner: there.Change}
+}
+
+// conflict names the change that is in force, as far as the host knows it.
+func (s *Spread) conflict(ctx context.Context, held config.Log) error {
+	if err := s.Pull(ctx); err == nil {
+		held = s.held()
+	}
+	c := &Conflict{Current: held.End().Revision}
+	if e, ok := held.At(c.Current); ok {
+		c.Winner = e.Change
+	}
+	return c
+}
+
+// History returns at most limit accepted changes, newest first. Changes that
+// this host doesn't hold are read from the table; when it is down, only those
+// that the host holds are returned.
+func (s *Spread) History(ctx context.Context, limit int) []config.Change {
+	held := s.held()
+	var out []config.Change
+	for r := held.End().Revision; r > held.Base().Revision && len(out) < limit; r-- {
+		e, _ := held.At(r)
+		out = append(out, e.Change)
+	}
+	base := held.Base().Revision
+	if len(out) == limit || base == 0 {
+		return out
+	}
+	ctx, cancel := context.WithTimeout(ctx, tableTimeout)
+	defer cancel()
+	count := uint64(min(limit-len(out), changesLimit))
+	rows, err := s.table.List(ctx, logPrefix, changeKey(base-min(base, count)), int(count))
+	if err != nil {
+		s.log.Warn("read history", "error", err)
+		return out
+	}
+	for i := len(rows) - 1; i >= 0; i-- {
+		if e, err := config.Decode(rows[i].Value); err == nil && e.Change.Revision <= base {
+			out = append(out, e.Change)
+		}
+	}
+	return out
+}
--- /dev/null
+++ b/hitchd/internal/spread/meters.go
@@ -0,0 +1,37 @@
+package spread
+
+import "github.com/VictoriaMetrics/metrics"
+
+// meters are the metrics of the configuration.
+type meters struct {
+	revision, current, storeDown, fork, knownAge *metrics.Gauge
+
+	pushes, pushFailures, asks, askFailures *metrics.Counter
+	polls, pollFailures, repairs, snapshots *metrics.Counter
+}
+
+func newMeters() meters {
+	return meters{
+		revision:     metrics.GetOrCreateGauge("hitch_config_revision", nil),
+		current:      metrics.GetOrCreateGauge("hitch_config_current", nil),
+		storeDown:    metrics.GetOrCreateGauge("hitch_config_store_down", nil),
+		fork:         metrics.GetOrCreateGauge("hitch_config_fork", nil),
+		knownAge:     metrics.GetOrCreateGauge("hitch_config_known_age_seconds", nil),
+		pushes:       metrics.GetOrCreateCounter(`hitch_config_messages_total{kind="push"}`),
+		pushFailures: metrics.GetOrCreateCounter(`hitch_config_message_failures_total{kind="push"}`),
+		asks:         metrics.GetOrCreateCounter(`hitch_config_messages_total{kind="ask"}`),
+		askFailures:  metrics.GetOrCreateCounter(`hitch_config_message_failures_total{kind="ask"}`),
+		polls:        metrics.GetOrCreateCounter("hitch_config_polls_total"),
+		pollFailures: metrics.GetOrCreateCounter("hitch_config_poll_failures_total"),
+		repairs:      metrics.GetOrCreateCounter("hitch_config_repairs_total"),
+		snapshots:    metrics.GetOrCreateCounter("hitch_config_snapshots_total"),
+	}
+}
+
+// flag returns 1 for true and 0 for false.
+func flag(b bool) float64 {
+	if b {
+		return 1
+	}
+	return 0
+}
--- a/hitchd/internal/view/view.go
+++ b/hitchd/internal/view/view.go
@@ -3,28 +3,32 @@
 
 import (
 	"sync"
+	"sync/atomic"
 
 	"magnoliahitch/steer/config"
 )
 
 // View holds the configuration in force. Its revision never goes back.
 type View struct {
-	mu       sync.RWMutex
-	config   *config.Config
+	config atomic.Pointer[config.Config]
+
+	// mu orders the calls of watchers.
+	mu       sync.Mutex
 	watchers []func(*config.Config)
 }
 
 // New returns a view of the empty configuration.
-func New() *View { return &View{config: &config.Config{}} }
+func New() *View {
+	v := &View{}
+	v.config.Store(&config.Config{})
+	return v
+}
 
 // Config returns the configuration in force.
-func (v *View) Config() *config.Config {
-	v.mu.RLock()
-	defer v.mu.RUnlock()
-	return v.config
-}
+func (v *View) Config() *config.Config { return v.config.Load() }
 
-// Watch calls f with each configuration that comes into force.
+// Watch calls f with each configuration that comes into force. Calls come one
+// at a time in the order of revisions.
 func (v *View) Watch(f func(*config.Config)) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
@@ -36,10 +40,10 @@
 func (v *View) Advance(c *config.Config) bool {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	if c.Revision <= v.config.Revision {
+	if c.Revision <= v.Config().Revision {
 		return false
 	}
-	v.config = c
+	v.config.Store(c)
 	for _, f := range v.watchers {
 		f(c)
 	}
--- a/hitchd/serve.go
+++ b/hitchd/serve.go
@@ -64,8 +64,10 @@
 	conf.Watch(func(c *config.Config) { keeper.Configure(clock.Now(), c) })
 	client := peer.NewClient(keys)
 	router := route.New(known, keeper, client, log.Named("route"))
-	changes := spread.New(table, conf, log.Named("spread"))
+	changes := spread.New(table, conf, log.Named("spread"),
+		spread.WithPeers(known, client), spread.WithObjects(plat.NewClient(s.Platform.Objects)))
 	peers := peer.NewServer(keys)
+	changes.Register(peers)
 	peers.HandleCalls(keeper)
 
 	var g run.Group
--- a/steer/config/log.go
+++ b/steer/config/log.go
@@ -89,3 +89,13 @@
 	}
 	return Entry{}, false
 }
+
+// Tail returns the last entries, oldest first and at most limit bytes.
+func (l Log) Tail(limit int) []Entry {
+	first, size := len(l.entries), 0
+	for first > 0 && size+len(l.entries[first-1].Raw) <= limit {
+		first--
+		size += len(l.entries[first].Raw)
+	}
+	return l.entries[first:]
+}
