admin, hitchctl: answer operators with problems and teach the commands

The operator port answered free text, accepted the empty token when the host's token was empty, and knew neither repeated commands nor history, dry runs, explanations or lagging hosts. hitchctl had apply and status only.

The port answers RFC 9457 problems that name the winner of a race or every fault; a change may carry a write id and is recognised when it is sent again; status, revisions, history, explain and the log level have calls of their own. hitchctl is now a package with a small main, so that the pages' commands run in a test against an operator port in this process. Drain progress, shift use and decisions come through options and are unknown until they are set.

Ruled out: echo's body limit, which needs golang.org/x/time; http.MaxBytesReader does. Seen failing: token checks removed, write id look-up removed (repeated change, next address), checks removed, deletes unchecked, silent host counted as up to date, a command renamed (pages).

--- /dev/null
+++ b/hitchctl/client/call.go
@@ -0,0 +1,131 @@
+package client
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"os"
+	"strings"
+	"time"
+
+	"github.com/go-faster/errors"
+
+	"magnoliahitch/steer/config"
+)
+
+// Bounds of calls.
+const (
+	callTimeout = 10 * time.Second
+	// maxAnswer bounds an answer, in bytes.
+	maxAnswer = 64 << 20
+)
+
+// problem is an error body after RFC 9457.
+type problem struct {
+	Status  int    `json:"status"`
+	Detail  string `json:"detail"`
+	Reason  string `json:"reason"`
+	Current uint64 `json:"current"`
+	Winner  *struct {
+		Revision uint64    `json:"revision"`
+		Author   string    `json:"author"`
+		Reason   string    `json:"reason"`
+		At       time.Time `json:"at"`
+	} `json:"winner"`
+	Faults []config.Fault `json:"faults"`
+}
+
+// Error describes the problem with its faults, one a line.
+func (p *problem) Error() string {
+	var b strings.Builder
+	b.WriteString(p.Detail)
+	if p.Winner != nil {
+		fmt.Fprintf(&b, "\n  in force: revision %d by %s at %s: %s", p.Winner.Revision, p.Winner.Author, p.Winner.At.Format(time.RFC3339), p.Winner.Reason)
+	}
+	for _, f := range p.Faults {
+		b.WriteString("\n  " + f.Error())
+	}
+	return b.String()
+}
+
+// code returns the exit code of the problem.
+func (p *problem) code() int {
+	switch p.Status {
+	case http.StatusConflict:
+		return ExitConflict
+	case http.StatusUnprocessableEntity:
+		return ExitRefused
+	case http.StatusServiceUnavailable:
+		return ExitPlatform
+	case http.StatusBadRequest, http.StatusNotFound:
+		return ExitUsage
+	}
+	return ExitFailed
+}
+
+// get reads a path of the operator port.
+func (s *session) get(path string, out any) error { return s.call(http.MethodGet, path, nil, out) }
+
+// call makes one call. When a host can't be reached, or doesn't know whether
+// a change was accepted, the next address is tried with the same body.
+func (s *session) call(method, path string, in, out any) error {
+	token, err := os.ReadFile(s.Token)
+	if err != nil {
+		return exit(ExitUsage, errors.Wrap(err, "read operator token (--token-file)"))
+	}
+	var body []byte
+	if in != nil {
+		if body, err = json.Marshal(in); err != nil {
+			return errors.Wrap(err, "encode request")
+		}
+	}
+	err = errors.New("no address given (--addr)")
+	for _, addr := range s.Addr {
+		var p *problem
+		err = s.callHost(addr, strings.TrimSpace(string(token)), method, path, body, out)
+		switch {
+		case err == nil:
+			return nil
+		case errors.As(err, &p) && p.Status != http.StatusServiceUnavailable && p.Status != http.StatusGatewayTimeout:
+			return exit(p.code(), err)
+		}
+		fmt.Fprintf(s.err, "host %s: %v\n", addr, err)
+	}
+	var p *problem
+	if errors.As(err, &p) {
+		return exit(p.code(), err)
+	}
+	return err
+}
+
+func (s *session) callHost(addr, token, method, path string, body []byte, out any) error {
+	req, err := http.NewRequestWithContext(s.ctx, method, "http://"+addr+path, bytes.NewReader(body))
+	if err != nil {
+		return errors.Wrapf(err, "call host %s", addr)
+	}
+	req.Header.Set("Authorization", "Bearer "+token)
+	req.Header.Set("Content-Type", "application/json")
+	res, err := (&http.Client{Timeout: callTimeout}).Do(req)
+	if err != nil {
+		return errors.Wrapf(err, "call host %s", addr)
+	}
+	defer res.Body.Close()
+	data, err := io.ReadAll(io.LimitReader(res.Body, maxAnswer))
+	if err != nil {
+		return errors.Wrapf(err, "call host %s", addr)
+	}
+	if res.StatusCode != http.StatusOK {
+		p := &problem{Status: res.StatusCode}
+		if err := json.Unmarshal(data, p); err != nil || p.Detail == "" {
+			p.Detail = fmt.Sprintf("call host %s: status %d", addr, res.StatusCode)
+		}
+		p.Status = res.StatusCode
+		return p
+	}
+	if err := json.Unmarshal(data, out); err != nil {
+		return errors.Wrapf(err, "call host %s", addr)
+	}
+	return nil
+}
--- a/hitchctl/main.go
+++ b/hitchctl/main.go
@@ -2,37 +2,17 @@
 package main
 
 import (
-	"errors"
+	"context"
 	"os"
+	"os/signal"
+	"syscall"
 
-	"github.com/jessevdk/go-flags"
+	"magnoliahitch/hitchctl/client"
 )
 
-// Exit codes.
-const (
-	exitFailed = 1
-	exitUsage  = 2
-)
-
-type options struct {
-	client
-	Apply  applyCommand  `command:"apply" description:"apply a file of configuration records"`
-	Status statusCommand `command:"status" description:"show hosts and the configuration in force"`
-	Keys   keysCommand   `command:"keys" description:"make keys for development"`
-}
-
 func main() {
-	var o options
-	o.Apply.client, o.Status.client = &o.client, &o.client
-	p := flags.NewParser(&o, flags.Default)
-	_, err := p.Parse()
-	var fe *flags.Error
-	switch {
-	case err == nil:
-	case errors.As(err, &fe) && fe.Type == flags.ErrHelp:
-	case errors.As(err, &fe):
-		os.Exit(exitUsage)
-	default:
-		os.Exit(exitFailed)
-	}
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	defer stop()
+	os.Exit(client.Run(ctx, os.Args[1:], os.Stdout, os.Stderr,
+		client.Command{Name: "keys", Description: "make keys for development", Data: &keysCommand{}}))
 }
--- a/hitchd/internal/admin/admin.go
+++ b/hitchd/internal/admin/admin.go
@@ -3,32 +3,41 @@
 
 import (
 	"context"
+	"crypto/sha256"
 	"crypto/subtle"
+	"fmt"
 	"net/http"
 	"strings"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
-	"github.com/go-faster/errors"
-	"github.com/google/uuid"
 	"github.com/hashicorp/go-hclog"
 	"github.com/labstack/echo/v4"
 
 	"magnoliahitch/hitchd/internal/spread"
 	"magnoliahitch/steer/config"
 	"magnoliahitch/steer/member"
+	"magnoliahitch/steer/place"
 )
 
-// maxChange is the largest accepted change, in the notation of echo.
-const maxChange = "16M"
-
-// headerTimeout bounds the time to read a request's header.
-const headerTimeout = 5 * time.Second
+// Bounds of the operator port.
+const (
+	// maxBody is the largest request body, in bytes.
+	maxBody = 16 << 20
+	// headerTimeout bounds the time to read a request's header.
+	headerTimeout = 5 * time.Second
+	// readTimeout bounds the time to read a request.
+	readTimeout = 30 * time.Second
+)
 
-// Committer accepts changes.
+// Committer accepts changes and knows how far the host is current.
 type Committer interface {
 	Commit(ctx context.Context, ch config.Change) (config.Entry, error)
 	Pull(ctx context.Context) error
+	Accepted(writeID string) (config.Change, bool)
+	History(ctx context.Context, limit int) []config.Change
+	Revisions(ctx context.Context) map[string]uint64
+	State(now time.Time) spread.State
 }
 
 // Viewer gives the configuration in force.
@@ -40,126 +49,147 @@
 type Members interface {
 	Live() []member.Host
 	Self() member.Host
+	Keeper(now time.Time, k place.Key) (member.Host, bool)
+}
+
+// Explainer tells why a request would go where it goes.
+type Explainer interface {
+	// Explain returns one line for each decision on the way, in order.
+	Explain(now time.Time, cell place.Cell, block string) []string
+}
+
+// Shift is the use of a shift's cap.
+type Shift struct {
+	Name    string  `json:"name"`
+	Rate    float64 `json:"rate"`
+	CapRate float64 `json:"capRate"`
+	Mbps    float64 `json:"mbps"`
+	CapMbps float64 `json:"capMbps"`
 }
 
 // Admin is the operator port.
 type Admin struct {
-	token   string
+	token   [sha256.Size]byte
+	empty   bool
 	view    Viewer
 	members Members
 	commit  Committer
 	log     hclog.Logger
+
+	checks  []func(*config.Config) []config.Fault
+	explain Explainer
+	work    func(ctx context.Context, d config.Drain) (inFlight int, known bool)
+	shifts  func(now time.Time) []Shift
+}
+
+// Option changes an operator port.
+type Option func(*Admin)
+
+// WithChecks adds checks of a configuration before it is accepted.
+func WithChecks(checks ...func(*config.Config) []config.Fault) Option {
+	return func(a *Admin) { a.checks = append(a.checks, checks...) }
 }
 
-// New returns an operator port that demands the bearer token.
-func New(token string, v Viewer, m Members, c Committer, log hclog.Logger) *Admin {
-	return &Admin{token: token, view: v, members: m, commit: c, log: log}
+// WithExplainer adds the decisions on a request's way to explanations.
+func WithExplainer(e Explainer) Option {
+	return func(a *Admin) { a.explain = e }
+}
+
+// WithWork sets the source of the work in flight on the servers that a drain
+// covers. Without it the state of drains is unknown.
+func WithWork(f func(ctx context.Context, d config.Drain) (inFlight int, known bool)) Option {
+	return func(a *Admin) { a.work = f }
+}
+
+// WithShifts sets the source of the use of shifts' caps. Without it the use
+// is unknown.
+func WithShifts(f func(now time.Time) []Shift) Option {
+	return func(a *Admin) { a.shifts = f }
+}
+
+// New returns an operator port that demands the bearer token. With an empty
+// token every call is refused.
+func New(token string, v Viewer, m Members, c Committer, log hclog.Logger, options ...Option) *Admin {
+	a := &Admin{token: sha256.Sum256([]byte(token)), empty: token == "", view: v, members: m, commit: c, log: log}
+	for _, o := range options {
+		o(a)
+	}
+	return a
 }
 
 // Server returns the HTTP server of the operator port.
 func (a *Admin) Server() *http.Server {
 	e := echo.New()
 	e.HideBanner = true
+	e.HTTPErrorHandler = writeError
 	e.GET("/healthz", func(c echo.Context) error { return c.String(http.StatusOK, "ok\n") })
 	e.GET("/metrics", func(c echo.Context) error {
 		metrics.WritePrometheus(c.Response(), true)
 		return nil
 	})
-	g := e.Group("/v1", a.authenticate)
+	g := e.Group("/v1", a.count, a.authenticate, limitBody)
 	g.GET("/config", a.config)
 	g.POST("/changes", a.change)
+	g.GET("/history", a.history)
 	g.GET("/status", a.status)
-	return &http.Server{Handler: e, ReadHeaderTimeout: headerTimeout}
+	g.GET("/revisions", a.revisions)
+	g.GET("/explain", a.explainRequest)
+	g.PUT("/log", a.setLevel)
+	return &http.Server{Handler: e, ReadHeaderTimeout: headerTimeout, ReadTimeout: readTimeout}
 }
 
+// authenticate compares digests, so that neither the token's text nor its
+// length can be learned from the time that a refusal takes.
 func (a *Admin) authenticate(next echo.HandlerFunc) echo.HandlerFunc {
 	return func(c echo.Context) error {
-		got := strings.TrimPrefix(c.Request().Header.Get("Authorization"), "Bearer ")
-		if subtle.ConstantTimeCompare([]byte(got), []byte(a.token)) != 1 {
-			return echo.NewHTTPError(http.StatusUnauthorized, "operator token missing or wrong")
+		text, ok := strings.CutPrefix(c.Request().Header.Get("Authorization"), "Bearer ")
+		got := sha256.Sum256([]byte(text))
+		same := subtle.ConstantTimeCompare(got[:], a.token[:]) == 1
+		if !ok || a.empty || text == "" || !same {
+			a.log.Warn("operator call refused", "from", c.RealIP(), "path", c.Path())
+			return &problem{Status: http.StatusUnauthorized, Reason: reasonToken, Detail: "operator token missing or wrong"}
 		}
 		return next(c)
 	}
 }
 
-type configAnswer struct {
-	Revision uint64         `json:"revision"`
-	Records  config.Records `json:"records"`
-}
-
-func (a *Admin) config(c echo.Context) error {
-	conf := a.view.Config()
-	return c.JSON(http.StatusOK, configAnswer{Revision: conf.Revision, Records: conf.Records()})
+// limitBody cuts request bodies at the bound.
+func limitBody(next echo.HandlerFunc) echo.HandlerFunc {
+	return func(c echo.Context) error {
+		r := c.Request()
+		r.Body = http.MaxBytesReader(c.Response(), r.Body, maxBody)
+		return next(c)
+	}
 }
 
-// changeRequest asks for a change to the base revision.
-type changeRequest struct {
-	Base    uint64         `json:"base"`
-	Author  string         `json:"author"`
-	Reason  string         `json:"reason"`
-	Puts    config.Records `json:"puts"`
-	Deletes []config.Ref   `json:"deletes"`
+// count counts calls by their status.
+func (a *Admin) count(next echo.HandlerFunc) echo.HandlerFunc {
+	return func(c echo.Context) error {
+		err := next(c)
+		code := c.Response().Status
+		if err != nil {
+			code = problemOf(err).Status
+		}
+		metrics.GetOrCreateCounter(fmt.Sprintf(`hitch_operator_calls_total{call=%q,status="%d"}`, c.Request().Method+" "+c.Path(), code)).Inc()
+		return err
+	}
 }
 
-type changeAnswer struct {
-	Revision uint64         `json:"revision"`
-	Error    string         `json:"error,omitempty"`
-	Faults   []config.Fault `json:"faults,omitempty"`
+type levelRequest struct {
+	Level string `json:"level"`
 }
 
-func (a *Admin) change(c echo.Context) error {
-	var in changeRequest
+// setLevel changes the log level of the whole host.
+func (a *Admin) setLevel(c echo.Context) error {
+	var in levelRequest
 	if err := c.Bind(&in); err != nil {
 		return err
 	}
-	ctx := c.Request().Context()
-	if err := a.commit.Pull(ctx); err != nil {
-		return c.JSON(http.StatusServiceUnavailable, changeAnswer{Error: err.Error()})
-	}
-	conf := a.view.Config()
-	if in.Base != conf.Revision {
-		return c.JSON(http.StatusConflict, changeAnswer{Revision: conf.Revision, Error: "base is not the current revision"})
-	}
-	ch := config.Change{
-		Revision: in.Base + 1,
-		WriteID:  uuid.NewString(),
-		Author:   in.Author,
-		Reason:   in.Reason,
-		At:       time.Now().UTC(),
-		Puts:     in.Puts,
-		Deletes:  in.Deletes,
-	}
-	next, err := conf.WithChange(ch)
-	if err != nil {
-		return c.JSON(http.StatusConflict, changeAnswer{Revision: conf.Revision, Error: err.Error()})
-	}
-	if faults := next.Faults(); len(faults) > 0 {
-		return c.JSON(http.StatusUnprocessableEntity, changeAnswer{Revision: conf.Revision, Error: "configuration has faults", Faults: faults})
+	level := hclog.LevelFromString(in.Level)
+	if level == hclog.NoLevel {
+		return &problem{Status: http.StatusUnprocessableEntity, Reason: reasonFaults, Detail: "level = " + in.Level + ": want trace, debug, info, warn, error or off"}
 	}
-	if _, err := a.commit.Commit(ctx, ch); err != nil {
-		return c.JSON(commitStatus(err), changeAnswer{Revision: conf.Revision, Error: err.Error()})
-	}
-	a.log.Info("change accepted", "revision", ch.Revision, "author", ch.Author, "reason", ch.Reason)
-	return c.JSON(http.StatusOK, changeAnswer{Revision: ch.Revision})
-}
-
-func commitStatus(err error) int {
-	if errors.Is(err, spread.ErrConflict) {
-		return http.StatusConflict
-	}
-	return http.StatusServiceUnavailable
-}
-
-type statusAnswer struct {
-	Host     string        `json:"host"`
-	Revision uint64        `json:"revision"`
-	Hosts    []member.Host `json:"hosts"`
-}
-
-func (a *Admin) status(c echo.Context) error {
-	return c.JSON(http.StatusOK, statusAnswer{
-		Host:     a.members.Self().Name,
-		Revision: a.view.Config().Revision,
-		Hosts:    a.members.Live(),
-	})
+	a.log.SetLevel(level)
+	a.log.Warn("log level changed", "level", level)
+	return c.JSON(http.StatusOK, levelRequest{level.String()})
 }
--- /dev/null
+++ b/hitchd/internal/admin/admin_test.go
@@ -0,0 +1,243 @@
+package admin
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"testing"
+
+	"github.com/hashicorp/go-hclog"
+
+	"magnoliahitch/hitchctl/client"
+	"magnoliahitch/hitchd/internal/spread"
+	"magnoliahitch/hitchd/internal/view"
+	"magnoliahitch/links/mem"
+	"magnoliahitch/steer/config"
+)
+
+// post sends a body with the token and returns the status and the problem.
+func (s *site) post(t *testing.T, token, body string) (int, problem) {
+	t.Helper()
+	req, err := http.NewRequest(http.MethodPost, s.server.URL+"/v1/changes", strings.NewReader(body))
+	if err != nil {
+		t.Fatal(err)
+	}
+	req.Header.Set("Authorization", "Bearer "+token)
+	req.Header.Set("Content-Type", "application/json")
+	res, err := http.DefaultClient.Do(req)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer res.Body.Close()
+	var p problem
+	if err := json.NewDecoder(res.Body).Decode(&p); err != nil {
+		t.Fatal(err)
+	}
+	return res.StatusCode, p
+}
+
+// put returns the body of a change of one profile.
+func put(base int, id string, wait int) string {
+	return fmt.Sprintf(`{"base":%d,"writeId":%q,"author":"ann","reason":"why","puts":{"profiles":[{"name":"latency","queueWaitMs":%d}]}}`, base, id, wait)
+}
+
+func TestTokenIsDemanded(t *testing.T) {
+	s := newSite(t)
+	for _, got := range []string{"", "secre", "secrets", "Secret"} {
+		if code, p := s.post(t, got, put(0, "w", 1)); code != http.StatusUnauthorized || p.Reason != reasonToken {
+			t.Errorf("token %q: got status %d and %q, want 401", got, code, p.Reason)
+		}
+	}
+	none := New("", view.New(), s, s.spread, hclog.NewNullLogger()).Server().Handler
+	for _, h := range []string{"", "Bearer", "Bearer "} {
+		r := httptest.NewRequest(http.MethodGet, "/v1/config", nil)
+		r.Header["Authorization"] = []string{h}
+		w := httptest.NewRecorder()
+		none.ServeHTTP(w, r)
+		if w.Code != http.StatusUnauthorized {
+			t.Errorf("empty token and header %q: got status %d, want 401", h, w.Code)
+		}
+	}
+}
+
+func TestChangesAreRefusedWithProblems(t *testing.T) {
+	s := newSite(t)
+	for _, tt := range []struct {
+		name, body string
+		code       int
+		reason     string
+	}{
+		{"malformed", `{"base":`, 400, reasonRequest},
+		{"of another type", `{"base":"one"}`, 400, reasonRequest},
+		{"no reason", `{"author":"ann"}`, 400, reasonRequest},
+		{"oversized", `{"author":"` + strings.Repeat("a", maxBody) + `"}`, 413, reasonRequest},
+		{"wrong base", put(7, "w", 1), 409, reasonConflict},
+		{"faults", put(0, "w", -1), 422, reasonFaults},
+		{"delete of nothing", `{"author":"a","reason":"b","deletes":[{"kind":"drain","name":"x"}]}`, 422, reasonFaults},
+	} {
+		if code, p := s.post(t, token, tt.body); code != tt.code || p.Reason != tt.reason || p.Detail == "" {
+			t.Errorf("%s: got status %d and %+v, want %d and %s", tt.name, code, p, tt.code, tt.reason)
+		}
+	}
+	if got := s.spread.History(t.Context(), 9); len(got) != 0 {
+		t.Errorf("got %d accepted changes, want none", len(got))
+	}
+}
+
+func TestRacingAppliesOfOneProfile(t *testing.T) {
+	s := newSite(t)
+	var mu sync.Mutex
+	codes := make(map[int]int)
+	var g sync.WaitGroup
+	for i := range 8 {
+		g.Go(func() {
+			code, p := s.post(t, token, put(0, fmt.Sprint("w", i), 100+i))
+			mu.Lock()
+			defer mu.Unlock()
+			codes[code]++
+			if code == http.StatusConflict && (p.Current != 1 || p.Winner == nil || p.Winner.Author != "ann") {
+				t.Errorf("got %+v, want the winner of revision 1", p)
+			}
+		})
+	}
+	g.Wait()
+	if codes[http.StatusOK] != 1 || codes[http.StatusConflict] != 7 {
+		t.Errorf("got statuses %v, want one accepted and seven conflicts", codes)
+	}
+}
+
+func TestRepeatedChangeIsMadeOnce(t *testing.T) {
+	s := newSite(t)
+	s.store.SetFault(mem.Fault{LoseCommits: 1})
+	for i := range 3 {
+		if code, p := s.post(t, token, put(0, "w", 100)); code != http.StatusOK {
+			t.Fatalf("try %d: got status %d and %+v, want 200", i, code, p)
+		}
+		if code, _ := s.post(t, token, put(i+1, fmt.Sprint("x", i), 200+i)); code != http.StatusOK {
+			t.Fatalf("further change %d: got status %d, want 200", i, code)
+		}
+	}
+	if got := s.spread.History(t.Context(), 9); len(got) != 4 {
+		t.Errorf("got %d accepted changes, want 4", len(got))
+	}
+}
+
+// apart refuses drains that leave a region without any failure domain, and
+// drains of a region that a move goes to.
+func apart(c *config.Config) []config.Fault {
+	var out []config.Fault
+	drained := make(map[string]bool)
+	for _, d := range c.Drains {
+		drained[d.Target] = true
+	}
+	for n, r := range c.Regions {
+		if len(r.Domains) == 2 && drained[r.Domains[0]] && drained[r.Domains[1]] {
+			out = append(out, config.Fault{Kind: config.KindRegion, Name: n, Key: "domains", Value: "all drained", Want: "one that serves"})
+		}
+	}
+	for n, m := range c.Moves {
+		if drained[m.To] {
+			out = append(out, config.Fault{Kind: config.KindMove, Name: n, Key: "to", Value: m.To, Want: "a region that serves"})
+		}
+	}
+	return out
+}
+
+func TestConflictingDrainsAndMovesAreRefused(t *testing.T) {
+	s := newSite(t, WithChecks(apart))
+	for _, tt := range []struct {
+		line string
+		code int
+	}{
+		{`apply --file records.ini --reason r`, client.ExitOK},
+		{`drain declare a --domain norte-a --reason r`, client.ExitOK},
+		{`drain declare a --domain norte-b --reason r`, client.ExitConflict},
+		{`drain declare b --domain norte-b --reason r`, client.ExitRefused},
+		{`drain declare c --region litoral --reason r`, client.ExitOK},
+		{`move declare m --service care --from norte --to litoral --share 1 --cap-rate 1 --cap-mbps 1 --reason r`, client.ExitRefused},
+		{`drain cancel c --reason r`, client.ExitOK},
+		{`drain cancel c --reason r`, client.ExitRefused},
+		{`move declare m --service care --from norte --to litoral --share 1 --cap-rate 1 --cap-mbps 1 --reason r`, client.ExitOK},
+		{`drain declare c --region litoral --reason r`, client.ExitRefused},
+		{`move pause m --reason r`, client.ExitOK},
+		{`move cancel m --reason r`, client.ExitOK},
+		{`move resume m --reason r`, client.ExitRefused},
+		{`drain declare d --server nothing --reason r`, client.ExitRefused},
+		{`drain declare d --reason r`, client.ExitUsage},
+		{`drain declare d --server care-1`, client.ExitUsage},
+		{`profile show none`, client.ExitUsage},
+		{`check --file absent.ini`, client.ExitUsage},
+	} {
+		before := s.spread.State(s.now()).Mark
+		code, out := hitchctl(words(tt.line)...)
+		if code != tt.code {
+			t.Errorf("%s: got code %d and %s, want %d", tt.line, code, out, tt.code)
+		}
+		if after := s.spread.State(s.now()).Mark; tt.code != client.ExitOK && after != before {
+			t.Errorf("%s: got %v after a refusal, want %v", tt.line, after, before)
+		}
+	}
+}
+
+func TestPlatformDownIsTold(t *testing.T) {
+	s := newSite(t)
+	s.store.SetFault(mem.Fault{Down: true})
+	if code, out := hitchctl("apply", "--file", "records.ini", "--reason", "r"); code != client.ExitPlatform || !strings.Contains(out, "nothing was changed") {
+		t.Errorf("got code %d and %s, want %d", code, out, client.ExitPlatform)
+	}
+	if code, out := hitchctl("status"); code != client.ExitOK || !strings.Contains(out, "platform: down since") {
+		t.Errorf("got code %d and %s, want the platform down", code, out)
+	}
+}
+
+func TestNextAddressGetsTheSameWrite(t *testing.T) {
+	s := newSite(t)
+	// The first host accepts the change, but its answer is lost.
+	first := httptest.NewServer(http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+		s.server.Config.Handler.ServeHTTP(httptest.NewRecorder(), r)
+		panic(http.ErrAbortHandler)
+	}))
+	defer first.Close()
+	t.Setenv("HITCH_ADDR", strings.TrimPrefix(first.URL, "http://")+","+s.addr())
+	code, out := hitchctl("apply", "--file", "records.ini", "--reason", "r")
+	if code != client.ExitOK || !strings.Contains(out, "accepted before") {
+		t.Errorf("got code %d and %s, want the change recognised", code, out)
+	}
+	if got := s.spread.History(t.Context(), 9); len(got) != 1 {
+		t.Errorf("got %d accepted changes, want 1", len(got))
+	}
+}
+
+func TestWaitNamesHostsThatLag(t *testing.T) {
+	s := newSite(t)
+	s.silent = true
+	code, out := hitchctl("apply", "--file", "records.ini", "--reason", "r", "--wait", "--timeout", "300ms")
+	if code != client.ExitTimeout || !strings.Contains(out, "silent (no answer)") {
+		t.Errorf("got code %d and %s, want %d and the silent host", code, out, client.ExitTimeout)
+	}
+}
+
+func TestLevelChangesWhileRunning(t *testing.T) {
+	s := newSite(t)
+	var text bytes.Buffer
+	root := hclog.New(&hclog.LoggerOptions{Level: hclog.Info, Output: &text})
+	a := New(token, view.New(), s, spread.New(s.store, view.New(), root), root.Named("admin"))
+	h := a.Server().Handler
+	for level, want := range map[string]int{"debug": 200, "loud": 422} {
+		r := httptest.NewRequest(http.MethodPut, "/v1/log", strings.NewReader(`{"level":"`+level+`"}`))
+		r.Header.Set("Authorization", "Bearer "+token)
+		r.Header.Set("Content-Type", "application/json")
+		w := httptest.NewRecorder()
+		h.ServeHTTP(w, r)
+		if w.Code != want {
+			t.Errorf("level %s: got status %d, want %d", level, w.Code, want)
+		}
+	}
+	if !root.IsDebug() {
+		t.Error("got the old level on the root logger, want debug")
+	}
+}
--- /dev/null
+++ b/hitchd/internal/admin/pages_test.go
@@ -0,0 +1,183 @@
+package admin
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+
+	"magnoliahitch/hitchctl/client"
+	"magnoliahitch/hitchd/internal/spread"
+	"magnoliahitch/hitchd/internal/view"
+	"magnoliahitch/links/clock"
+	"magnoliahitch/links/mem"
+	"magnoliahitch/steer/config"
+	"magnoliahitch/steer/member"
+	"magnoliahitch/steer/place"
+)
+
+const recordsText = `[profile latency]
+queueWaitMs = 200
+[region norte]
+domains = norte-a, norte-b
+[region litoral]
+domains = litoral-a
+[service care]
+profile = latency
+class = interactive
+deadlineMs = 3000
+[server care-1]
+service = care
+region = norte
+domain = norte-a
+addr = 127.0.0.1:9001
+slots = 3
+connections = 650
+[server care-2]
+service = care
+region = litoral
+domain = litoral-a
+addr = 127.0.0.1:9002
+slots = 3
+connections = 650
+`
+
+const token = "secret"
+
+// site is an operator port over a store in memory, as one host has it.
+type site struct {
+	store  *mem.Store
+	spread *spread.Spread
+	server *httptest.Server
+	self   member.Host
+	dir    string
+	// silent adds a host that never answers.
+	silent bool
+}
+
+// Self returns the host.
+func (s *site) Self() member.Host { return s.self }
+
+// Live returns the host, and the silent one when there is one.
+func (s *site) Live() []member.Host {
+	if s.silent {
+		return []member.Host{s.self, {Name: "silent", Region: "norte", Domain: "norte-b"}}
+	}
+	return []member.Host{s.self}
+}
+
+// Tell never gets an answer.
+func (s *site) Tell(context.Context, member.Host, string, any, any) error {
+	return errors.New("no answer")
+}
+
+func (s *site) now() time.Time { return clock.Now() }
+
+// Keeper returns the host for cells of its region.
+func (s *site) Keeper(_ time.Time, k place.Key) (member.Host, bool) {
+	return s.self, k.Region == s.self.Region
+}
+
+// newSite starts an operator port and points hitchctl at it.
+func newSite(t *testing.T, options ...Option) *site {
+	t.Helper()
+	s := &site{store: mem.New(), dir: t.TempDir()}
+	return s.serve(t, options...)
+}
+
+func (s *site) serve(t *testing.T, options ...Option) *site {
+	t.Helper()
+	caller := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		_, _ = w.Write([]byte(`{"service":"care","hosts":[{"name":"h","addr":"127.0.0.1:1"}],"ttlMs":1000}`))
+	}))
+	t.Cleanup(caller.Close)
+	s.self = member.Host{Name: "h", Region: "norte", Domain: "norte-a", CallerAddr: strings.TrimPrefix(caller.URL, "http://")}
+	v := view.New()
+	s.spread = spread.New(s.store, v, hclog.NewNullLogger(), spread.WithPeers(s, s))
+	done := func(context.Context, config.Drain) (int, bool) { return 0, true }
+	a := New(token, v, s, s.spread, hclog.NewNullLogger(), append([]Option{WithWork(done)}, options...)...)
+	s.server = httptest.NewServer(a.Server().Handler)
+	t.Cleanup(s.server.Close)
+	for name, text := range map[string]string{"operator.token": token + "\n", "records.ini": recordsText, "latency.ini": "[profile latency]\nqueueWaitMs = 100\n"} {
+		if err := os.WriteFile(filepath.Join(s.dir, name), []byte(text), 0o600); err != nil {
+			t.Fatal(err)
+		}
+	}
+	t.Chdir(s.dir)
+	t.Setenv("HITCH_ADDR", s.addr())
+	t.Setenv("HITCH_TOKEN_FILE", "operator.token")
+	return s
+}
+
+func (s *site) addr() string { return strings.TrimPrefix(s.server.URL, "http://") }
+
+// hitchctl runs a command line and returns its exit code and output.
+func hitchctl(args ...string) (int, string) {
+	var out bytes.Buffer
+	return client.Run(context.Background(), args, &out, &out), out.String()
+}
+
+// words splits a line as a shell does for words and double quotes.
+func words(line string) []string {
+	var out []string
+	for i, part := range strings.Split(line, `"`) {
+		if i%2 == 1 {
+			out = append(out, part)
+			continue
+		}
+		out = append(out, strings.Fields(part)...)
+	}
+	return out
+}
+
+// commands returns the lines of a page's sh blocks.
+func commands(t *testing.T, page string) []string {
+	t.Helper()
+	text, err := os.ReadFile(page)
+	if err != nil {
+		t.Fatal(err)
+	}
+	var out []string
+	for i, block := range strings.Split(string(text), "```") {
+		if lines, ok := strings.CutPrefix(block, "sh\n"); ok && i%2 == 1 {
+			out = append(out, strings.Split(strings.TrimSpace(lines), "\n")...)
+		}
+	}
+	return out
+}
+
+func TestCommandsOfThePages(t *testing.T) {
+	pages, err := filepath.Abs("../../../docs/ops")
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, p := range []string{"hitchctl.md", "operate.md", "store-down.md"} {
+		t.Run(p, func(t *testing.T) {
+			lines := commands(t, filepath.Join(pages, p))
+			if len(lines) == 0 {
+				t.Fatal("got no command, want some")
+			}
+			newSite(t)
+			if code, out := hitchctl("apply", "--file", "records.ini", "--reason", "before"); code != client.ExitOK {
+				t.Fatalf("apply: got code %d and %s", code, out)
+			}
+			for _, l := range lines {
+				args := words(l)
+				if args[0] != "hitchctl" {
+					t.Fatalf("got command %q, want hitchctl", l)
+				}
+				if code, out := hitchctl(args[1:]...); code != client.ExitOK {
+					t.Errorf("%s: got code %d and %s", l, code, out)
+				}
+			}
+		})
+	}
+}
--- a/hitchd/internal/spread/commit.go
+++ b/hitchd/internal/spread/commit.go
@@ -165,3 +165,9 @@
 	}
 	return out
 }
+
+// Accepted returns the change of the write id when this host holds it.
+func (s *Spread) Accepted(writeID string) (config.Change, bool) {
+	e, ok := s.held().ByWriteID(writeID)
+	return e.Change, ok
+}
--- a/steer/config/check.go
+++ b/steer/config/check.go
@@ -204,3 +204,36 @@
 	}
 	r.add("to", v.To, "a region with a link from "+v.From)
 }
+
+// MissingDeletes returns a fault for each record that the change would delete
+// although it doesn't exist.
+func (c *Config) MissingDeletes(ch Change) []Fault {
+	var out []Fault
+	for _, r := range ch.Deletes {
+		if !c.has(r) {
+			out = append(out, Fault{r.Kind, r.Name, "name", r.Name, "a " + string(r.Kind) + " that exists; it may have ended or been cancelled already"})
+		}
+	}
+	return out
+}
+
+func (c *Config) has(r Ref) bool {
+	ok := false
+	switch r.Kind {
+	case KindRegion:
+		_, ok = c.Regions[r.Name]
+	case KindService:
+		_, ok = c.Services[r.Name]
+	case KindServer:
+		_, ok = c.Servers[r.Name]
+	case KindLink:
+		_, ok = c.Links[r.Name]
+	case KindProfile:
+		_, ok = c.Profiles[r.Name]
+	case KindDrain:
+		_, ok = c.Drains[r.Name]
+	case KindMove:
+		_, ok = c.Moves[r.Name]
+	}
+	return ok
+}
