--- a/Makefile
+++ b/Makefile
@@ -3,6 +3,9 @@
 REVIVE := github.com/mgechev/revive@v1.17.0
 MODULES := steer links hitchd hitchctl standin
 BIN := $(CURDIR)/bin
+# Recorded trace and deployment (pall or lens) of the demo.
+TRACE := traces/demo.jsonl
+DEPLOYMENT := pall
 # First port of the demo on loopback.
 PORT := 17000
 export GOFLAGS :=
@@ -39,7 +42,7 @@
 	@set -e; for m in $(MODULES); do (cd $$m && go test -run '^$$' -bench . -benchmem ./...); done
 
 demo: build
-	$(BIN)/standin demo --bin $(BIN) --port $(PORT)
+	$(BIN)/standin demo --bin $(BIN) --port $(PORT) --trace $(TRACE) --deployment $(DEPLOYMENT)
 
 clean:
 	rm -rf $(BIN) demo-run
--- a/standin/caller.go
+++ b/standin/caller.go
@@ -66,3 +66,20 @@
 	}
 	return a.Hosts[0].Addr, nil
 }
+
+// callOnce calls the service through the host.
+func callOnce(ctx context.Context, host, service string) error {
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+host+"/service/"+service+"/ready", nil)
+	if err != nil {
+		return err
+	}
+	res, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return errors.Wrapf(err, "call host %s", host)
+	}
+	defer res.Body.Close()
+	if res.StatusCode != http.StatusOK {
+		return errors.Errorf("call %s at host %s: status %d, %s", service, host, res.StatusCode, res.Header.Get("Hitch-Reason"))
+	}
+	return nil
+}
--- a/standin/demo.go
+++ b/standin/demo.go
@@ -3,50 +3,46 @@
 import (
 	"context"
 	"fmt"
-	"net/http"
 	"os"
+	"path/filepath"
+	"text/tabwriter"
 	"time"
 
 	"github.com/go-faster/errors"
 
+	"magnoliahitch/standin/internal/judge"
+	"magnoliahitch/standin/internal/play"
+	"magnoliahitch/standin/internal/serve"
 	"magnoliahitch/standin/internal/stage"
+	"magnoliahitch/standin/internal/trace"
 )
 
 // startTimeout bounds the time until every host serves.
 const startTimeout = 30 * time.Second
 
 type demoCommand struct {
-	Bin  string `long:"bin" description:"directory of the programs" default:"bin"`
-	Dir  string `long:"dir" description:"directory for keys, settings and logs" default:"demo-run"`
-	Port int    `long:"port" description:"first port of the deployment" default:"17000"`
-	ctx  context.Context
+	Bin        string `long:"bin" description:"directory of the programs" default:"bin"`
+	Dir        string `long:"dir" description:"directory for keys, settings and logs" default:"demo-run"`
+	Port       int    `long:"port" description:"first port of the deployment" default:"17000"`
+	Trace      string `long:"trace" description:"recorded trace" default:"traces/demo.jsonl"`
+	Deployment string `long:"deployment" description:"pall or lens" default:"pall"`
+	ctx        context.Context
 }
 
-// smallPall is the pall lending deployment in small.
-var smallPall = stage.Deployment{
-	Regions: []string{"montevideo", "litoral", "norte"},
-	Services: []stage.Service{
-		{Name: "inventory", Profile: "latency", Class: "interactive"},
-		{Name: "reservations", Profile: "latency", Class: "booking"},
-		{Name: "care", Profile: "latency", Class: "interactive"},
-		{Name: "returns", Profile: "latency", Class: "booking"},
-	},
-	ServersPerCell: 2,
-	HostsPerDomain: 1,
-	Profiles: `[profile latency]
-queueWaitMs = 200
-reserveShare = 0.2
-retryShare = 0.1
-shiftRate = 100
-shiftMbps = 100
-slowStartMs = 1000
-ejectShare = 0.5
-lookupTtlMs = 1000
-`,
-}
+// errOutcomes reports that a stated outcome didn't hold.
+var errOutcomes = errors.New("not every stated outcome held")
 
-// Execute runs the deployment and checks its outcomes.
+// Execute runs the deployment, replays the trace and checks its outcomes.
 func (c *demoCommand) Execute([]string) error {
+	lines, err := readTrace(c.Trace)
+	if err != nil {
+		return err
+	}
+	d, ok := deployments[c.Deployment]
+	if !ok {
+		return errors.Errorf("--deployment %s: want pall or lens", c.Deployment)
+	}
+	d.Port = c.Port
 	if err := os.RemoveAll(c.Dir); err != nil {
 		return errors.Wrap(err, "clear demo directory")
 	}
@@ -55,8 +51,6 @@
 	}
 	s := stage.New(c.ctx, c.Bin, c.Dir)
 	defer s.Close()
-	d := smallPall
-	d.Port = c.Port
 	if err := s.Write(d); err != nil {
 		return err
 	}
@@ -66,7 +60,109 @@
 	if err := waitServing(c.ctx, s, d); err != nil {
 		return err
 	}
-	return callEach(c.ctx, d)
+	a := &actor{stage: s, deployment: d}
+	result := play.Run(c.ctx, lines, callers(d), a)
+	if err := c.ctx.Err(); err != nil {
+		return errors.Wrap(err, "replay trace")
+	}
+	return report(lines, s, a, result)
+}
+
+// callers returns the callers of each region. They know the hosts of their
+// own region first.
+func callers(d stage.Deployment) map[string]*play.Caller {
+	out := make(map[string]*play.Caller)
+	for _, r := range d.Regions {
+		var near, far []string
+		for _, h := range d.Hosts() {
+			if h.Region == r {
+				near = append(near, h.Caller)
+			} else {
+				far = append(far, h.Caller)
+			}
+		}
+		out[r] = play.NewCaller(r, append(near, far...))
+	}
+	return out
+}
+
+// report prints a table of the outcomes and fails unless all of them hold.
+func report(lines []trace.Line, s *stage.Stage, a *actor, result play.Result) error {
+	e, err := evidence(s, a, result)
+	if err != nil {
+		return err
+	}
+	verdicts, err := judge.Check(lines, e)
+	if err != nil {
+		return err
+	}
+	w := tabwriter.NewWriter(os.Stdout, 0, 0, 2, ' ', 0)
+	fmt.Fprintln(w, "SERVICE\tANSWERED\tP50\tP99\tP99.9")
+	for n, h := range judge.Latencies(e) {
+		fmt.Fprintf(w, "%s\t%d\t%s\t%s\t%s\n", n, h.TotalCount(), micros(h.ValueAtQuantile(50)), micros(h.ValueAtQuantile(99)), micros(h.ValueAtQuantile(99.9)))
+	}
+	fmt.Fprintln(w, "\nOUTCOME\tSERVICE\tGOT\tWANT\t")
+	failed := false
+	for _, v := range verdicts {
+		verdict := "pass"
+		if !v.Pass {
+			verdict, failed = "FAIL", true
+		}
+		fmt.Fprintf(w, "%s\t%s\t%.4g\t%s\t%s\n", v.Outcome.Measure, v.Outcome.Service, v.Got, want(v.Outcome), verdict)
+	}
+	if err := w.Flush(); err != nil {
+		return err
+	}
+	for _, ev := range result.Events {
+		if ev.Err != nil {
+			return errors.Wrapf(ev.Err, "fault %s %s", ev.Fault.Act, ev.Fault.Target)
+		}
+	}
+	if failed {
+		return errOutcomes
+	}
+	return nil
+}
+
+func micros(v int64) time.Duration { return time.Duration(v) * time.Microsecond }
+
+func want(o trace.Outcome) string {
+	switch {
+	case o.Min != nil && o.Max != nil:
+		return fmt.Sprintf("%g to %g", *o.Min, *o.Max)
+	case o.Min != nil:
+		return fmt.Sprintf("at least %g", *o.Min)
+	case o.Max != nil:
+		return fmt.Sprintf("at most %g", *o.Max)
+	}
+	return "anything"
+}
+
+// evidence collects what the servers recorded.
+func evidence(s *stage.Stage, a *actor, result play.Result) (judge.Evidence, error) {
+	e := judge.Evidence{
+		Result:       result,
+		Runs:         make(map[string][]serve.Run),
+		Regions:      make(map[string]string),
+		StopFailures: int(a.stopFailures.Load()),
+		ShiftRate:    shiftRate,
+	}
+	for _, u := range a.deployment.Servers() {
+		e.Regions[u.Name] = u.Region
+		f, err := os.Open(filepath.Join(s.Dir, u.Name+".runs"))
+		if os.IsNotExist(err) {
+			continue
+		}
+		if err != nil {
+			return e, errors.Wrap(err, "open runs")
+		}
+		e.Runs[u.Name], err = judge.ReadRuns(f)
+		_ = f.Close()
+		if err != nil {
+			return e, err
+		}
+	}
+	return e, nil
 }
 
 // waitServing applies the records and waits until every host serves them.
@@ -81,11 +177,10 @@
 		return errors.Wrap(err, "apply records")
 	}
 	for _, h := range hosts {
-		if err := until(ctx, func() error {
-			_, err := lookup(ctx, h.Caller, d.Services[0].Name)
-			return err
-		}); err != nil {
-			return errors.Wrapf(err, "wait for host %s", h.Name)
+		for _, u := range d.Services {
+			if err := until(ctx, func() error { return callOnce(ctx, h.Caller, u.Name) }); err != nil {
+				return errors.Wrapf(err, "wait for host %s", h.Name)
+			}
 		}
 	}
 	return nil
@@ -108,32 +203,3 @@
 		}
 	}
 }
-
-// callEach calls each service through each host.
-func callEach(ctx context.Context, d stage.Deployment) error {
-	for _, h := range d.Hosts() {
-		for _, s := range d.Services {
-			if err := callOnce(ctx, h.Caller, s.Name); err != nil {
-				return err
-			}
-		}
-	}
-	fmt.Println("each service answered through each host: pass")
-	return nil
-}
-
-func callOnce(ctx context.Context, host, service string) error {
-	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+host+"/service/"+service+"/item?size=100", nil)
-	if err != nil {
-		return err
-	}
-	res, err := http.DefaultClient.Do(req)
-	if err != nil {
-		return errors.Wrapf(err, "call host %s", host)
-	}
-	defer res.Body.Close()
-	if res.StatusCode != http.StatusOK || res.ContentLength != 100 {
-		return errors.Errorf("call %s at host %s: status %d, %s", service, host, res.StatusCode, res.Header.Get("Hitch-Reason"))
-	}
-	return nil
-}
--- /dev/null
+++ b/standin/deployments.go
@@ -0,0 +1,34 @@
+package main
+
+import "magnoliahitch/standin/internal/stage"
+
+// shiftRate caps the shifted requests/s of each service in the demo.
+const shiftRate = 20
+
+// deployments are the deployments in small, by name.
+var deployments = map[string]stage.Deployment{
+	"pall": {
+		Regions: []string{"montevideo", "litoral", "norte"},
+		Services: []stage.Service{
+			{Name: "inventory", Profile: "latency", Class: "interactive"},
+			{Name: "reservations", Profile: "latency", Class: "booking"},
+			{Name: "care", Profile: "latency", Class: "interactive"},
+			{Name: "returns", Profile: "latency", Class: "booking"},
+		},
+		ServersPerCell: 2,
+		HostsPerDomain: 1,
+		Profiles:       profileText("latency", "200") + linkText("4000", "montevideo", "litoral", "norte"),
+	},
+	"lens": {
+		Regions: []string{"lowlands", "highlands", "borders"},
+		Services: []stage.Service{
+			{Name: "catalogue", Profile: "headroom", Class: "interactive"},
+			{Name: "bookings", Profile: "headroom", Class: "booking"},
+			{Name: "history", Profile: "headroom", Class: "bulk"},
+			{Name: "checkin", Profile: "headroom", Class: "booking"},
+		},
+		ServersPerCell: 2,
+		HostsPerDomain: 1,
+		Profiles:       profileText("headroom", "500") + linkText("300", "lowlands", "highlands", "borders"),
+	},
+}
--- a/standin/internal/stage/deploy.go
+++ b/standin/internal/stage/deploy.go
@@ -191,7 +191,8 @@
 
 // StartServer starts one upstream server.
 func (s *Stage) StartServer(u Server) error {
-	return s.Start(u.Name, "standin", "upstream", "--server", u.Name+"="+u.Addr)
+	return s.Start(u.Name, "standin", "upstream", "--server", u.Name+"="+u.Addr,
+		"--runs", filepath.Join(s.Dir, u.Name+".runs"))
 }
 
 // StartHost starts one entry host.
--- /dev/null
+++ b/standin/internal/trace/shapes.go
@@ -0,0 +1,142 @@
+package trace
+
+import (
+	"math/rand/v2"
+	"time"
+)
+
+// Regions of the small pall deployment.
+var pallRegions = []string{"montevideo", "litoral", "norte"}
+
+// pallLoads is a busy evening of the small pall deployment: two servers with
+// three slots for each service in each region, used to about a quarter.
+var pallLoads = []Load{
+	{Service: "inventory", Rate: 20, MeanCost: 15 * time.Millisecond, Size: 4 << 10, Deadline: 3 * time.Second},
+	{Service: "reservations", Rate: 6, WriteShare: 0.5, MeanCost: 25 * time.Millisecond, Size: 1 << 10, Deadline: 5 * time.Second},
+	{Service: "care", Rate: 12, MeanCost: 10 * time.Millisecond, Size: 16 << 10, Deadline: 3 * time.Second},
+	{Service: "returns", Rate: 4, WriteShare: 0.5, MeanCost: 25 * time.Millisecond, Size: 512, Deadline: 5 * time.Second},
+}
+
+// Shape makes a trace of a name from a seed.
+type Shape func(rng *rand.Rand) []Line
+
+// Shapes are the traces by name.
+var Shapes = map[string]Shape{
+	"demo":       demoShape,
+	"quiet":      quietShape,
+	"storeDown":  storeDownShape,
+	"freeze":     freezeShape,
+	"regionLost": regionLostShape,
+	"queryDeath": queryDeathShape,
+	"lens":       lensShape,
+}
+
+func fault(at time.Duration, a Act, target string) Line {
+	return Line{At: int(at.Milliseconds()), Fault: &Fault{Act: a, Target: target}}
+}
+
+func atMost(measure, service string, limit float64) Line {
+	return Line{Outcome: &Outcome{Measure: measure, Service: service, Max: &limit}}
+}
+
+func atLeast(measure, service string, limit float64) Line {
+	return Line{Outcome: &Outcome{Measure: measure, Service: service, Min: &limit}}
+}
+
+// always are the outcomes that hold in every trace.
+func always() []Line {
+	return []Line{
+		atMost("doubledOperations", "", 0),
+		atMost("falseNotRun", "", 0),
+		atMost("wrongAnswers", "", 0),
+		atMost("lostOperations", "", 0),
+		atMost("slotPeak", "", 3),
+	}
+}
+
+func demoShape(rng *rand.Rand) []Line {
+	const length = 14 * time.Second
+	return Merge(always(),
+		[]Line{
+			fault(2*time.Second, ActDrain, "montevideo-inventory-1"),
+			fault(4*time.Second, ActKill, "litoral-care-2"),
+			fault(5*time.Second, ActKill, "norte-a-1"),
+			fault(9*time.Second, ActStop, "litoral-b-1"),
+			atMost("drainLagMs", "", 2000),
+			atMost("cutByStop", "", 0),
+			atLeast("answeredShare", "", 0.95),
+			atLeast("answeredShare", "reservations", 0.95),
+		},
+		Requests(rng, pallRegions, pallLoads, length))
+}
+
+func quietShape(rng *rand.Rand) []Line {
+	return Merge(always(),
+		[]Line{atLeast("answeredShare", "", 1)},
+		Requests(rng, pallRegions, pallLoads, 10*time.Second))
+}
+
+func storeDownShape(rng *rand.Rand) []Line {
+	return Merge(always(),
+		[]Line{
+			fault(2*time.Second, ActStoreDown, ""),
+			fault(16*time.Second, ActStoreUp, ""),
+			atLeast("answeredShare", "inventory", 0.999),
+			atLeast("answeredShare", "care", 0.999),
+		},
+		Requests(rng, pallRegions, pallLoads, 20*time.Second))
+}
+
+func freezeShape(rng *rand.Rand) []Line {
+	return Merge(always(),
+		[]Line{
+			fault(2*time.Second, ActFreeze, "montevideo-a-1"),
+			fault(12*time.Second, ActResume, "montevideo-a-1"),
+			atLeast("answeredShare", "", 0.8),
+		},
+		Requests(rng, pallRegions, pallLoads, 16*time.Second))
+}
+
+func regionLostShape(rng *rand.Rand) []Line {
+	return Merge(always(),
+		[]Line{
+			fault(3*time.Second, ActKillRegion, "norte"),
+			atMost("shiftExcess", "", 0),
+		},
+		Requests(rng, pallRegions, pallLoads, 16*time.Second))
+}
+
+// queryDeathShape sends one request that crashes every server that runs it,
+// again and again, beside a quiet load.
+func queryDeathShape(rng *rand.Rand) []Line {
+	var deaths []Line
+	for i := range 10 {
+		at := 2*time.Second + time.Duration(i)*700*time.Millisecond
+		deaths = append(deaths, Line{At: int(at.Milliseconds()), Request: &Request{
+			Region: pallRegions[i%len(pallRegions)], Service: "care", Method: "GET",
+			Path: "/crash", CostMs: 5, Size: 100, DeadlineMs: 2000,
+		}})
+	}
+	return Merge(always(),
+		[]Line{atMost("crashes", "", 2), atLeast("answeredShare", "inventory", 1)},
+		deaths,
+		Requests(rng, pallRegions, pallLoads, 12*time.Second))
+}
+
+// lensRegions are the regions of the small lens deployment.
+var lensRegions = []string{"lowlands", "highlands", "borders"}
+
+// lensShape floods the catalogue at three times its capacity and pulls stock
+// histories while members book.
+func lensShape(rng *rand.Rand) []Line {
+	const capacity = 2 * 3 / 0.020
+	loads := []Load{
+		{Service: "catalogue", Rate: 3 * capacity / 2, MeanCost: 20 * time.Millisecond, Size: 2 << 10, Deadline: time.Second},
+		{Service: "bookings", Rate: 8, WriteShare: 0.6, MeanCost: 25 * time.Millisecond, Size: 512, Deadline: 5 * time.Second},
+		{Service: "history", Rate: 1, MeanCost: 80 * time.Millisecond, Size: 1 << 20, Deadline: 20 * time.Second},
+		{Service: "checkin", Rate: 4, WriteShare: 0.6, MeanCost: 25 * time.Millisecond, Size: 512, Deadline: 5 * time.Second},
+	}
+	return Merge(always(),
+		[]Line{atLeast("answeredShare", "bookings", 0.999), atLeast("answeredShare", "checkin", 0.999)},
+		Requests(rng, lensRegions, loads, 8*time.Second))
+}
--- a/standin/main.go
+++ b/standin/main.go
@@ -20,6 +20,7 @@
 	Upstream upstreamCommand `command:"upstream" description:"serve upstream servers"`
 	Caller   callerCommand   `command:"caller" description:"send requests and check their answers"`
 	Demo     demoCommand     `command:"demo" description:"run a small deployment and check its outcomes"`
+	Trace    traceCommand    `command:"trace" description:"draw and record a trace"`
 }
 
 func main() {
--- /dev/null
+++ b/standin/records.go
@@ -0,0 +1,34 @@
+package main
+
+import (
+	"fmt"
+	"strings"
+)
+
+// profileText returns a profile's section of a records file.
+func profileText(name, queueWaitMs string) string {
+	return fmt.Sprintf(`[profile %s]
+queueWaitMs = %s
+reserveShare = 0.2
+retryShare = 0.1
+hedgeQuantile = 0
+shiftRate = %d
+shiftMbps = 100
+slowStartMs = 1000
+ejectShare = 0.5
+lookupTtlMs = 1000
+`, name, queueWaitMs, shiftRate)
+}
+
+// linkText returns the sections of the links between each pair of regions.
+func linkText(mbps string, regions ...string) string {
+	var b strings.Builder
+	for _, from := range regions {
+		for _, to := range regions {
+			if from != to {
+				fmt.Fprintf(&b, "\n[link %s-%s]\nfrom = %s\nto = %s\nmbps = %s\nfloorShare = 0.1\n", from, to, from, to, mbps)
+			}
+		}
+	}
+	return b.String()
+}
