claims: run each operation at most once

Change: an operation id is claimed in the platform's table before the work is dispatched; claims share transactions, lost answers are settled by reading back, kept answers are replayed, the holder is asked.

--- /dev/null
+++ b/hitchd/internal/claims/claims_test.go
@@ -0,0 +1,304 @@
+package claims
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+
+	"magnoliahitch/hitchd/internal/call"
+	"magnoliahitch/links/mem"
+	"magnoliahitch/steer/member"
+	"magnoliahitch/steer/place"
+	"magnoliahitch/steer/result"
+)
+
+// cluster is a few hosts over one store, with one judge behind them.
+type cluster struct {
+	store *mem.Store
+	hosts []*node
+
+	mu sync.Mutex
+	// runs counts runs by operation, ran remembers the request ids that ran.
+	runs map[string]int
+	ran  map[string]bool
+	rng  *rand.Rand
+}
+
+// node is one host. A dead one answers nobody; its work goes on unseen.
+type node struct {
+	cluster *cluster
+	self    member.Host
+	claims  *Claims
+	dead    bool
+	// faulty makes dispatches fail in every way.
+	faulty bool
+}
+
+func newCluster(ctx context.Context, n int, seed uint64) *cluster {
+	c := &cluster{store: mem.New(), runs: make(map[string]int), ran: make(map[string]bool), rng: rand.New(rand.NewPCG(seed, 0))}
+	for i := range n {
+		c.add(ctx, i)
+	}
+	return c
+}
+
+func (c *cluster) add(ctx context.Context, i int) {
+	d := &node{cluster: c, self: member.Host{Name: fmt.Sprintf("host-%d", i), Incarnation: uint64(time.Now().UnixNano())}}
+	d.claims = New(c.store, d, d, call.DoerFunc(d.dispatch), hclog.NewNullLogger(), WithClock(time.Now))
+	go func() { _ = d.claims.Run(ctx) }()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if i < len(c.hosts) {
+		c.hosts[i].dead = true
+		c.hosts[i] = d
+		return
+	}
+	c.hosts = append(c.hosts, d)
+}
+
+func (d *node) Self() member.Host { return d.self }
+
+func (d *node) Live() []member.Host {
+	d.cluster.mu.Lock()
+	defer d.cluster.mu.Unlock()
+	var out []member.Host
+	for _, o := range d.cluster.hosts {
+		out = append(out, o.self)
+	}
+	return out
+}
+
+// Tell asks another node as the peer port would.
+func (d *node) Tell(ctx context.Context, to member.Host, _ string, in, out any) error {
+	d.cluster.mu.Lock()
+	var other *node
+	for _, o := range d.cluster.hosts {
+		if o.self == to && !o.dead && !d.dead {
+			other = o
+		}
+	}
+	d.cluster.mu.Unlock()
+	if other == nil {
+		return io.ErrUnexpectedEOF
+	}
+	m := in.(askMessage)
+	*out.(*askAnswer) = other.claims.state(ctx, m.Key, m.ID)
+	return nil
+}
+
+func (c *cluster) draw(n int) int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.rng.IntN(n)
+}
+
+// dispatch is the upstream: it runs work, refuses it unrun, or loses its answer.
+func (d *node) dispatch(_ context.Context, r *call.Request) (*call.Answer, error) {
+	fate := 9
+	if d.faulty {
+		fate = d.cluster.draw(10)
+	}
+	time.Sleep(time.Duration(d.cluster.draw(50)) * time.Millisecond)
+	if fate == 0 {
+		return nil, result.Refuse(result.ReasonShed, "send", "upstream")
+	}
+	d.cluster.mu.Lock()
+	d.cluster.runs[r.Operation]++
+	d.cluster.ran[r.ID] = true
+	d.cluster.mu.Unlock()
+	if fate == 1 {
+		return nil, result.Lose(result.ReasonUpstream, "send", "upstream", io.ErrUnexpectedEOF)
+	}
+	time.Sleep(time.Duration(d.cluster.draw(50)) * time.Millisecond)
+	return &call.Answer{Status: http.StatusOK, Header: http.Header{}, Body: io.NopCloser(strings.NewReader("answer to " + r.Operation))}, nil
+}
+
+func newOperation(id, operation, body string, patience time.Duration) *call.Request {
+	return &call.Request{
+		ID:        id,
+		Cell:      place.Cell{Region: "norte", Service: "reservations"},
+		Method:    http.MethodPost,
+		Path:      "/reserve",
+		Operation: operation,
+		Body:      strings.NewReader(body),
+		Deadline:  time.Now().Add(patience),
+	}
+}
+
+func send(d *node, r *call.Request) (string, error) {
+	a, err := d.claims.Do(context.Background(), r)
+	if err != nil {
+		return "", err
+	}
+	defer a.Body.Close()
+	body, err := io.ReadAll(a.Body)
+	return string(body), err
+}
+
+// bubble runs f on virtual time with n hosts that end with it.
+func bubble(t *testing.T, n int, seed uint64, f func(ctx context.Context, c *cluster)) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		f(ctx, newCluster(ctx, n, seed))
+		cancel()
+		// Ends the timers that would try again while the store is down.
+		time.Sleep(2 * disownTimeout)
+	})
+}
+
+func reasonOf(err error) result.Reason {
+	if err == nil {
+		return ""
+	}
+	return result.From(err).Reason
+}
+
+func TestReplaysTheFirstAnswerOnEveryHost(t *testing.T) {
+	bubble(t, 3, 1, func(_ context.Context, c *cluster) {
+		for i, d := range c.hosts {
+			got, err := send(d, newOperation(fmt.Sprint(i), "op", "body", time.Second))
+			if want := "answer to op"; err != nil || got != want {
+				t.Errorf("host %d: got %q, %v, want %q", i, got, err, want)
+			}
+		}
+		if got, want := c.runs["op"], 1; got != want {
+			t.Errorf("got %d runs, want %d", got, want)
+		}
+	})
+}
+
+func TestRefusesAnotherBodyUnderTheSameOperation(t *testing.T) {
+	bubble(t, 2, 1, func(_ context.Context, c *cluster) {
+		if _, err := send(c.hosts[0], newOperation("a", "op", "first", time.Second)); err != nil {
+			t.Fatal(err)
+		}
+		_, err := send(c.hosts[1], newOperation("b", "op", "second", time.Second))
+		if got, want := reasonOf(err), result.ReasonMismatch; got != want {
+			t.Errorf("got %s, want %s", got, want)
+		}
+	})
+}
+
+func TestRefusesUnrunWhileTheStoreIsDown(t *testing.T) {
+	bubble(t, 1, 1, func(_ context.Context, c *cluster) {
+		c.store.SetFault(mem.Fault{Down: true})
+		_, err := send(c.hosts[0], newOperation("a", "op", "", time.Second))
+		if got, want := reasonOf(err), result.ReasonStoreDown; got != want {
+			t.Errorf("got %s, want %s", got, want)
+		}
+		if got, want := result.OutcomeOf(err), result.NotRun; got != want {
+			t.Errorf("got %s, want %s", got, want)
+		}
+		if got, want := c.runs["op"], 0; got != want {
+			t.Errorf("got %d runs, want %d", got, want)
+		}
+		c.store.SetFault(mem.Fault{})
+		time.Sleep(downPause)
+		if _, err := send(c.hosts[0], newOperation("b", "op", "", time.Second)); err != nil {
+			t.Errorf("got %v after the outage, want an answer", err)
+		}
+	})
+}
+
+func TestSettlesALostAnswerOfTheClaim(t *testing.T) {
+	bubble(t, 1, 1, func(_ context.Context, c *cluster) {
+		c.store.SetFault(mem.Fault{LoseCommits: 1})
+		got, err := send(c.hosts[0], newOperation("a", "op", "", time.Second))
+		if want := "answer to op"; err != nil || got != want {
+			t.Errorf("got %q, %v, want %q", got, err, want)
+		}
+	})
+}
+
+func TestTellsThatTheOutcomeIsUnknownWhenTheHolderDied(t *testing.T) {
+	bubble(t, 2, 1, func(ctx context.Context, c *cluster) {
+		go func() { _, _ = send(c.hosts[0], newOperation("a", "op", "", time.Second)) }()
+		// The claim is written by now and the work is under way.
+		time.Sleep(writeInterval / 2)
+		c.add(ctx, 0)
+		_, err := send(c.hosts[1], newOperation("b", "op", "", time.Second))
+		if got, want := result.OutcomeOf(err), result.Unknown; got != want {
+			t.Errorf("got %s (%v), want %s", got, err, want)
+		}
+	})
+}
+
+// TestRandomisedRun sends operations again and again through all hosts while
+// the store and the hosts fail in every way. Each operation may run once, and
+// one that was refused as not run may not have run.
+func TestRandomisedRun(t *testing.T) {
+	const operations, hosts, sends = 10_000, 4, 3
+	bubble(t, hosts, 7, func(ctx context.Context, c *cluster) {
+		for _, d := range c.hosts {
+			d.faulty = true
+		}
+		go breakThings(ctx, c, hosts)
+		var wg sync.WaitGroup
+		for i := range operations {
+			wg.Go(func() { sendAgain(t, c, fmt.Sprintf("op-%d", i), sends) })
+			if i%20 == 0 {
+				time.Sleep(50 * time.Millisecond)
+			}
+		}
+		wg.Wait()
+		doubled := 0
+		for o, n := range c.runs {
+			if n > 1 {
+				doubled++
+				t.Errorf("operation %s: got %d runs, want at most 1", o, n)
+			}
+		}
+		if got, want := len(c.runs), operations/2; got < want {
+			t.Errorf("got %d operations that ran, want at least %d", got, want)
+		}
+	})
+}
+
+// breakThings changes the store's health and replaces hosts until the end.
+func breakThings(ctx context.Context, c *cluster, hosts int) {
+	faults := []mem.Fault{{}, {Down: true}, {}, {LoseCommits: 5}, {}, {Delay: 300 * time.Millisecond}, {}, {Delay: 4 * time.Second}, {}, {}}
+	for n := 0; ctx.Err() == nil; n++ {
+		c.store.SetFault(faults[n%len(faults)])
+		if n%3 == 0 {
+			c.add(ctx, c.draw(hosts))
+			c.mu.Lock()
+			c.hosts[n%hosts].faulty = true
+			c.mu.Unlock()
+		}
+		pause(ctx, 500*time.Millisecond)
+	}
+}
+
+// sendAgain sends the operation through drawn hosts, at once or one after
+// another, and checks each answer against its own request.
+func sendAgain(t *testing.T, c *cluster, operation string, sends int) {
+	var wg sync.WaitGroup
+	for n := range sends {
+		wg.Go(func() {
+			c.mu.Lock()
+			d := c.hosts[c.rng.IntN(len(c.hosts))]
+			c.mu.Unlock()
+			id := fmt.Sprintf("%s.%d", operation, n)
+			time.Sleep(time.Duration(c.draw(2)*n*700) * time.Millisecond)
+			got, err := send(d, newOperation(id, operation, "body", 2*time.Second))
+			if want := "answer to " + operation; err == nil && got != want {
+				t.Errorf("request %s: got %q, want %q", id, got, want)
+			}
+			c.mu.Lock()
+			defer c.mu.Unlock()
+			if result.OutcomeOf(err) == result.NotRun && c.ran[id] {
+				t.Errorf("request %s ran, got %v", id, err)
+			}
+		})
+	}
+	wg.Wait()
+}
--- a/hitchd/internal/front/problem.go
+++ b/hitchd/internal/front/problem.go
@@ -51,6 +51,8 @@
 		return http.StatusUnprocessableEntity
 	case result.ReasonInProgress:
 		return http.StatusConflict
+	case result.ReasonGone:
+		return http.StatusGone
 	}
 	if e.Outcome == result.NotRun {
 		return http.StatusServiceUnavailable
--- a/hitchd/serve.go
+++ b/hitchd/serve.go
@@ -11,6 +11,7 @@
 	"github.com/oklog/run"
 
 	"magnoliahitch/hitchd/internal/admin"
+	"magnoliahitch/hitchd/internal/claims"
 	"magnoliahitch/hitchd/internal/front"
 	"magnoliahitch/hitchd/internal/hosts"
 	"magnoliahitch/hitchd/internal/keep"
@@ -63,14 +64,17 @@
 	keeper := keep.New(self.Name, known, log.Named("keep"))
 	conf.Watch(func(c *config.Config) { keeper.Configure(clock.Now(), c) })
 	client := peer.NewClient(keys)
-	router := route.New(known, keeper, client, log.Named("route"))
+	operations := claims.New(table, known, client, keeper, log.Named("claims"))
+	router := route.New(known, operations, client, log.Named("route"))
 	changes := spread.New(table, conf, log.Named("spread"))
 	peers := peer.NewServer(keys)
-	peers.HandleCalls(keeper)
+	peers.HandleCalls(operations)
+	operations.Handle(peers)
 
 	var g run.Group
 	g.Add(run.ContextHandler(ctx))
 	addLoop(&g, func(ctx context.Context) error { return known.Run(ctx, hostsInterval) })
+	addLoop(&g, operations.Run)
 	addLoop(&g, func(ctx context.Context) error { return changes.Run(ctx, configInterval) })
 	addLoop(&g, func(ctx context.Context) error { return peers.Serve(ctx, ports.peer) })
 	addServer(&g, front.New(conf, known, router, log.Named("front")).Server(), ports.caller)
--- a/steer/result/result.go
+++ b/steer/result/result.go
@@ -66,6 +66,8 @@
 	ReasonNoOperation Reason = "noOperationId"
 	ReasonMismatch    Reason = "operationMismatch"
 	ReasonInProgress  Reason = "operationInProgress"
+	ReasonLost        Reason = "operationUnknown"
+	ReasonGone        Reason = "operationDone"
 	ReasonSuspect     Reason = "suspectRequest"
 	ReasonUpstream    Reason = "upstreamFailed"
 	ReasonShed        Reason = "upstreamShed"
