hitchd: check every setting, and keep keys that reload and name their host

Settings were decoded without checks beyond the form of three addresses, and keys were read once; a client took any host of the authority at an address.

Keys: read again at an interval and at SIGHUP; a set with a fault leaves the old one in use. Each connection is made to a named host, which must prove the name; the peer's name is in the handler's context. A foreign, missing or expired certificate is refused and logged with the peer's address, and an open connection is refused once its certificate has expired. One file of TLS session tickets is not needed: connections are long-lived.

--- a/hitchd/internal/admin/admin.go
+++ b/hitchd/internal/admin/admin.go
@@ -44,15 +44,15 @@
 
 // Admin is the operator port.
 type Admin struct {
-	token   string
+	token   func() string
 	view    Viewer
 	members Members
 	commit  Committer
 	log     hclog.Logger
 }
 
-// New returns an operator port that demands the bearer token.
-func New(token string, v Viewer, m Members, c Committer, log hclog.Logger) *Admin {
+// New returns an operator port that demands the bearer token in force.
+func New(token func() string, v Viewer, m Members, c Committer, log hclog.Logger) *Admin {
 	return &Admin{token: token, view: v, members: m, commit: c, log: log}
 }
 
@@ -75,7 +75,7 @@
 func (a *Admin) authenticate(next echo.HandlerFunc) echo.HandlerFunc {
 	return func(c echo.Context) error {
 		got := strings.TrimPrefix(c.Request().Header.Get("Authorization"), "Bearer ")
-		if subtle.ConstantTimeCompare([]byte(got), []byte(a.token)) != 1 {
+		if subtle.ConstantTimeCompare([]byte(got), []byte(a.token())) != 1 {
 			return echo.NewHTTPError(http.StatusUnauthorized, "operator token missing or wrong")
 		}
 		return next(c)
--- a/hitchd/internal/peer/client.go
+++ b/hitchd/internal/peer/client.go
@@ -6,6 +6,7 @@
 	"crypto/tls"
 	"io"
 	"net/http"
+	"sync"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -26,27 +27,87 @@
 // maxMessage bounds the answer to a message, in bytes.
 const maxMessage = 8 << 20
 
-// Client reaches other hosts.
+// Client reaches other hosts. A connection to a host is bound to its name and
+// address, and the host must prove its name on it.
 type Client struct {
+	keys Keys
+
+	mu    sync.Mutex
+	links map[string]*link
+}
+
+// Keys are the keys of this host.
+type Keys interface {
+	// Client returns the configuration of a connection to the named host.
+	Client(name string) *tls.Config
+	// Server returns the configuration of the peer port.
+	Server() *tls.Config
+	// Peer returns the name of the host that sent the request.
+	Peer(r *http.Request) (string, error)
+}
+
+// link is the connection to a host at one address.
+type link struct {
+	addr      string
 	transport *http3.Transport
 }
 
 // NewClient returns a client that shows the host's certificate.
-func NewClient(keys *tls.Config) *Client {
-	return &Client{transport: &http3.Transport{
-		TLSClientConfig: keys,
+func NewClient(keys Keys) *Client {
+	return &Client{keys: keys, links: make(map[string]*link)}
+}
+
+// Close ends all connections.
+func (c *Client) Close() error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	var out []error
+	for _, l := range c.links {
+		out = append(out, l.transport.Close())
+	}
+	clear(c.links)
+	return errors.Join(out...)
+}
+
+// roundTrip sends the request over the connection to the host.
+func (c *Client) roundTrip(to member.Host, req *http.Request) (*http.Response, error) {
+	return c.link(to).RoundTrip(req)
+}
+
+// link returns the transport to the host. A host that comes back at another
+// address gets a new one.
+func (c *Client) link(to member.Host) *http3.Transport {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	l := c.links[to.Name]
+	if l != nil && l.addr == to.PeerAddr {
+		return l.transport
+	}
+	if l != nil {
+		go l.transport.Close()
+	}
+	l = &link{addr: to.PeerAddr, transport: c.transport(to)}
+	c.links[to.Name] = l
+	return l.transport
+}
+
+func (c *Client) transport(to member.Host) *http3.Transport {
+	return &http3.Transport{
 		QUICConfig: &quic.Config{
 			MaxIdleTimeout:       idleTimeout,
 			KeepAlivePeriod:      keepAlive,
 			HandshakeIdleTimeout: handshakeTimeout,
 		},
 		DisableCompression: true,
-	}}
+		Dial: func(ctx context.Context, addr string, _ *tls.Config, conf *quic.Config) (*quic.Conn, error) {
+			// Made for each connection, since keys change.
+			keys := c.keys.Client(to.Name)
+			keys.NextProtos = []string{http3.NextProtoH3}
+			return quic.DialAddrEarly(ctx, addr, keys, conf)
+		},
+	}
 }
 
-// Close ends all connections.
-func (c *Client) Close() error { return c.transport.Close() }
-
 // Tell sends a message to the host and decodes its answer into out, unless
 // out is nil.
 func (c *Client) Tell(ctx context.Context, to member.Host, path string, in, out any) error {
@@ -58,7 +119,7 @@
 	if err != nil {
 		return errors.Wrapf(err, "%s at host %s", path, to.Name)
 	}
-	res, err := c.transport.RoundTrip(req)
+	res, err := c.roundTrip(to, req)
 	if err != nil {
 		return errors.Wrapf(err, "%s at host %s", path, to.Name)
 	}
--- a/hitchd/internal/peer/forward.go
+++ b/hitchd/internal/peer/forward.go
@@ -44,7 +44,7 @@
 		return nil, result.Refuse(result.ReasonBadRequest, "build forwarded request", to.Name)
 	}
 	setRequest(req, r)
-	res, err := c.transport.RoundTrip(req)
+	res, err := c.roundTrip(to, req)
 	if err != nil {
 		return nil, result.Lose(result.ReasonPeer, "forward request", to.Name, err)
 	}
--- /dev/null
+++ b/hitchd/internal/peer/keys_test.go
@@ -0,0 +1,207 @@
+package peer
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"magnoliahitch/links/certs"
+	"magnoliahitch/steer/member"
+)
+
+// refusal is a peer that a server refused.
+type refusal struct {
+	addr, name string
+	err        error
+}
+
+// authority makes a development authority in a new directory.
+func authority(t *testing.T) string {
+	t.Helper()
+	dir := t.TempDir()
+	if err := certs.MakeCA(time.Now(), dir, 100*time.Hour); err != nil {
+		t.Fatal(err)
+	}
+	return dir
+}
+
+func makeHost(t *testing.T, dir, name string) certs.Files {
+	t.Helper()
+	if err := certs.MakeHost(time.Now(), dir, name, nil, time.Hour); err != nil {
+		t.Fatal(err)
+	}
+	return certs.Files{
+		CA:   filepath.Join(dir, certs.CAFile),
+		Cert: filepath.Join(dir, name+".pem"),
+		Key:  filepath.Join(dir, name+".key"),
+	}
+}
+
+func open(t *testing.T, f certs.Files, options ...certs.Option) *certs.Keys {
+	t.Helper()
+	k, err := certs.Open(f, options...)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return k
+}
+
+// serveNames starts a server that answers with the sender's name.
+func serveNames(t *testing.T, keys Keys) string {
+	t.Helper()
+	conn, err := net.ListenPacket("udp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	s := NewServer(keys)
+	s.Handle("POST /name", Message(func(r *http.Request, _ string) (string, error) { return Name(r.Context()), nil }))
+	ctx, cancel := context.WithCancel(t.Context())
+	done := make(chan error)
+	go func() { done <- s.Serve(ctx, conn) }()
+	t.Cleanup(func() {
+		cancel()
+		if err := <-done; err != nil {
+			t.Error(err)
+		}
+	})
+	return conn.LocalAddr().String()
+}
+
+// askName asks the host for the name that it sees.
+func askName(t *testing.T, keys Keys, to member.Host) (string, error) {
+	t.Helper()
+	c := NewClient(keys)
+	defer c.Close()
+	var got string
+	err := c.Tell(t.Context(), to, "/name", "", &got)
+	return got, err
+}
+
+func TestPeerIsKnownByItsCertificate(t *testing.T) {
+	dir := authority(t)
+	addr := serveNames(t, open(t, makeHost(t, dir, "norte-a-1")))
+	client := open(t, makeHost(t, dir, "litoral-a-1"))
+	got, err := askName(t, client, member.Host{Name: "norte-a-1", PeerAddr: addr})
+	if want := "litoral-a-1"; err != nil || got != want {
+		t.Fatalf("got %q, %v, want %q", got, err, want)
+	}
+	_, err = askName(t, client, member.Host{Name: "norte-b-1", PeerAddr: addr})
+	if err == nil || !strings.Contains(err.Error(), "norte-b-1") {
+		t.Fatalf("another host at the address: got %v, want a refusal that names norte-b-1", err)
+	}
+}
+
+func TestPeerWithForeignOrExpiredKeyIsRefusedAndReported(t *testing.T) {
+	dir, foreign := authority(t), authority(t)
+	refused := make(chan refusal, 1)
+	report := certs.WithRefused(func(a net.Addr, name string, err error) { refused <- refusal{a.String(), name, err} })
+	later := certs.WithTime(func() time.Time { return time.Now().Add(90 * time.Minute) })
+
+	files := makeHost(t, dir, "norte-a-1")
+	trustsAll := makeHost(t, foreign, "litoral-a-1")
+	trustsAll.CA = foreign + "/both.pem"
+	join(t, trustsAll.CA, dir+"/ca.pem", foreign+"/ca.pem")
+	expired := makeHost(t, dir, "norte-b-1")
+	if err := certs.MakeHost(time.Now(), dir, "norte-a-1", nil, 9*time.Hour); err != nil {
+		t.Fatal(err)
+	}
+	for _, c := range []struct {
+		name   string
+		client certs.Files
+		server []certs.Option
+		want   string
+	}{
+		{"foreign", trustsAll, []certs.Option{report}, "unknown authority"},
+		{"expired", expired, []certs.Option{report, later}, "expired"},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			addr := serveNames(t, open(t, files, c.server...))
+			keys := open(t, c.client)
+			if _, err := askName(t, keys, member.Host{Name: "norte-a-1", PeerAddr: addr}); err == nil {
+				t.Fatal("got an answer, want a refusal")
+			}
+			var r refusal
+			select {
+			case r = <-refused:
+			default:
+				t.Fatal("got no report of the refused peer")
+			}
+			if !strings.Contains(r.err.Error(), c.want) || !strings.HasPrefix(r.addr, "127.0.0.1:") || r.name == "" {
+				t.Errorf("got %+v, want the peer's address and name, and %q", r, c.want)
+			}
+		})
+	}
+}
+
+func TestPeerOfAnOpenConnectionIsRefusedOnceItsKeyExpired(t *testing.T) {
+	dir := authority(t)
+	if err := certs.MakeHost(time.Now(), dir, "norte-a-1", nil, 9*time.Hour); err != nil {
+		t.Fatal(err)
+	}
+	shift := make(chan time.Duration, 1)
+	shift <- 0
+	now := func() time.Time {
+		d := <-shift
+		shift <- d
+		return time.Now().Add(d)
+	}
+	files := certs.Files{CA: dir + "/ca.pem", Cert: dir + "/norte-a-1.pem", Key: dir + "/norte-a-1.key"}
+	addr := serveNames(t, open(t, files, certs.WithTime(now)))
+	c := NewClient(open(t, makeHost(t, dir, "litoral-a-1")))
+	defer c.Close()
+	to := member.Host{Name: "norte-a-1", PeerAddr: addr}
+	if err := c.Tell(t.Context(), to, "/name", "", nil); err != nil {
+		t.Fatal(err)
+	}
+	<-shift
+	shift <- 90 * time.Minute
+	if err := c.Tell(t.Context(), to, "/name", "", nil); err == nil {
+		t.Error("got an answer after the key expired, want a refusal")
+	}
+}
+
+func TestReloadedKeysServeNewConnections(t *testing.T) {
+	dir, next := authority(t), authority(t)
+	files := makeHost(t, dir, "norte-a-1")
+	keys := open(t, files)
+	addr := serveNames(t, keys)
+	client := open(t, makeHost(t, next, "litoral-a-1"))
+	to := member.Host{Name: "norte-a-1", PeerAddr: addr}
+	if _, err := askName(t, client, to); err == nil {
+		t.Fatal("got an answer from a host of another authority, want a refusal")
+	}
+	makeHost(t, next, "norte-a-1")
+	join(t, files.CA, next+"/ca.pem")
+	if changed, err := keys.Reload(); err == nil || changed {
+		t.Fatalf("keys that don't fit: got %v, %v, want an error and the old keys", changed, err)
+	}
+	join(t, files.Cert, next+"/norte-a-1.pem")
+	join(t, files.Key, next+"/norte-a-1.key")
+	if changed, err := keys.Reload(); err != nil || !changed {
+		t.Fatalf("got %v, %v, want changed keys", changed, err)
+	}
+	if _, err := askName(t, client, to); err != nil {
+		t.Fatalf("after the reload: got %v, want an answer", err)
+	}
+}
+
+// join writes the files' contents to one file.
+func join(t *testing.T, to string, from ...string) {
+	t.Helper()
+	var out []byte
+	for _, f := range from {
+		text, err := os.ReadFile(f)
+		if err != nil {
+			t.Fatal(err)
+		}
+		out = append(out, text...)
+	}
+	if err := os.WriteFile(to, out, 0o600); err != nil {
+		t.Fatal(err)
+	}
+}
--- a/hitchd/internal/peer/server.go
+++ b/hitchd/internal/peer/server.go
@@ -2,12 +2,13 @@
 
 import (
 	"context"
-	"crypto/tls"
 	"net"
 	"net/http"
 
 	"github.com/go-faster/errors"
 	"github.com/quic-go/quic-go/http3"
+
+	"magnoliahitch/steer/result"
 )
 
 // Server answers other hosts.
@@ -16,16 +17,38 @@
 	server *http3.Server
 }
 
-// NewServer returns a server that shows and demands certificates of the
-// hosts' authority.
-func NewServer(keys *tls.Config) *Server {
+// NewServer returns a server that shows the host's certificate and demands
+// one of the hosts' authority.
+func NewServer(keys Keys) *Server {
 	mux := http.NewServeMux()
 	return &Server{mux: mux, server: &http3.Server{
-		Handler:   mux,
-		TLSConfig: http3.ConfigureTLSConfig(keys),
+		Handler:   identify(keys, mux),
+		TLSConfig: http3.ConfigureTLSConfig(keys.Server()),
 	}}
 }
 
+// nameKey is the context key of the peer's name.
+type nameKey struct{}
+
+// Name returns the name of the host that sent the message, as its certificate
+// proves it.
+func Name(ctx context.Context) string {
+	name, _ := ctx.Value(nameKey{}).(string)
+	return name
+}
+
+// identify passes on requests of hosts whose certificates are still valid.
+func identify(keys Keys, next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		name, err := keys.Peer(r)
+		if err != nil {
+			writeError(w, result.Refuse(result.ReasonPeer, "identify peer "+r.RemoteAddr, "peer port"))
+			return
+		}
+		next.ServeHTTP(w, r.WithContext(context.WithValue(r.Context(), nameKey{}, name)))
+	})
+}
+
 // Handle registers the handler of a message. Patterns are those of
 // [http.ServeMux].
 func (s *Server) Handle(pattern string, h http.Handler) { s.mux.Handle(pattern, h) }
--- /dev/null
+++ b/hitchd/keys.go
@@ -0,0 +1,103 @@
+package main
+
+import (
+	"context"
+	"net"
+	"os"
+	"os/signal"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+
+	"magnoliahitch/hitchd/internal/setup"
+	"magnoliahitch/links/certs"
+)
+
+const (
+	// expiryWarning is how long before its end a certificate is warned of.
+	expiryWarning = 7 * 24 * time.Hour
+	// warnInterval is the time between two such warnings.
+	warnInterval = time.Hour
+)
+
+// credentials are the host's keys and the operators' token, read again when
+// their files change.
+type credentials struct {
+	certs *certs.Keys
+	files setup.Keys
+	log   hclog.Logger
+
+	mu    sync.RWMutex
+	token string
+
+	warned time.Time
+}
+
+func openKeys(s setup.Settings, log hclog.Logger) (*credentials, error) {
+	token, err := s.Keys.Token()
+	if err != nil {
+		return nil, err
+	}
+	keys, err := certs.Open(s.Keys.Files(), certs.WithName(s.Host.Name), certs.WithRefused(
+		func(addr net.Addr, name string, err error) {
+			peersRefused.Inc()
+			log.Warn("peer refused", "addr", addr.String(), "name", name, "error", err)
+		}))
+	if err != nil {
+		return nil, err
+	}
+	return &credentials{certs: keys, files: s.Keys, log: log, token: token}, nil
+}
+
+// Token returns the operators' token in force.
+func (c *credentials) Token() string {
+	c.mu.RLock()
+	defer c.mu.RUnlock()
+	return c.token
+}
+
+// run reads the files again at each interval and at each SIGHUP.
+func (c *credentials) run(ctx context.Context, interval time.Duration) error {
+	hangup := make(chan os.Signal, 1)
+	signal.Notify(hangup, syscall.SIGHUP)
+	defer signal.Stop(hangup)
+	t := time.NewTicker(interval)
+	defer t.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-hangup:
+		case <-t.C:
+		}
+		c.reload(time.Now())
+	}
+}
+
+// reload keeps what is in use when the new files have a fault.
+func (c *credentials) reload(now time.Time) {
+	changed, err := c.certs.Reload()
+	if err != nil {
+		c.log.Error("keys in use stay", "error", err)
+	}
+	if changed {
+		c.log.Info("keys reloaded", "expires", c.certs.Expires())
+	}
+	if left := c.certs.Expires().Sub(now); left < expiryWarning && now.Sub(c.warned) >= warnInterval {
+		c.warned = now
+		c.log.Warn("certificate expires soon", "left", left.Round(time.Minute))
+	}
+	token, err := c.files.Token()
+	if err != nil {
+		c.log.Error("operator token in use stays", "error", err)
+		return
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if token != c.token {
+		c.token = token
+		c.log.Info("operator token reloaded")
+	}
+}
--- a/hitchd/main.go
+++ b/hitchd/main.go
@@ -7,46 +7,80 @@
 	"fmt"
 	"os"
 	"os/signal"
+	"runtime/debug"
 	"syscall"
 
+	"github.com/go-faster/errors"
 	"github.com/hashicorp/go-hclog"
 	"github.com/jessevdk/go-flags"
 
 	"magnoliahitch/hitchd/internal/setup"
 )
 
-// version is set by the linker.
-var version = "development"
+// version is set by the linker for a release.
+var version string
 
 type options struct {
-	Config  string `long:"config" description:"file with the host's settings" value-name:"FILE"`
-	Check   bool   `long:"check" description:"check the settings, report every fault and exit"`
+	Config  string `long:"config" description:"file with the host's settings in INI" value-name:"FILE"`
+	Check   bool   `long:"check" description:"read the settings and the keys, try to take the ports, report every fault and exit"`
 	Version bool   `long:"version" description:"print the version and exit"`
 }
 
 // Exit codes.
 const (
-	exitFailed = 1
-	exitUsage  = 2
+	exitDone     = 0
+	exitFailed   = 1
+	exitUsage    = 2
+	exitSettings = 3
 )
 
-func main() {
+// help is the text below the usage line.
+const help = `hitchd is the daemon on each entry host. It answers callers, other hosts and operators at the ports that its settings name.
+
+SIGTERM and SIGINT stop it gracefully. SIGHUP makes it read the keys and the operators' token again. SIGUSR1 logs more, SIGUSR2 logs less.
+
+Exit codes: 0 stopped gracefully or nothing wrong, 1 failed while running, 2 wrong use of the command line, 3 faults in the settings.`
+
+func main() { os.Exit(execute(os.Args[1:])) }
+
+// execute returns the exit code of the command line.
+func execute(args []string) int {
 	var o options
-	if _, err := flags.Parse(&o); err != nil {
-		os.Exit(exitUsage)
+	p := flags.NewNamedParser("hitchd", flags.Default)
+	p.Usage = "--config FILE [--check] | --version"
+	p.LongDescription = help
+	if _, err := p.AddGroup("Options", "", &o); err != nil {
+		panic(err)
 	}
-	if o.Version {
-		fmt.Println("hitchd", version)
-		return
+	_, err := p.ParseArgs(args)
+	var fe *flags.Error
+	switch {
+	case errors.As(err, &fe) && fe.Type == flags.ErrHelp:
+		return exitDone
+	case err != nil:
+		return exitUsage
+	case o.Version:
+		fmt.Println("hitchd", buildVersion())
+		return exitDone
+	case o.Config == "":
+		fmt.Fprintln(os.Stderr, "hitchd: --config FILE is missing; see hitchd --help")
+		return exitUsage
 	}
+	return start(o)
+}
+
+func start(o options) int {
 	s, err := setup.Load(o.Config)
+	if o.Check && err == nil {
+		err = check(s)
+	}
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
-		os.Exit(exitUsage)
+		return exitSettings
 	}
 	if o.Check {
-		fmt.Println("settings are good")
-		return
+		fmt.Println(o.Config + ": no faults")
+		return exitDone
 	}
 	log := hclog.New(&hclog.LoggerOptions{
 		Name:       s.Host.Name,
@@ -55,8 +89,45 @@
 	})
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
-	if err := serve(ctx, s, log); err != nil {
+	err = serve(ctx, s, log)
+	var faults setup.Faults
+	switch {
+	case errors.As(err, &faults):
+		fmt.Fprintln(os.Stderr, faults)
+		return exitSettings
+	case err != nil:
 		log.Error("stopped", "error", err)
-		os.Exit(exitFailed)
+		return exitFailed
+	}
+	return exitDone
+}
+
+// check takes the ports and gives them back.
+func check(s setup.Settings) error {
+	p, err := s.Bind()
+	if err != nil {
+		return err
+	}
+	return p.Close()
+}
+
+// buildVersion returns the release, or the commit that the program was built from.
+func buildVersion() string {
+	if version != "" {
+		return version
+	}
+	out := "development"
+	info, ok := debug.ReadBuildInfo()
+	if !ok {
+		return out
+	}
+	for _, s := range info.Settings {
+		switch {
+		case s.Key == "vcs.revision":
+			out += " " + s.Value
+		case s.Key == "vcs.modified" && s.Value == "true":
+			out += " modified"
+		}
 	}
+	return out
 }
--- /dev/null
+++ b/links/certs/config.go
@@ -0,0 +1,82 @@
+package certs
+
+import (
+	"crypto/tls"
+	"crypto/x509"
+	"net"
+	"net/http"
+
+	"github.com/go-faster/errors"
+)
+
+// ErrNoPeer reports a request without a host's certificate.
+var ErrNoPeer = errors.New("no valid certificate of a host")
+
+// Server returns a configuration that shows the keys in use and refuses peers
+// without a certificate that is valid at that time.
+func (k *Keys) Server() *tls.Config {
+	return &tls.Config{
+		MinVersion: tls.VersionTLS13,
+		// Some users of a configuration want a certificate in it.
+		GetCertificate: func(*tls.ClientHelloInfo) (*tls.Certificate, error) { return &k.current().cert, nil },
+		GetConfigForClient: func(h *tls.ClientHelloInfo) (*tls.Config, error) {
+			return k.server(h.Conn.RemoteAddr()), nil
+		},
+	}
+}
+
+// server returns the configuration for one peer.
+func (k *Keys) server(addr net.Addr) *tls.Config {
+	p := k.current()
+	return &tls.Config{
+		MinVersion:   tls.VersionTLS13,
+		Certificates: []tls.Certificate{p.cert},
+		// The peer's certificate is verified below, where its address is known.
+		ClientAuth:             tls.RequestClientCert,
+		SessionTicketsDisabled: true,
+		VerifyConnection: func(s tls.ConnectionState) error {
+			name, err := k.verifyPeer(p.pool, s.PeerCertificates)
+			if err != nil {
+				k.refused(addr, name, err)
+			}
+			return err
+		},
+	}
+}
+
+func (k *Keys) verifyPeer(pool *x509.CertPool, chain []*x509.Certificate) (string, error) {
+	if len(chain) == 0 {
+		return "", ErrNoPeer
+	}
+	name := ""
+	if len(chain[0].DNSNames) > 0 {
+		name = chain[0].DNSNames[0]
+	}
+	return name, verify(k.now(), pool, chain[0])
+}
+
+// Client returns a configuration for one connection to the named host. It
+// refuses a host that can't prove that name.
+func (k *Keys) Client(name string) *tls.Config {
+	p := k.current()
+	return &tls.Config{
+		MinVersion:   tls.VersionTLS13,
+		Certificates: []tls.Certificate{p.cert},
+		RootCAs:      p.pool,
+		ServerName:   name,
+		Time:         k.now,
+	}
+}
+
+// Peer returns the name of the host that sent the request. It returns
+// [ErrNoPeer] when the certificate has expired since the connection was made.
+func (k *Keys) Peer(r *http.Request) (string, error) {
+	if r.TLS == nil || len(r.TLS.PeerCertificates) == 0 {
+		return "", ErrNoPeer
+	}
+	c := r.TLS.PeerCertificates[0]
+	if len(c.DNSNames) == 0 || k.now().After(c.NotAfter) {
+		return "", ErrNoPeer
+	}
+	return c.DNSNames[0], nil
+}
