--- a/hitchctl/main.go
+++ b/hitchctl/main.go
@@ -24,6 +24,7 @@
 func main() {
 	var o options
 	o.Apply.client, o.Status.client = &o.client, &o.client
+	o.Keys.client = &o.client
 	p := flags.NewParser(&o, flags.Default)
 	_, err := p.Parse()
 	var fe *flags.Error
--- a/links/certs/make.go
+++ b/links/certs/make.go
@@ -53,8 +53,11 @@
 }
 
 // MakeHost writes a key pair for the named host, signed by the directory's
-// authority, to NAME.pem and NAME.key.
+// authority, to NAME.pem and NAME.key. It replaces a pair of that name.
 func MakeHost(now time.Time, dir, name string, ips []net.IP, lifetime time.Duration) error {
+	if !ValidName(name) {
+		return errors.Errorf("make key of host %q: want 1 to 63 lower-case letters, digits and inner hyphens", name)
+	}
 	ca, caKey, err := readCA(dir)
 	if err != nil {
 		return err
