budget: lend a rate so that its cap holds in every window

Cause: a cap that is enforced from measurements is exceeded whenever they lag. A keeper now lends shares by short leases, and each host spends from a bucket that counts a sliding window. Ruled out: a refilling token bucket, since burst plus rate must stay within the share and the burst part is lost to the sustained rate; a sliding window in 21 slots gives the whole share as burst and at least 95 percent of it sustained.

--- /dev/null
+++ b/steer/budget/lender_test.go
@@ -0,0 +1,130 @@
+package budget
+
+import (
+	"testing"
+	"time"
+)
+
+var start = time.Unix(1_000_000, 0)
+
+// openLender returns a lender that lends, at the returned time.
+func openLender(limit, floor Requests) (*Lender[Requests], time.Time) {
+	l := NewLender[Requests](start)
+	l.Configure(start, limit, floor)
+	return l, l.Opens()
+}
+
+func TestLateAskDropsNothing(t *testing.T) {
+	l, now := openLender(100, 0)
+	l.Grant(now, "a", Ask[Requests]{Sequence: 1, Want: 100})
+	l.Grant(now.Add(Renew), "a", Ask[Requests]{Sequence: 2, Applied: 1, Want: 1})
+	if _, ok := l.Grant(now.Add(2*Renew), "a", Ask[Requests]{Sequence: 1}); ok {
+		t.Error("got a grant for an ask that came late, want none")
+	}
+	// The process may still live by grant 1, which lapses with it.
+	if got, want := l.Lent(now.Add(lapse-1)), Requests(100); got != want {
+		t.Errorf("got %d lent, want %d", got, want)
+	}
+}
+
+func TestGrantEndsALifeAfterItsAsk(t *testing.T) {
+	b := NewBucket[Requests](start, 0)
+	sent := start.Add(10 * Window)
+	a := b.Ask(sent, 5)
+	late := sent.Add(Life - time.Millisecond)
+	if !b.Apply(late, Grant[Requests]{Sequence: a.Sequence, Share: 5}) {
+		t.Fatal("got the grant refused, want it applied within its life")
+	}
+	if !b.Spend(late, 1) {
+		t.Error("got a spend refused within the life of the lease, want it taken")
+	}
+	if b.Spend(sent.Add(Life), 1) {
+		t.Error("got a spend taken when the life from the ask was over, want it refused")
+	}
+}
+
+func TestGrantAfterItsEndIsIgnored(t *testing.T) {
+	b := NewBucket[Requests](start, 0)
+	a := b.Ask(start, 5)
+	if b.Apply(start.Add(Life), Grant[Requests]{Sequence: a.Sequence, Share: 5}) {
+		t.Error("got a grant applied after its end, want it ignored")
+	}
+}
+
+func TestReleasedLenderGrantsNothing(t *testing.T) {
+	l, now := openLender(100, 0)
+	l.Release(now)
+	if _, ok := l.Grant(now, "a", Ask[Requests]{Sequence: 1, Want: 10}); ok {
+		t.Error("got a grant after the release, want none")
+	}
+}
+
+func TestHandoverLendsAtOnceWhatIsFree(t *testing.T) {
+	l, now := openLender(100, 20)
+	l.Grant(now, "a", Ask[Requests]{Sequence: 1, Want: 30})
+	lent := l.Lent(now)
+	n := ResumeLender(now, l.Release(now))
+	n.Configure(now, 100, 20)
+	g, ok := n.Grant(now, "b", Ask[Requests]{Sequence: 1, Want: 80})
+	if got, want := g.Share, 80-lent; !ok || got != want {
+		t.Errorf("got %d lent after the handover, want %d", got, want)
+	}
+}
+
+func TestCapFallsAtOnceAndRisesAfterSettling(t *testing.T) {
+	l, now := openLender(100, 20)
+	l.Configure(now, 50, 20)
+	if got, want := l.lendable.get(now), Requests(30); got != want {
+		t.Errorf("got %d lendable after the fall, want %d", got, want)
+	}
+	l.Configure(now, 100, 20)
+	if got, want := l.lendable.get(now.Add(Settle-1)), Requests(30); got != want {
+		t.Errorf("got %d lendable before the rise has settled, want %d", got, want)
+	}
+	if got, want := l.lendable.get(now.Add(Settle)), Requests(80); got != want {
+		t.Errorf("got %d lendable after the rise has settled, want %d", got, want)
+	}
+}
+
+func TestOverflowingGrantsOfAProcessStayCounted(t *testing.T) {
+	l, now := openLender(100, 0)
+	l.Grant(now, "a", Ask[Requests]{Sequence: 1, Want: 90})
+	for i := range uint64(3 * maxHeld) {
+		at := now.Add(time.Duration(i) * time.Millisecond)
+		l.Grant(at, "a", Ask[Requests]{Sequence: 2 + i, Applied: 1, Want: 1})
+	}
+	if got, want := l.Lent(now.Add(lapse-1)), Requests(90); got < want {
+		t.Errorf("got %d lent, want the first grant of at least %d in it until it lapses", got, want)
+	}
+}
+
+func TestDivideIsFairAndWhole(t *testing.T) {
+	for _, c := range []struct {
+		rate  Requests
+		wants []Requests
+		want  []Requests
+	}{
+		{100, []Requests{10, 20}, []Requests{10 + 23, 20 + 23}},
+		{100, []Requests{10, 200, 300}, []Requests{10, 45, 45}},
+		{3, []Requests{5, 5, 5, 5, 5}, []Requests{1, 1, 1, 1, 1}},
+		{0, []Requests{5}, []Requests{0}},
+	} {
+		v := divide(c.rate, append([]Requests(nil), c.wants...))
+		for i, w := range c.wants {
+			if got, want := v.share(w), c.want[i]; got != want {
+				t.Errorf("divide %d over %v: got %d for %d, want %d", c.rate, c.wants, got, w, want)
+			}
+		}
+	}
+}
+
+func TestLeaseIsGivenUpWhenTheClockWentBack(t *testing.T) {
+	b := NewBucket[Requests](start, 0)
+	now := start.Add(10 * Window)
+	a := b.Ask(now, 5)
+	b.Apply(now, Grant[Requests]{Sequence: a.Sequence, Share: 5})
+	b.Spend(now, 1)
+	if b.Spend(now.Add(-Window), 1) {
+		t.Error("got a spend taken after the clock went back, want it refused")
+	}
+}
