shift: decide where a request is served, and how moves and drains grow

Cause: hosts need one rule for moves, drains, failures and overflow that they all follow without asking. A planned shift's share has one owner, the keeper of its cap, which steps it by the destination's queue delay and refusals and holds it without measurements. Regions without a link record aren't steered between.

Faults refuses crossing moves, drains of the last place, a second drain of a region, moves into a drain or without links or caps.

--- a/steer/config/record.go
+++ b/steer/config/record.go
@@ -64,8 +64,15 @@
 	// FloorShare is the share of the capacity that is never lent and is
 	// divided over all entry hosts.
 	FloorShare float64 `json:"floorShare" ini:"floorShare"`
+	// MaxHosts is the greatest number of entry hosts that share the floor.
+	// Zero means [DefaultMaxHosts].
+	MaxHosts int `json:"maxHosts,omitempty" ini:"maxHosts"`
 }
 
+// DefaultMaxHosts is the number of entry hosts that a floor is divided over
+// when the configuration gives none.
+const DefaultMaxHosts = 20
+
 // Profile says how the traffic of a service is steered.
 type Profile struct {
 	Name string `json:"name" ini:"-"`
@@ -83,6 +90,15 @@
 	ShiftRate float64 `json:"shiftRate" ini:"shiftRate"`
 	// ShiftMbps caps traffic that leaves a failed region, in Mbit/s.
 	ShiftMbps float64 `json:"shiftMbps" ini:"shiftMbps"`
+	// ShiftFloorShare is the share of the caps of shifts that is never lent
+	// and is divided over all entry hosts.
+	ShiftFloorShare float64 `json:"shiftFloorShare,omitempty" ini:"shiftFloorShare"`
+	// MaxHosts is the greatest number of entry hosts that share the floor of
+	// shifts. Zero means [DefaultMaxHosts].
+	MaxHosts int `json:"maxHosts,omitempty" ini:"maxHosts"`
+	// RefusedShare is the greatest share of refused requests at which a move to
+	// a region still grows. Zero lets it grow only while nothing is refused.
+	RefusedShare float64 `json:"refusedShare,omitempty" ini:"refusedShare"`
 	// SlowStartMs is how long a new or returning server takes to reach all of
 	// its slots, in milliseconds.
 	SlowStartMs int `json:"slowStartMs" ini:"slowStartMs"`
@@ -112,8 +128,20 @@
 	CapRate float64 `json:"capRate" ini:"capRate"`
 	// CapMbps caps the shifted traffic in Mbit/s.
 	CapMbps float64 `json:"capMbps" ini:"capMbps"`
+	// StepShare is the part of a region's traffic that each step sends away.
+	// Zero means [DefaultDrainStepShare].
+	StepShare float64 `json:"stepShare,omitempty" ini:"stepShare"`
+	// StepMs is the least time between two steps, in milliseconds. Zero means
+	// [DefaultDrainStepMs].
+	StepMs int `json:"stepMs,omitempty" ini:"stepMs"`
 }
 
+// Pace of a region's drain when the record gives none.
+const (
+	DefaultDrainStepShare = 0.25
+	DefaultDrainStepMs    = 1000
+)
+
 // Move declares that a share of a service's traffic goes from one region to
 // another, in steps.
 type Move struct {
--- a/steer/place/keys.go
+++ b/steer/place/keys.go
@@ -16,6 +16,9 @@
 	for n, l := range c.Links {
 		seen[Key{Link, l.From, n}] = true
 	}
+	for _, k := range ShiftKeys(c) {
+		seen[k] = true
+	}
 	out := make([]Key, 0, len(seen))
 	for k := range seen {
 		out = append(out, k)
--- /dev/null
+++ b/steer/shift/budgets.go
@@ -0,0 +1,228 @@
+package shift
+
+import (
+	"time"
+
+	"magnoliahitch/steer/config"
+	"magnoliahitch/steer/place"
+)
+
+// Unit says what an account counts.
+type Unit string
+
+// Units of accounts.
+const (
+	Requests Unit = "requests"
+	Bytes    Unit = "bytes"
+)
+
+// Account names a budget: the requests or bytes of a cell.
+type Account struct {
+	Key  place.Key
+	Unit Unit
+}
+
+// String returns "kind/region/name:unit".
+func (a Account) String() string { return a.Key.String() + ":" + string(a.Unit) }
+
+// Amount is the size of a budget in units a second.
+type Amount struct {
+	Cap int64
+	// Floor is the part of the cap that is never lent.
+	Floor int64
+	// HostFloor is what each host may spend without a lease.
+	HostFloor int64
+}
+
+// bytesPerMbit is the number of bytes in 10^6 bits.
+const bytesPerMbit = 1e6 / 8
+
+func newAmount(rate, floorShare float64, hosts int) Amount {
+	if hosts <= 0 {
+		hosts = config.DefaultMaxHosts
+	}
+	limit := int64(max(0, rate))
+	each := int64(float64(limit)*min(max(0, floorShare), 1)) / int64(hosts)
+	return Amount{Cap: limit, Floor: each * int64(hosts), HostFloor: each}
+}
+
+// Amounts returns every budget of the configuration.
+func Amounts(c *config.Config) map[Account]Amount {
+	out := make(map[Account]Amount)
+	for _, n := range c.Links.Names() {
+		l := c.Links[n]
+		out[Account{linkKey(l), Bytes}] = newAmount(l.Mbps*bytesPerMbit, l.FloorShare, l.MaxHosts)
+	}
+	put := func(k place.Key, rate, mbps float64, p config.Profile) {
+		out[Account{k, Requests}] = newAmount(rate, p.ShiftFloorShare, p.MaxHosts)
+		out[Account{k, Bytes}] = newAmount(mbps*bytesPerMbit, p.ShiftFloorShare, p.MaxHosts)
+	}
+	for _, m := range c.Moves {
+		put(place.MoveKey(m), m.CapRate, m.CapMbps, profileOf(c, m.Service))
+	}
+	for _, d := range c.Drains {
+		if d.TargetKind != config.TargetRegion {
+			continue
+		}
+		if k, ok := place.DrainKey(c, d); ok {
+			put(k, d.CapRate, d.CapMbps, widestProfile(c))
+		}
+	}
+	for _, r := range c.Regions.Names() {
+		for n, p := range c.Profiles {
+			if k, ok := place.FailureKey(c, r, n); ok {
+				put(k, p.ShiftRate, p.ShiftMbps, p)
+			}
+		}
+	}
+	return out
+}
+
+func linkKey(l config.Link) place.Key {
+	return place.Key{Kind: place.Link, Region: l.From, Name: l.Name}
+}
+
+func profileOf(c *config.Config, service string) config.Profile {
+	return c.Profiles[c.Services[service].Profile]
+}
+
+// widestProfile returns a profile with the greatest number of hosts and the
+// smallest floor, for shifts that concern services of several profiles.
+func widestProfile(c *config.Config) config.Profile {
+	var out config.Profile
+	for i, n := range c.Profiles.Names() {
+		p := c.Profiles[n]
+		if p.MaxHosts <= 0 {
+			p.MaxHosts = config.DefaultMaxHosts
+		}
+		if i == 0 {
+			out.ShiftFloorShare = p.ShiftFloorShare
+		}
+		out.MaxHosts = max(out.MaxHosts, p.MaxHosts)
+		out.ShiftFloorShare = min(out.ShiftFloorShare, p.ShiftFloorShare)
+	}
+	return out
+}
+
+// Leaves reports whether a drain of the server or of its failure domain tells
+// it to take no new work. A region's drain doesn't: there the traffic leaves
+// in steps, and what is over the cap is still served.
+func Leaves(c *config.Config, s config.Server) bool {
+	for _, d := range c.Drains {
+		if d.TargetKind != config.TargetRegion && d.Covers(s) {
+			return true
+		}
+	}
+	return false
+}
+
+// Pace says how a planned shift grows.
+type Pace struct {
+	Key place.Key
+	// From is the region that the traffic leaves.
+	From string
+	// Goal is the share in the end, Step what each step adds.
+	Goal, Step float64
+	// Every is the least time between two steps.
+	Every  time.Duration
+	Paused bool
+	// Cells are the possible destinations of each service.
+	Cells map[string][]place.Cell
+	// Limits are those of each service's profile.
+	Limits map[string]Limits
+}
+
+// Limits are a destination's greatest queue delay and share of refused
+// requests at which a shift to it still grows.
+type Limits struct {
+	QueueDelay   time.Duration
+	RefusedShare float64
+}
+
+func limitsOf(c *config.Config, service string) Limits {
+	p := profileOf(c, service)
+	return Limits{time.Duration(p.QueueWaitMs) * time.Millisecond, p.RefusedShare}
+}
+
+// Paces returns the pace of every move and of every drain of a region.
+func Paces(c *config.Config) map[place.Key]Pace {
+	out := make(map[place.Key]Pace)
+	for _, m := range c.Moves {
+		k := place.MoveKey(m)
+		out[k] = Pace{
+			Key: k, From: m.From, Goal: m.Share, Step: m.StepShare,
+			Every: time.Duration(m.StepMs) * time.Millisecond, Paused: m.Paused,
+			Cells:  map[string][]place.Cell{m.Service: {{Region: m.To, Service: m.Service}}},
+			Limits: map[string]Limits{m.Service: limitsOf(c, m.Service)},
+		}
+	}
+	for _, d := range c.Drains {
+		if d.TargetKind != config.TargetRegion {
+			continue
+		}
+		if k, ok := place.DrainKey(c, d); ok {
+			out[k] = drainPace(c, d, k)
+		}
+	}
+	return out
+}
+
+func drainPace(c *config.Config, d config.Drain, k place.Key) Pace {
+	p := Pace{
+		Key: k, From: d.Target, Goal: 1, Step: d.StepShare,
+		Every:  time.Duration(d.StepMs) * time.Millisecond,
+		Cells:  make(map[string][]place.Cell),
+		Limits: make(map[string]Limits),
+	}
+	if p.Step <= 0 {
+		p.Step = config.DefaultDrainStepShare
+	}
+	if p.Every <= 0 {
+		p.Every = config.DefaultDrainStepMs * time.Millisecond
+	}
+	for _, s := range c.Services.Names() {
+		if len(c.ServersOf(s, d.Target)) > 0 {
+			p.Cells[s] = destinations(c, s, d.Target)
+			p.Limits[s] = limitsOf(c, s)
+		}
+	}
+	return p
+}
+
+// destinations returns the cells of a service outside a region that have
+// servers and are not being drained.
+func destinations(c *config.Config, service, from string) []place.Cell {
+	var out []place.Cell
+	for _, r := range c.Regions.Names() {
+		if r != from && !drained(c, r) && serves(c, service, r) {
+			out = append(out, place.Cell{Region: r, Service: service})
+		}
+	}
+	return out
+}
+
+// drained reports whether a drain of the region is declared.
+func drained(c *config.Config, region string) bool {
+	_, ok := regionDrain(c, region)
+	return ok
+}
+
+func regionDrain(c *config.Config, region string) (config.Drain, bool) {
+	for _, n := range c.Drains.Names() {
+		if d := c.Drains[n]; d.TargetKind == config.TargetRegion && d.Target == region {
+			return d, true
+		}
+	}
+	return config.Drain{}, false
+}
+
+// serves reports whether the region has a server of the service that takes
+// new work.
+func serves(c *config.Config, service, region string) bool {
+	for _, s := range c.Servers {
+		if s.Service == service && s.Region == region && !Leaves(c, s) {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/steer/shift/fault_test.go
@@ -0,0 +1,49 @@
+package shift
+
+import (
+	"strings"
+	"testing"
+
+	"magnoliahitch/steer/config"
+)
+
+func TestFaults(t *testing.T) {
+	edit := func(f func(*config.Move)) func(*config.Records) {
+		m := moveAB
+		f(&m)
+		return withMove(m)
+	}
+	for _, c := range []struct {
+		name  string
+		edits []func(*config.Records)
+		// want stands in the only fault; none is wanted when it is empty.
+		want string
+	}{
+		{"moves and drains that agree", []func(*config.Records){withMove(moveAB), withDrain(config.TargetRegion, "c"), withDrain(config.TargetDomain, "a1")}, ""},
+		{"the last place", []func(*config.Records){withDrain(config.TargetRegion, "a"), withDrain(config.TargetRegion, "b"), withDrain(config.TargetDomain, "c1"), withDrain(config.TargetServer, "c-1")}, "empty the last one"},
+		{"crossing moves", []func(*config.Records){withMove(moveAB), edit(func(m *config.Move) { m.Name, m.From, m.To, m.Share = "ba", "b", "a", 0 })}, "ab: to = b: want a move that doesn't cross others; with these the traffic goes round: ba"},
+		{"a ring of moves", []func(*config.Records){withMove(moveAB), edit(func(m *config.Move) { m.Name, m.From, m.To = "bc", "b", "c" }), edit(func(m *config.Move) { m.Name, m.From, m.To = "ca", "c", "a" })}, "goes round: bc, ca"},
+		{"a move into a drain", []func(*config.Records){withMove(moveAB), withDrain(config.TargetRegion, "b")}, "drain d-b empties it"},
+		{"more than all", []func(*config.Records){withMove(moveAB), edit(func(m *config.Move) { m.Name, m.To, m.Share = "ac", "c", 0.6 })}, "the total is 1.1"},
+		{"no cap", []func(*config.Records){edit(func(m *config.Move) { m.CapRate = 0 })}, "capRate = 0: want 1 request/s or more"},
+		{"an unknown target", []func(*config.Records){withDrain(config.TargetServer, "x")}, "target = x: want the name of a server"},
+		{"two drains of a region", []func(*config.Records){withDrain(config.TargetRegion, "a"), func(r *config.Records) {
+			r.Drains = append(r.Drains, config.Drain{Name: "again", TargetKind: config.TargetRegion, Target: "a", CapRate: 1, CapMbps: 1})
+		}}, "a region without a drain"},
+		{"no link", []func(*config.Records){withMove(moveAB), func(r *config.Records) { r.Links = r.Links[1:] }}, "link record from a to b"},
+		{"a link given twice", []func(*config.Records){func(r *config.Records) {
+			r.Links = append(r.Links, config.Link{Name: "zz", From: "a", To: "b", Mbps: 1})
+		}}, "one link for each direction"},
+	} {
+		var got []string
+		for _, f := range Faults(configOf(t, c.edits...)) {
+			got = append(got, f.Error())
+		}
+		if c.want == "" && len(got) > 0 {
+			t.Errorf("%s: got faults %q, want none", c.name, got)
+		}
+		if c.want != "" && !strings.Contains(strings.Join(got, "\n"), c.want) {
+			t.Errorf("%s: got faults %q, want one with %q", c.name, got, c.want)
+		}
+	}
+}
