front: bound, check and count every request of a caller

Request bodies, headers and paths were passed on as they came, a slow caller could hold a request for ever and a panic ended the connection unanswered.

Headers and bodies over the bound are refused with 431 and 413, also when the body is streamed: then with the outcome unknown, as a part of it went out. A caller that sends or takes nothing for the stall timeout is cut off; deadlines are set for each read and write, so a long streamed answer goes on (a read or write timeout of the server was ruled out: it bounds the whole). Paths go on as the caller encoded them, without climbing segments or control characters. Repeated operation ids and headers of the hosts' own are refused, insane request ids replaced. A panic is answered with 500, notRun before and unknown after the request was passed on. Requests are counted and timed by service, outcome and reason.

peer refuses forwarded requests that no host would send.

Seen failing: without the write deadline, the recovery and the check of segments their tests fail or hang. Malformed requests that net/http itself refuses get its plain 400.

--- a/hitchd/internal/front/problem.go
+++ b/hitchd/internal/front/problem.go
@@ -5,6 +5,7 @@
 	"errors"
 	"net/http"
 	"strconv"
+	"strings"
 	"time"
 
 	"github.com/labstack/echo/v4"
@@ -23,19 +24,26 @@
 	Reason  string `json:"reason"`
 }
 
-// writeHTTPError answers with the error's outcome and reason.
-func writeHTTPError(err error, c echo.Context) {
+// fail answers with the error's outcome and reason.
+func (f *Front) fail(err error, c echo.Context) {
 	if c.Response().Committed {
 		return
 	}
+	x := exchangeOf(c.Request())
 	var he *echo.HTTPError
 	if errors.As(err, &he) {
-		e := result.Refuse(result.ReasonBadRequest, http.StatusText(he.Code), "caller port")
-		writeProblem(c.Response(), he.Code, e)
+		f.answer(c.Response(), x, he.Code, result.Refuse(result.ReasonBadRequest, "route request, "+strings.ToLower(http.StatusText(he.Code))+",", "caller port"))
 		return
 	}
 	e := result.From(err)
-	writeProblem(c.Response(), statusOf(e), e)
+	f.answer(c.Response(), x, statusOf(e), e)
+}
+
+// answer writes the problem, counts it and logs it.
+func (f *Front) answer(w http.ResponseWriter, x *exchange, code int, e *result.Error) {
+	x.outcome, x.reason = e.Outcome, e.Reason
+	f.log.Info("request failed", "request", x.id, "service", x.service, "status", code, "outcome", e.Outcome, "reason", e.Reason, "error", e)
+	writeProblem(w, code, e)
 }
 
 // statusOf returns the HTTP status of the error.
@@ -53,6 +61,10 @@
 		return http.StatusConflict
 	case result.ReasonGone:
 		return http.StatusGone
+	case result.ReasonSlowCaller:
+		return http.StatusRequestTimeout
+	case result.ReasonInternal:
+		return http.StatusInternalServerError
 	}
 	if e.Outcome == result.NotRun {
 		return http.StatusServiceUnavailable
--- /dev/null
+++ b/hitchd/internal/front/request.go
@@ -0,0 +1,165 @@
+package front
+
+import (
+	"net/http"
+	"net/url"
+	"regexp"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/labstack/echo/v4"
+
+	"magnoliahitch/hitchd/internal/call"
+	"magnoliahitch/links/clock"
+	"magnoliahitch/steer/config"
+	"magnoliahitch/steer/place"
+	"magnoliahitch/steer/result"
+)
+
+// Forms of what callers send.
+var (
+	serviceForm   = regexp.MustCompile(`^[A-Za-z0-9][A-Za-z0-9._-]{0,62}$`)
+	requestIDForm = regexp.MustCompile(`^[A-Za-z0-9._:-]{1,64}$`)
+	operationForm = regexp.MustCompile(`^[!-~]{1,200}$`)
+)
+
+// ownPrefix begins the names of this system's headers.
+const ownPrefix = "Hitch-"
+
+// request reads the caller's request. Its error says that nothing was run.
+func (f *Front) request(c echo.Context, x *exchange) (*call.Request, error) {
+	req := c.Request()
+	conf := f.view.Config()
+	name, s, err := f.service(c, conf)
+	if err != nil {
+		return nil, err
+	}
+	x.service = name
+	path, ok := tail(req.URL)
+	if !ok {
+		return nil, f.refuse(result.ReasonBadRequest, "read path")
+	}
+	if err := f.checkHeader(req.Header); err != nil {
+		return nil, err
+	}
+	region := f.members.Self().Region
+	r := &call.Request{
+		ID:        requestID(req.Header),
+		Cell:      place.Cell{Region: region, Service: name},
+		Method:    req.Method,
+		Path:      path,
+		Query:     req.URL.RawQuery,
+		Header:    passedOn(req.Header),
+		Class:     s.Class,
+		Block:     req.Header.Get(call.HeaderBlock),
+		Operation: req.Header.Get(call.HeaderOperation),
+		Origin:    region,
+	}
+	x.id = r.ID
+	if !r.Idempotent() && r.Operation == "" {
+		return nil, f.refuse(result.ReasonNoOperation, "read request")
+	}
+	if req.ContentLength > int64(f.limits.MaxBody) {
+		return nil, f.refuse(result.ReasonTooLarge, "read request")
+	}
+	if req.ContentLength != 0 {
+		x.body = newBody(c.Response().Writer, req.Body, f.limits)
+		r.Body = x.body
+	}
+	r.Deadline, err = f.deadline(req, s)
+	return r, err
+}
+
+func (f *Front) refuse(reason result.Reason, step string) error {
+	return result.Refuse(reason, step, f.members.Self().Name)
+}
+
+// service returns the service that the path names.
+func (f *Front) service(c echo.Context, conf *config.Config) (string, config.Service, error) {
+	name := c.Param("service")
+	if !serviceForm.MatchString(name) {
+		return "", config.Service{}, f.refuse(result.ReasonBadRequest, "read name of service")
+	}
+	s, ok := conf.Services[name]
+	switch {
+	case ok:
+		return name, s, nil
+	case conf.Revision == 0:
+		return "", s, f.refuse(result.ReasonNoConfig, "find service "+name)
+	}
+	return "", s, f.refuse(result.ReasonNoService, "find service "+name)
+}
+
+// tail returns the path behind "/service/NAME" as the caller encoded it. It
+// reports false for a path that climbs, or that hides control characters.
+func tail(u *url.URL) (string, bool) {
+	path := u.EscapedPath()
+	for range 2 {
+		path = path[1:]
+		i := strings.IndexByte(path, '/')
+		if i < 0 {
+			return "/", true
+		}
+		path = path[i:]
+	}
+	plain, err := url.PathUnescape(path)
+	if err != nil || strings.ContainsFunc(plain, isControl) {
+		return "", false
+	}
+	for s := range strings.FieldsFuncSeq(plain, func(c rune) bool { return c == '/' || c == '\\' }) {
+		if s == ".." {
+			return "", false
+		}
+	}
+	return path, true
+}
+
+func isControl(c rune) bool { return c < ' ' || c == 0x7f }
+
+// checkHeader refuses headers that say two things, or that only hosts may send.
+func (f *Front) checkHeader(h http.Header) error {
+	for name, values := range h {
+		own := strings.HasPrefix(name, ownPrefix)
+		if own && name != call.HeaderDeadline && name != call.HeaderBlock {
+			return f.refuse(result.ReasonBadRequest, "read header "+name+", which callers may not send,")
+		}
+		if (own || name == call.HeaderOperation) && len(values) > 1 {
+			return f.refuse(result.ReasonBadRequest, "read header "+name+", which stands more than once,")
+		}
+	}
+	if o := h.Get(call.HeaderOperation); o != "" && !operationForm.MatchString(o) {
+		return f.refuse(result.ReasonBadRequest, "read header "+call.HeaderOperation+", which must be 1 to 200 visible ASCII characters,")
+	}
+	return nil
+}
+
+// passedOn returns the headers that go on to the upstream.
+func passedOn(h http.Header) http.Header {
+	out := call.EndToEnd(h)
+	out.Del("Expect")
+	out.Del(call.HeaderDeadline)
+	out.Del(call.HeaderBlock)
+	return out
+}
+
+// requestID returns the caller's request id when it is sane, or a new one.
+func requestID(h http.Header) string {
+	if v := h.Values(call.HeaderRequestID); len(v) == 1 && requestIDForm.MatchString(v[0]) {
+		return v[0]
+	}
+	return uuid.NewString()
+}
+
+func (f *Front) deadline(req *http.Request, s config.Service) (time.Time, error) {
+	ms := s.DeadlineMs
+	if v := req.Header.Get(call.HeaderDeadline); v != "" {
+		n, err := strconv.Atoi(v)
+		if err != nil || n <= 0 {
+			return time.Time{}, f.refuse(result.ReasonBadRequest, "read header "+call.HeaderDeadline+", which must be a number of milliseconds above 0,")
+		}
+		ms = min(ms, n)
+	}
+	return clock.Now().Add(time.Duration(ms) * time.Millisecond), nil
+}
--- a/hitchd/internal/peer/forward.go
+++ b/hitchd/internal/peer/forward.go
@@ -5,6 +5,7 @@
 	"io"
 	"net/http"
 	"strconv"
+	"strings"
 	"time"
 
 	"magnoliahitch/hitchd/internal/call"
@@ -109,28 +110,37 @@
 	})
 }
 
+// maxDeadline is the longest time that a forwarded request may have left.
+const maxDeadline = time.Hour
+
+// readRequest reads a forwarded request. It reports false when a host would
+// not have sent it so.
 func readRequest(req *http.Request) (*call.Request, bool) {
-	cell, ok := place.ParseCell(req.Header.Get(headerCell))
-	if !ok {
-		return nil, false
-	}
-	ms, err := strconv.Atoi(req.Header.Get(call.HeaderDeadline))
-	if err != nil {
+	h := req.Header
+	cell, ok := place.ParseCell(h.Get(headerCell))
+	ms, err := strconv.Atoi(h.Get(call.HeaderDeadline))
+	if !ok || err != nil || int64(ms) > maxDeadline.Milliseconds() {
 		return nil, false
 	}
 	r := &call.Request{
-		ID:        req.Header.Get(call.HeaderRequestID),
+		ID:        h.Get(call.HeaderRequestID),
 		Cell:      cell,
-		Method:    req.Header.Get(headerMethod),
-		Path:      req.Header.Get(headerTarget),
-		Query:     req.Header.Get(headerQuery),
-		Class:     config.Class(req.Header.Get(headerClass)),
-		Block:     req.Header.Get(call.HeaderBlock),
-		Operation: req.Header.Get(call.HeaderOperation),
+		Method:    h.Get(headerMethod),
+		Path:      h.Get(headerTarget),
+		Query:     h.Get(headerQuery),
+		Class:     config.Class(h.Get(headerClass)),
+		Block:     h.Get(call.HeaderBlock),
+		Operation: h.Get(call.HeaderOperation),
 		Deadline:  clock.Now().Add(time.Duration(ms) * time.Millisecond),
-		Header:    call.EndToEnd(req.Header),
+		Header:    call.EndToEnd(h),
 		Body:      req.Body,
 	}
+	if !strings.HasPrefix(r.Path, "/") || !r.Idempotent() && r.Operation == "" {
+		return nil, false
+	}
+	if _, err := http.NewRequest(r.Method, "http://"+cell.Service+r.Path, nil); err != nil {
+		return nil, false
+	}
 	for _, n := range ownHeaders {
 		r.Header.Del(n)
 	}
--- a/hitchd/internal/setup/load.go
+++ b/hitchd/internal/setup/load.go
@@ -28,6 +28,14 @@
 	return s, nil
 }
 
+// Default returns the defaults of the settings that have one.
+func Default() Settings {
+	var s Settings
+	d := decoder{file: ini.Empty()}
+	d.sections(reflect.ValueOf(&s).Elem())
+	return s
+}
+
 // decoder fills settings from a file and collects the faults.
 type decoder struct {
 	file   *ini.File
--- a/hitchd/serve.go
+++ b/hitchd/serve.go
@@ -65,7 +65,7 @@
 	addLoop(&g, func(ctx context.Context) error { return changes.Run(ctx, s.Daemon.ConfigInterval) })
 	addLoop(&g, func(ctx context.Context) error { return keys.run(ctx, s.Keys.Reload) })
 	addLoop(&g, func(ctx context.Context) error { return peers.Serve(ctx, ports.Peer) })
-	addServer(&g, front.New(conf, known, router, log.Named("front")).Server(), ports.Caller, s.Daemon.StopTimeout)
+	addServer(&g, front.New(conf, known, router, log.Named("front"), front.WithLimits(s.Caller)).Server(), ports.Caller, s.Daemon.StopTimeout)
 	addServer(&g, admin.New(keys.Token, conf, known, changes, log.Named("admin")).Server(), ports.Operator, s.Daemon.StopTimeout)
 	log.Info("started", "caller", s.Listen.Caller, "peer", s.Listen.Peer, "operator", s.Listen.Operator)
 	err = g.Run()
--- a/steer/result/result.go
+++ b/steer/result/result.go
@@ -78,6 +78,9 @@
 	ReasonNoService   Reason = "noService"
 	ReasonBadRequest  Reason = "badRequest"
 	ReasonTooLarge    Reason = "tooLarge"
+	ReasonSlowCaller  Reason = "slowCaller"
+	ReasonInternal    Reason = "internal"
+	ReasonCut         Reason = "answerCut"
 )
 
 // Error is a request that got no answer from an upstream.
