place: look up the home region of a caller by its address block

A look-up ranked the hosts of the asked host's region with a key of its own, so that the first host was often not the keeper, and the caller's place was not known.

Blocks holds prefixes flattened into sorted ranges with an index over the leading 16 bits. A trie was ruled out: pointers take it over 48 MB at 2 million blocks. A guide holds the answer of each cell: keeper first, another failure domain next, the keeper of another region last. It is made again when configuration, hosts or keepers change. A profile names its table by digest; the object is CSV in gzip, at blocks/DIGEST. A table that can't be loaded leaves the one before in use. Requests carry the home region as Origin.

--- a/hitchd/internal/front/front.go
+++ b/hitchd/internal/front/front.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"net/http"
+	"time"
 
 	"github.com/hashicorp/go-hclog"
 	"github.com/labstack/echo/v4"
@@ -14,6 +15,7 @@
 	"magnoliahitch/links/clock"
 	"magnoliahitch/steer/config"
 	"magnoliahitch/steer/member"
+	"magnoliahitch/steer/place"
 	"magnoliahitch/steer/result"
 )
 
@@ -22,10 +24,11 @@
 	Config() *config.Config
 }
 
-// Members gives the hosts that may be given work.
+// Members gives the hosts that may be given work, and the keepers of cells.
 type Members interface {
 	Live() []member.Host
 	Self() member.Host
+	Keeper(now time.Time, k place.Key) (member.Host, bool)
 }
 
 // Front is the caller port.
@@ -35,6 +38,8 @@
 	next    call.Doer
 	log     hclog.Logger
 	limits  setup.Caller
+	blocks  Blocks
+	guides  guides
 	meters  meters
 }
 
@@ -45,9 +50,12 @@
 // settings otherwise.
 func WithLimits(l setup.Caller) Option { return func(f *Front) { f.limits = l } }
 
+// WithBlocks tells the home regions of callers by their addresses.
+func WithBlocks(b Blocks) Option { return func(f *Front) { f.blocks = b } }
+
 // New returns a caller port that passes requests on to next.
 func New(v Viewer, m Members, next call.Doer, log hclog.Logger, options ...Option) *Front {
-	f := &Front{view: v, members: m, next: next, log: log, limits: setup.Default().Caller}
+	f := &Front{view: v, members: m, next: next, log: log, limits: setup.Default().Caller, blocks: noBlocks{}}
 	for _, o := range options {
 		o(f)
 	}
--- a/hitchd/internal/front/front_test.go
+++ b/hitchd/internal/front/front_test.go
@@ -18,6 +18,7 @@
 	"magnoliahitch/hitchd/internal/setup"
 	"magnoliahitch/steer/config"
 	"magnoliahitch/steer/member"
+	"magnoliahitch/steer/place"
 	"magnoliahitch/steer/result"
 )
 
@@ -29,6 +30,8 @@
 func testView() fakeView {
 	return fakeView{&config.Config{
 		Revision: 1,
+		Regions:  config.Set[config.Region]{"norte": {Name: "norte"}, "litoral": {Name: "litoral"}},
+		Servers:  config.Set[config.Server]{"s1": {Name: "s1", Service: "stock", Region: "norte"}},
 		Services: config.Set[config.Service]{"stock": {Name: "stock", Class: config.ClassInteractive, DeadlineMs: 60000}},
 	}}
 }
@@ -39,6 +42,8 @@
 func (m fakeMembers) Live() []member.Host { return []member.Host{m.self} }
 func (m fakeMembers) Self() member.Host   { return m.self }
 
+func (m fakeMembers) Keeper(time.Time, place.Key) (member.Host, bool) { return m.self, true }
+
 func testMembers() fakeMembers {
 	return fakeMembers{member.Host{Name: "norte-a-1", Region: "norte", Domain: "norte-a", CallerAddr: "127.0.0.1:1"}}
 }
@@ -117,6 +122,8 @@
 		{"two deadlines", "GET /service/stock/ HTTP/1.1\r\nHost: h\r\nHitch-Deadline-Ms: 1\r\nHitch-Deadline-Ms: 2\r\n\r\n", 400, result.ReasonBadRequest},
 		{"deadline", "GET /service/stock/ HTTP/1.1\r\nHost: h\r\nHitch-Deadline-Ms: soon\r\n\r\n", 400, result.ReasonBadRequest},
 		{"header of hosts", "GET /service/stock/ HTTP/1.1\r\nHost: h\r\nhitch-cell: norte/stock\r\n\r\n", 400, result.ReasonBadRequest},
+		{"block", "GET /service/stock/ HTTP/1.1\r\nHost: h\r\nHitch-Block: salto\r\n\r\n", 400, result.ReasonBadRequest},
+		{"block of look-up", "GET /lookup/stock?block=10.0.0 HTTP/1.1\r\nHost: h\r\n\r\n", 400, result.ReasonBadRequest},
 		{"header size", "GET /service/stock/ HTTP/1.1\r\nHost: h\r\nX: " + strings.Repeat("x", 17<<10) + "\r\n\r\n", 431, result.ReasonTooLarge},
 		{"body size", "PUT /service/stock/ HTTP/1.1\r\nHost: h\r\nIdempotency-Key: a\r\nContent-Length: 1048577\r\n\r\n", 413, result.ReasonTooLarge},
 	} {
--- a/hitchd/internal/front/request.go
+++ b/hitchd/internal/front/request.go
@@ -44,10 +44,14 @@
 	if err := f.checkHeader(req.Header); err != nil {
 		return nil, err
 	}
-	region := f.members.Self().Region
+	addr, err := f.callerAddr(req, "")
+	if err != nil {
+		return nil, err
+	}
+	home, _ := f.home(f.guide(clock.Now(), conf), s, addr)
 	r := &call.Request{
 		ID:        requestID(req.Header),
-		Cell:      place.Cell{Region: region, Service: name},
+		Cell:      place.Cell{Region: f.members.Self().Region, Service: name},
 		Method:    req.Method,
 		Path:      path,
 		Query:     req.URL.RawQuery,
@@ -55,7 +59,7 @@
 		Class:     s.Class,
 		Block:     req.Header.Get(call.HeaderBlock),
 		Operation: req.Header.Get(call.HeaderOperation),
-		Origin:    region,
+		Origin:    home,
 	}
 	x.id = r.ID
 	if !r.Idempotent() && r.Operation == "" {
--- a/hitchd/serve.go
+++ b/hitchd/serve.go
@@ -11,6 +11,7 @@
 	"github.com/oklog/run"
 
 	"magnoliahitch/hitchd/internal/admin"
+	"magnoliahitch/hitchd/internal/blocks"
 	"magnoliahitch/hitchd/internal/claims"
 	"magnoliahitch/hitchd/internal/front"
 	"magnoliahitch/hitchd/internal/hosts"
@@ -26,6 +27,13 @@
 	"magnoliahitch/steer/member"
 )
 
+// Times of the tables of caller blocks.
+const (
+	tableInterval = 2 * time.Second
+	// tableTimeout bounds the load of a table of some 10 MB.
+	tableTimeout = time.Minute
+)
+
 // serve runs the daemon until the context ends, then stops gracefully.
 func serve(ctx context.Context, s setup.Settings, log hclog.Logger) error {
 	keys, err := openKeys(s, log.Named("keys"))
@@ -50,6 +58,7 @@
 	known := hosts.New(self, table, log.Named("hosts"))
 	keeper := keep.New(self.Name, known, log.Named("keep"))
 	conf.Watch(func(c *config.Config) { keeper.Configure(clock.Now(), c) })
+	tables := blocks.New(plat.NewClient(s.Platform.Objects, plat.WithTimeout(tableTimeout)), conf, log.Named("blocks"))
 	client := peer.NewClient(keys.certs)
 	operations := claims.New(table, known, client, keeper, log.Named("claims"))
 	router := route.New(known, operations, client, log.Named("route"))
@@ -63,9 +72,10 @@
 	addLoop(&g, func(ctx context.Context) error { return known.Run(ctx, s.Daemon.HostsInterval) })
 	addLoop(&g, operations.Run)
 	addLoop(&g, func(ctx context.Context) error { return changes.Run(ctx, s.Daemon.ConfigInterval) })
+	addLoop(&g, func(ctx context.Context) error { return tables.Run(ctx, tableInterval) })
 	addLoop(&g, func(ctx context.Context) error { return keys.run(ctx, s.Keys.Reload) })
 	addLoop(&g, func(ctx context.Context) error { return peers.Serve(ctx, ports.Peer) })
-	addServer(&g, front.New(conf, known, router, log.Named("front"), front.WithLimits(s.Caller)).Server(), ports.Caller, s.Daemon.StopTimeout)
+	addServer(&g, front.New(conf, known, router, log.Named("front"), front.WithLimits(s.Caller), front.WithBlocks(tables)).Server(), ports.Caller, s.Daemon.StopTimeout)
 	addServer(&g, admin.New(keys.Token, conf, known, changes, log.Named("admin")).Server(), ports.Operator, s.Daemon.StopTimeout)
 	log.Info("started", "caller", s.Listen.Caller, "peer", s.Listen.Peer, "operator", s.Listen.Operator)
 	err = g.Run()
--- a/steer/config/check.go
+++ b/steer/config/check.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net/netip"
+	"regexp"
 	"slices"
 	"time"
 )
@@ -94,6 +95,9 @@
 	}
 }
 
+// digestForm is the form of digests.
+var digestForm = regexp.MustCompile(`^[0-9a-f]{64}$`)
+
 func (f *faults) profiles() {
 	greatest := 0.0
 	for _, n := range f.config.Regions.Names() {
@@ -114,6 +118,9 @@
 		}
 		r.ms("slowStartMs", v.SlowStartMs, 0)
 		r.ms("lookupTtlMs", v.LookupTTLMs, 0)
+		if v.BlockTable != "" && !digestForm.MatchString(v.BlockTable) {
+			r.add("blockTable", v.BlockTable, "a SHA-256 digest of 64 hexadecimal digits in lower case, or nothing")
+		}
 	}
 }
 
--- a/steer/config/fault_test.go
+++ b/steer/config/fault_test.go
@@ -95,6 +95,7 @@
 		{"reserveShare = 0.2", "reserveShare = 1.2", "profile calm: reserveShare = 1.2"},
 		{"reserveShare = 0.2", "queueWaitMs = -2", "profile calm: queueWaitMs = -2"},
 		{"shiftMbps = 100", "shiftMbps = 301", "profile calm: shiftMbps = 301"},
+		{"reserveShare = 0.2", "blockTable = salto", "profile calm: blockTable = salto"},
 		{"target = n1", "target = n9", "drain patch: target = n9"},
 		{"targetKind = server", "targetKind = rack", "drain patch: targetKind = rack"},
 		{"target = n1", "target = n1\ncapMbps = 301", "drain patch: capMbps = 301"},
--- a/steer/config/record.go
+++ b/steer/config/record.go
@@ -106,6 +106,9 @@
 	EjectShare float64 `json:"ejectShare" ini:"ejectShare"`
 	// LookupTTLMs is the time to live of look-up answers, in milliseconds.
 	LookupTTLMs int `json:"lookupTtlMs" ini:"lookupTtlMs"`
+	// BlockTable is the SHA-256 digest in hexadecimal of the table of caller
+	// blocks that look-ups use. Without one, callers are at home where they ask.
+	BlockTable string `json:"blockTable,omitempty" ini:"blockTable"`
 }
 
 // TargetKind says what a drain empties.
--- /dev/null
+++ b/steer/place/guide.go
@@ -0,0 +1,164 @@
+package place
+
+import (
+	"cmp"
+	"net/netip"
+	"slices"
+
+	"github.com/cespare/xxhash/v2"
+
+	"magnoliahitch/steer/config"
+	"magnoliahitch/steer/member"
+)
+
+// Guide holds the answers to look-ups for one configuration and one set of
+// hosts. It is immutable, and a look-up in it allocates nothing.
+type Guide struct {
+	config  *config.Config
+	answers map[Cell][]member.Host
+}
+
+// Keeper tells which host keeps a cell.
+type Keeper func(Key) (member.Host, bool)
+
+// NewGuide works out the answer for the callers of each region and service:
+// at most limit hosts, best first. Leaving hosts are left out.
+func NewGuide(c *config.Config, hosts []member.Host, keeper Keeper, limit int) *Guide {
+	b := guideBuilder{config: c, keeper: keeper, byRegion: make(map[string][]member.Host)}
+	for _, h := range hosts {
+		if !h.Leaving {
+			b.byRegion[h.Region] = append(b.byRegion[h.Region], h)
+		}
+	}
+	g := &Guide{config: c, answers: make(map[Cell][]member.Host)}
+	served := servedCells(c)
+	for region := range c.Regions {
+		for service := range c.Services {
+			g.answers[Cell{region, service}] = b.answer(Cell{region, service}, served, limit)
+		}
+	}
+	return g
+}
+
+// Home returns the home region of a caller by its address, and whether the
+// table of blocks told it. It is the fallback otherwise. The table may be nil.
+func (g *Guide) Home(t *Blocks, a netip.Addr, fallback string) (string, bool) {
+	if t == nil {
+		return fallback, false
+	}
+	s, ok := t.Find(a)
+	if !ok {
+		return fallback, false
+	}
+	if _, ok := g.config.Regions[s.Region]; !ok {
+		return fallback, false
+	}
+	return s.Region, true
+}
+
+// Hosts returns the hosts that callers of the home region should use for the
+// service, best first. The caller must not change them.
+func (g *Guide) Hosts(home, service string) []member.Host {
+	return g.answers[Cell{home, service}]
+}
+
+// servedCells returns the cells that have servers.
+func servedCells(c *config.Config) map[Cell]bool {
+	out := make(map[Cell]bool)
+	for _, s := range c.Servers {
+		out[Cell{s.Region, s.Service}] = true
+	}
+	return out
+}
+
+// guideBuilder works out answers.
+type guideBuilder struct {
+	config   *config.Config
+	keeper   Keeper
+	byRegion map[string][]member.Host
+}
+
+// answer puts the keeper of the home cell first and hosts of the region's
+// other failure domains next. The last place goes to the keeper of another
+// region, in case the home region is lost; when the home region drains, all
+// but the first do.
+func (b *guideBuilder) answer(home Cell, served map[Cell]bool, limit int) []member.Host {
+	var out []member.Host
+	if served[home] {
+		out = b.ranked(home)
+	}
+	away := b.others(home, served)
+	atHome := limit - 1
+	switch {
+	case b.draining(home.Region):
+		atHome = 1
+	case len(away) == 0 || limit < 3:
+		atHome = limit
+	}
+	out = out[:min(len(out), max(atHome, 1))]
+	for _, c := range away {
+		if len(out) >= limit {
+			break
+		}
+		out = append(out, b.ranked(c)[0])
+	}
+	return slices.Clip(out)
+}
+
+// ranked returns the live hosts of the cell's region, its keeper first and
+// the second in another failure domain when there is one.
+func (b *guideBuilder) ranked(c Cell) []member.Host {
+	out := Rank(c.Key().String(), b.byRegion[c.Region])
+	k, ok := b.keeper(c.Key())
+	if !ok {
+		return out
+	}
+	i := slices.IndexFunc(out, func(h member.Host) bool { return h.Name == k.Name })
+	if i > 0 {
+		h := out[i]
+		copy(out[1:i+1], out[:i])
+		out[0] = h
+		spreadSecond(out)
+	}
+	return out
+}
+
+// others returns the cells of the service in other regions with live hosts,
+// those of draining regions last. Each home region has its own order, so that
+// the callers of a lost region spread over the others.
+func (b *guideBuilder) others(home Cell, served map[Cell]bool) []Cell {
+	var out []Cell
+	for region := range b.config.Regions {
+		c := Cell{region, home.Service}
+		if region != home.Region && served[c] && len(b.byRegion[region]) > 0 {
+			out = append(out, c)
+		}
+	}
+	slices.SortFunc(out, func(x, y Cell) int {
+		return cmp.Or(
+			compareBool(b.draining(x.Region), b.draining(y.Region)),
+			cmp.Compare(xxhash.Sum64String(home.String()+"\x00"+x.Region), xxhash.Sum64String(home.String()+"\x00"+y.Region)),
+			cmp.Compare(x.Region, y.Region),
+		)
+	})
+	return out
+}
+
+func compareBool(a, b bool) int {
+	switch {
+	case a == b:
+		return 0
+	case b:
+		return -1
+	}
+	return 1
+}
+
+func (b *guideBuilder) draining(region string) bool {
+	for _, d := range b.config.Drains {
+		if d.TargetKind == config.TargetRegion && d.Target == region {
+			return true
+		}
+	}
+	return false
+}
