peer: carry thousands of requests at once over a connection

quic-go admits 100 streams of a peer at once, so that 100 requests waiting in a keeper's queue kept all others of that host out, whatever their class.

--- a/hitchd/internal/front/request.go
+++ b/hitchd/internal/front/request.go
@@ -148,6 +148,12 @@
 	return out
 }
 
+func init() {
+	// Request ids need not be secret, and a read of the system's source for
+	// each is slow.
+	uuid.EnableRandPool()
+}
+
 // requestID returns the caller's request id when it is sane, or a new one.
 func requestID(h http.Header) string {
 	if v := h.Values(call.HeaderRequestID); len(v) == 1 && requestIDForm.MatchString(v[0]) {
--- a/hitchd/internal/peer/client.go
+++ b/hitchd/internal/peer/client.go
@@ -7,6 +7,7 @@
 	"io"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -24,6 +25,20 @@
 	handshakeTimeout = 2 * time.Second
 )
 
+// maxStreams is the number of requests that one connection carries at once.
+// Requests wait in queues, and must not keep others from the connection.
+const maxStreams = 1 << 14
+
+// quicConfig returns the configuration of connections between hosts.
+func quicConfig() *quic.Config {
+	return &quic.Config{
+		MaxIdleTimeout:       idleTimeout,
+		KeepAlivePeriod:      keepAlive,
+		HandshakeIdleTimeout: handshakeTimeout,
+		MaxIncomingStreams:   maxStreams,
+	}
+}
+
 // maxMessage bounds the answer to a message, in bytes.
 const maxMessage = 8 << 20
 
@@ -46,10 +61,28 @@
 	Peer(r *http.Request) (string, error)
 }
 
-// link is the connection to a host at one address.
+// linkWidth is the number of connections to a host. One connection handles
+// its packets one after another.
+const linkWidth = 2
+
+// link is the connections to a host at one address.
 type link struct {
-	addr      string
-	transport *http3.Transport
+	addr       string
+	next       atomic.Uint32
+	transports [linkWidth]*http3.Transport
+}
+
+// pick returns the transports in turn.
+func (l *link) pick() *http3.Transport {
+	return l.transports[l.next.Add(1)%linkWidth]
+}
+
+func (l *link) close() error {
+	var out []error
+	for _, t := range l.transports {
+		out = append(out, t.Close())
+	}
+	return errors.Join(out...)
 }
 
 // NewClient returns a client that shows the host's certificate.
@@ -63,7 +96,7 @@
 	defer c.mu.Unlock()
 	var out []error
 	for _, l := range c.links {
-		out = append(out, l.transport.Close())
+		out = append(out, l.close())
 	}
 	clear(c.links)
 	return errors.Join(out...)
@@ -71,33 +104,32 @@
 
 // roundTrip sends the request over the connection to the host.
 func (c *Client) roundTrip(to member.Host, req *http.Request) (*http.Response, error) {
-	return c.link(to).RoundTrip(req)
+	return c.link(to).pick().RoundTrip(req)
 }
 
-// link returns the transport to the host. A host that comes back at another
-// address gets a new one.
-func (c *Client) link(to member.Host) *http3.Transport {
+// link returns the connections to the host. A host that comes back at another
+// address gets new ones.
+func (c *Client) link(to member.Host) *link {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	l := c.links[to.Name]
 	if l != nil && l.addr == to.PeerAddr {
-		return l.transport
+		return l
 	}
 	if l != nil {
-		go l.transport.Close()
+		go l.close()
+	}
+	l = &link{addr: to.PeerAddr}
+	for i := range l.transports {
+		l.transports[i] = c.transport(to)
 	}
-	l = &link{addr: to.PeerAddr, transport: c.transport(to)}
 	c.links[to.Name] = l
-	return l.transport
+	return l
 }
 
 func (c *Client) transport(to member.Host) *http3.Transport {
 	return &http3.Transport{
-		QUICConfig: &quic.Config{
-			MaxIdleTimeout:       idleTimeout,
-			KeepAlivePeriod:      keepAlive,
-			HandshakeIdleTimeout: handshakeTimeout,
-		},
+		QUICConfig:         quicConfig(),
 		DisableCompression: true,
 		Dial: func(ctx context.Context, addr string, _ *tls.Config, conf *quic.Config) (*quic.Conn, error) {
 			// Made for each connection, since keys change.
--- a/hitchd/internal/peer/server.go
+++ b/hitchd/internal/peer/server.go
@@ -22,8 +22,9 @@
 func NewServer(keys Keys) *Server {
 	mux := http.NewServeMux()
 	return &Server{mux: mux, server: &http3.Server{
-		Handler:   identify(keys, mux),
-		TLSConfig: http3.ConfigureTLSConfig(keys.Server()),
+		Handler:    identify(keys, mux),
+		TLSConfig:  http3.ConfigureTLSConfig(keys.Server()),
+		QUICConfig: quicConfig(),
 	}}
 }
 
--- a/hitchd/serve.go
+++ b/hitchd/serve.go
@@ -73,6 +73,7 @@
 	addLoop(&g, operations.Run)
 	addLoop(&g, func(ctx context.Context) error { return changes.Run(ctx, s.Daemon.ConfigInterval) })
 	addLoop(&g, func(ctx context.Context) error { return tables.Run(ctx, tableInterval) })
+	addLoop(&g, func(ctx context.Context) error { return runLevel(ctx, log) })
 	addLoop(&g, func(ctx context.Context) error { return keys.run(ctx, s.Keys.Reload) })
 	addLoop(&g, func(ctx context.Context) error { return peers.Serve(ctx, ports.Peer) })
 	addServer(&g, front.New(conf, known, router, log.Named("front"), front.WithLimits(s.Caller), front.WithBlocks(tables)).Server(), ports.Caller, s.Daemon.StopTimeout)
