--- a/hitchd/keys.go
+++ b/hitchd/keys.go
@@ -48,6 +48,7 @@
 	if err != nil {
 		return nil, err
 	}
+	keyExpiry.Set(float64(keys.Expires().Unix()))
 	return &credentials{certs: keys, files: s.Keys, log: log, token: token}, nil
 }
 
@@ -83,6 +84,7 @@
 		c.log.Error("keys in use stay", "error", err)
 	}
 	if changed {
+		keyExpiry.Set(float64(c.certs.Expires().Unix()))
 		c.log.Info("keys reloaded", "expires", c.certs.Expires())
 	}
 	if left := c.certs.Expires().Sub(now); left < expiryWarning && now.Sub(c.warned) >= warnInterval {
