--- a/hitchd/internal/peer/keys_test.go
+++ b/hitchd/internal/peer/keys_test.go
@@ -99,7 +99,7 @@
 func TestPeerWithForeignOrExpiredKeyIsRefusedAndReported(t *testing.T) {
 	dir, foreign := authority(t), authority(t)
 	refused := make(chan refusal, 1)
-	report := certs.WithRefused(func(a net.Addr, name string, err error) { refused <- refusal{a.String(), name, err} })
+	report := certs.WithRefused(func(addr, name string, err error) { refused <- refusal{addr, name, err} })
 	later := certs.WithTime(func() time.Time { return time.Now().Add(90 * time.Minute) })
 
 	files := makeHost(t, dir, "norte-a-1")
--- a/hitchd/keys.go
+++ b/hitchd/keys.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"net"
 	"os"
 	"os/signal"
 	"sync"
@@ -41,9 +40,9 @@
 		return nil, err
 	}
 	keys, err := certs.Open(s.Keys.Files(), certs.WithName(s.Host.Name), certs.WithRefused(
-		func(addr net.Addr, name string, err error) {
+		func(addr, name string, err error) {
 			peersRefused.Inc()
-			log.Warn("peer refused", "addr", addr.String(), "name", name, "error", err)
+			log.Warn("peer refused", "addr", addr, "name", name, "error", err)
 		}))
 	if err != nil {
 		return nil, err
--- a/links/certs/certs.go
+++ b/links/certs/certs.go
@@ -6,7 +6,6 @@
 	"bytes"
 	"crypto/tls"
 	"crypto/x509"
-	"net"
 	"os"
 	"regexp"
 	"sync"
@@ -25,7 +24,7 @@
 
 // Refused is called with each peer that a server refuses: its address, the
 // name it showed, if any, and why.
-type Refused func(addr net.Addr, name string, err error)
+type Refused func(addr, name string, err error)
 
 // Keys are a host's keys, which can change while they are in use.
 type Keys struct {
@@ -60,7 +59,7 @@
 // Open reads the keys. It returns an error when the certificate isn't valid,
 // or isn't signed by the authority.
 func Open(f Files, options ...Option) (*Keys, error) {
-	k := &Keys{files: f, refused: func(net.Addr, string, error) {}, now: time.Now}
+	k := &Keys{files: f, refused: func(string, string, error) {}, now: time.Now}
 	for _, o := range options {
 		o(k)
 	}
--- a/links/certs/config.go
+++ b/links/certs/config.go
@@ -3,7 +3,6 @@
 import (
 	"crypto/tls"
 	"crypto/x509"
-	"net"
 	"net/http"
 
 	"github.com/go-faster/errors"
@@ -20,13 +19,13 @@
 		// Some users of a configuration want a certificate in it.
 		GetCertificate: func(*tls.ClientHelloInfo) (*tls.Certificate, error) { return &k.current().cert, nil },
 		GetConfigForClient: func(h *tls.ClientHelloInfo) (*tls.Config, error) {
-			return k.server(h.Conn.RemoteAddr()), nil
+			return k.server(h.Conn.RemoteAddr().String()), nil
 		},
 	}
 }
 
 // server returns the configuration for one peer.
-func (k *Keys) server(addr net.Addr) *tls.Config {
+func (k *Keys) server(addr string) *tls.Config {
 	p := k.current()
 	return &tls.Config{
 		MinVersion:   tls.VersionTLS13,
@@ -75,8 +74,13 @@
 		return "", ErrNoPeer
 	}
 	c := r.TLS.PeerCertificates[0]
-	if len(c.DNSNames) == 0 || k.now().After(c.NotAfter) {
+	if len(c.DNSNames) == 0 {
 		return "", ErrNoPeer
 	}
-	return c.DNSNames[0], nil
+	name := c.DNSNames[0]
+	if k.now().After(c.NotAfter) {
+		k.refused(r.RemoteAddr, name, ErrNoPeer)
+		return "", ErrNoPeer
+	}
+	return name, nil
 }
