hitchd: give every answer a request id and every build a version

Refusals before the request was read had neither an id in the log nor in the answer. make build links the version that git describes into hitchd, since version control may be off in the environment of the build.

--- a/Makefile
+++ b/Makefile
@@ -8,6 +8,8 @@
 DEPLOYMENT := pall
 # First port of the demo on loopback.
 PORT := 17000
+# What --version prints.
+VERSION := $(shell git describe --tags --always --dirty 2>/dev/null || echo development)
 export GOFLAGS :=
 
 .PHONY: all build tools test fmt lint unit bench demo clean
@@ -16,7 +18,7 @@
 
 build:
 	@mkdir -p $(BIN)
-	go build -o $(BIN)/ ./hitchd ./hitchctl ./standin
+	go build -ldflags '-X main.version=$(VERSION)' -o $(BIN)/ ./hitchd ./hitchctl ./standin
 
 tools: $(BIN)/gofumpt $(BIN)/revive
 
--- a/hitchd/internal/front/front.go
+++ b/hitchd/internal/front/front.go
@@ -98,7 +98,6 @@
 	}
 	ctx, cancel := context.WithTimeout(c.Request().Context(), r.Deadline.Sub(clock.Now()))
 	defer cancel()
-	c.Response().Header().Set(call.HeaderRequestID, r.ID)
 	x.passed = true
 	a, err := f.next.Do(ctx, r)
 	if err != nil {
--- a/hitchd/internal/front/front_test.go
+++ b/hitchd/internal/front/front_test.go
@@ -135,6 +135,9 @@
 			w := httptest.NewRecorder()
 			testFront(next).Server().Handler.ServeHTTP(w, req)
 			checkProblem(t, w.Result(), c.code, c.reason, result.NotRun)
+			if w.Header().Get(call.HeaderRequestID) == "" {
+				t.Error("got no request id, want one")
+			}
 		})
 	}
 }
--- a/hitchd/internal/front/guard.go
+++ b/hitchd/internal/front/guard.go
@@ -6,6 +6,7 @@
 	"runtime/debug"
 	"time"
 
+	"magnoliahitch/hitchd/internal/call"
 	"magnoliahitch/steer/result"
 )
 
@@ -45,7 +46,8 @@
 func (f *Front) guard(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		start := time.Now()
-		x := &exchange{}
+		x := &exchange{id: requestID(r.Header)}
+		w.Header().Set(call.HeaderRequestID, x.id)
 		conn := http.NewResponseController(w)
 		_ = conn.SetWriteDeadline(time.Time{})
 		defer func() {
--- a/hitchd/internal/front/request.go
+++ b/hitchd/internal/front/request.go
@@ -50,7 +50,7 @@
 	}
 	home, _ := f.home(f.guide(clock.Now(), conf), s, addr)
 	r := &call.Request{
-		ID:        requestID(req.Header),
+		ID:        x.id,
 		Cell:      place.Cell{Region: f.members.Self().Region, Service: name},
 		Method:    req.Method,
 		Path:      path,
@@ -61,7 +61,6 @@
 		Operation: req.Header.Get(call.HeaderOperation),
 		Origin:    home,
 	}
-	x.id = r.ID
 	if !r.Idempotent() && r.Operation == "" {
 		return nil, f.refuse(result.ReasonNoOperation, "read request")
 	}
