slots: queue by class, hold slots exactly and judge servers by attempts

A cell had one unbounded line and started new servers at full load. Now it holds a line for each class with a bound on the predicted wait, counts slots that a predecessor or an abandoned request may still use, starts new and returning servers slowly and ejects failing ones up to the profile's share. The reserve is an order of dispatch: idle reserved slots would cost goodput. Deadline order within a class was ruled out: under overload it runs what is about to expire. Reports can only take slots away.

--- a/hitchd/internal/keep/keep.go
+++ b/hitchd/internal/keep/keep.go
@@ -38,7 +38,8 @@
 type cell struct {
 	mu      sync.Mutex
 	slots   *slots.Cell
-	waiting map[string]chan slots.Start
+	waiting map[uint64]chan outcome
+	lastID  uint64
 }
 
 // New returns a keeper for the named host.
@@ -77,15 +78,15 @@
 	}
 	k.log.Info("placement", "request", r.ID, "cell", r.Cell, "server", s.Server.Name)
 	if !k.holder.Holds(clock.Now(), r.Cell.Key()) {
-		c.finish(clock.Now(), slots.End{ID: r.ID, Server: s.Server.Name, Outcome: result.NotRun})
+		c.finish(clock.Now(), slots.End{ID: s.ID, Outcome: result.NotRun})
 		return nil, result.Refuse(result.ReasonFenced, "send request", k.name)
 	}
-	return k.send(ctx, c, r, s.Server)
+	return k.send(ctx, c, r, s)
 }
 
-func (k *Keeper) send(ctx context.Context, c *cell, r *call.Request, s config.Server) (*call.Answer, error) {
-	end := slots.End{ID: r.ID, Server: s.Name, Outcome: result.Done}
-	a, err := k.sender.send(ctx, r, s)
+func (k *Keeper) send(ctx context.Context, c *cell, r *call.Request, s slots.Start) (*call.Answer, error) {
+	end := slots.End{ID: s.ID, Outcome: result.Done}
+	a, err := k.sender.send(ctx, r, s.Server)
 	if err != nil {
 		end.Outcome = result.OutcomeOf(err)
 		c.finish(clock.Now(), end)
@@ -107,7 +108,7 @@
 	if c := k.cells[p]; c != nil {
 		return c
 	}
-	c = &cell{slots: slots.NewCell(), waiting: make(map[string]chan slots.Start)}
+	c = &cell{slots: slots.NewCell(), waiting: make(map[uint64]chan outcome)}
 	c.configure(now, p, k.config)
 	k.cells[p] = c
 	return c
@@ -126,12 +127,15 @@
 
 // acquire waits until the request may start.
 func (c *cell) acquire(ctx context.Context, now time.Time, r *call.Request, peer string) (slots.Start, error) {
-	ready := make(chan slots.Start, 1)
+	ready := make(chan outcome, 1)
 	c.mu.Lock()
-	d := c.slots.Submit(now, slots.Request{ID: r.ID, Class: r.Class, Deadline: r.Deadline})
+	c.lastID++
+	id := c.lastID
+	d := c.slots.Submit(now, slots.Request{ID: id, Class: r.Class, Deadline: r.Deadline})
 	if d.Queued {
-		c.waiting[r.ID] = ready
+		c.waiting[id] = ready
 	}
+	c.wake(d.Wake)
 	c.mu.Unlock()
 	switch {
 	case d.Started:
@@ -140,17 +144,20 @@
 		return slots.Start{}, result.Refuse(d.Reason, "admit request", peer).WithRetryAfter(d.RetryAfter)
 	}
 	select {
-	case s := <-ready:
-		return s, nil
+	case o := <-ready:
+		if o.refused != "" {
+			return slots.Start{}, result.Refuse(o.refused, "wait for slot", peer)
+		}
+		return o.start, nil
 	case <-ctx.Done():
-		c.abandon(clock.Now(), r.ID, ready)
+		c.abandon(clock.Now(), id, ready)
 		return slots.Start{}, result.Refuse(result.ReasonDeadline, "wait for slot", peer)
 	}
 }
 
 // abandon takes a request out of the queue, or gives back the slot that it
 // got at the same moment.
-func (c *cell) abandon(now time.Time, id string, ready chan slots.Start) {
+func (c *cell) abandon(now time.Time, id uint64, ready chan outcome) {
 	c.mu.Lock()
 	queued := c.slots.Cancel(now, id)
 	if queued {
@@ -160,8 +167,9 @@
 	if queued {
 		return
 	}
-	s := <-ready
-	c.finish(now, slots.End{ID: id, Server: s.Server.Name, Outcome: result.NotRun})
+	if o := <-ready; o.refused == "" {
+		c.finish(now, slots.End{ID: id, Outcome: result.NotRun})
+	}
 }
 
 func (c *cell) finish(now time.Time, e slots.End) {
@@ -170,9 +178,19 @@
 	c.wake(c.slots.Finish(now, e))
 }
 
-func (c *cell) wake(starts []slots.Start) {
-	for _, s := range starts {
-		c.waiting[s.ID] <- s
+func (c *cell) wake(w slots.Wake) {
+	for _, s := range w.Starts {
+		c.waiting[s.ID] <- outcome{start: s}
 		delete(c.waiting, s.ID)
 	}
+	for _, r := range w.Refusals {
+		c.waiting[r.ID] <- outcome{refused: r.Reason}
+		delete(c.waiting, r.ID)
+	}
+}
+
+// outcome ends the wait of a queued request.
+type outcome struct {
+	start   slots.Start
+	refused result.Reason
 }
--- a/steer/slots/cell.go
+++ b/steer/slots/cell.go
@@ -7,148 +7,270 @@
 	"magnoliahitch/steer/result"
 )
 
-// Request is a request as the cell sees it.
-type Request struct {
-	ID       string
-	Class    config.Class
-	Deadline time.Time
-	// Avoid names a server that failed the request before.
-	Avoid string
-}
-
-// Start tells that a request may run on a server now.
-type Start struct {
-	ID     string
-	Server config.Server
-}
-
-// Decision is the cell's answer to a submitted request. Exactly one of its
-// three forms holds: Started, Queued, or refused with a reason.
-type Decision struct {
-	Started bool
-	Queued  bool
-	Start   Start
-	Reason  result.Reason
-	// RetryAfter goes with a refusal.
-	RetryAfter time.Duration
-}
-
-// End says how a request ended on its server.
-type End struct {
-	ID      string
-	Server  string
-	Outcome result.Outcome
-	Reason  result.Reason
-}
+// Defaults of a profile that leaves a value out, and the first estimate.
+const (
+	defaultQueueWait = time.Second
+	// firstService is the assumed service time before the first sample.
+	firstService = 20 * time.Millisecond
+	// serviceSamples is the number of samples that the mean service time covers.
+	serviceSamples = 32
+	// slowFactor times the mean service time is when a time-out speaks against the server.
+	slowFactor = 3
+	// bulkPatience times the profile's queue wait bounds the wait of bulk.
+	bulkPatience = 10
+	// reserveMemory is how long after a request of the other kind the reserve binds bulk.
+	reserveMemory = time.Minute
+)
 
-type server struct {
-	config config.Server
-	busy   int
-	leaves bool
-}
+// Bounds of the time after which a refused caller may try again.
+const (
+	minRetryAfter = 100 * time.Millisecond
+	maxRetryAfter = 10 * time.Second
+)
 
 // Cell is a capacity cell. It is not safe for concurrent use.
 type Cell struct {
 	servers map[string]*server
-	order   []string
-	queue   []Request
+	order   []*server
+	first   int
+	lines   lines
+	running map[uint64]run
 	profile config.Profile
+	// busy counts running requests by class.
+	busy [classes]int
+	// service is the mean service time over the last samples.
+	service time.Duration
+	samples int
+	// urgent is when a request above bulk came last.
+	urgent time.Time
+	recent recent
+}
+
+// run is a request that runs on a server.
+type run struct {
+	server   *server
+	class    int
+	suspect  bool
+	since    time.Time
+	deadline time.Time
 }
 
 // NewCell returns a cell without servers.
 func NewCell() *Cell {
-	return &Cell{servers: make(map[string]*server)}
-}
-
-// Configure brings the cell to the configuration's servers and profile, and
-// returns the queued requests that may start now. Servers that a drain covers
-// get no new work.
-func (c *Cell) Configure(now time.Time, servers []config.Server, draining func(config.Server) bool, p config.Profile) []Start {
-	c.profile = p
-	c.order = c.order[:0]
-	seen := make(map[string]bool, len(servers))
-	for _, s := range servers {
-		seen[s.Name] = true
-		c.order = append(c.order, s.Name)
-		if c.servers[s.Name] == nil {
-			c.servers[s.Name] = &server{}
-		}
-		c.servers[s.Name].config = s
-		c.servers[s.Name].leaves = draining(s)
-	}
-	for n, s := range c.servers {
-		if seen[n] {
-			continue
-		}
-		s.leaves = true
-		if s.busy == 0 {
-			delete(c.servers, n)
-		}
+	return &Cell{
+		servers: make(map[string]*server),
+		lines:   lines{byID: make(map[uint64]*waiter)},
+		running: make(map[uint64]run),
+		service: firstService,
 	}
-	return c.dispatch(now)
 }
 
-// Submit admits, queues or refuses a request.
+// Submit starts, queues or refuses a request.
 func (c *Cell) Submit(now time.Time, r Request) Decision {
+	class := classOf(r.Class)
+	if class != bulk {
+		c.urgent = now
+	}
+	d := c.decide(now, r, class)
+	if !r.Hedge {
+		c.recent.count(now, !d.Started && !d.Queued)
+	}
+	return d
+}
+
+func (c *Cell) decide(now time.Time, r Request, class int) Decision {
 	if !r.Deadline.IsZero() && !now.Before(r.Deadline) {
 		return Decision{Reason: result.ReasonDeadline}
 	}
-	if s := c.idlest(r); s != nil {
-		s.busy++
-		return Decision{Started: true, Start: Start{r.ID, s.config}}
+	if c.mayStart(now, class) && c.ahead(class) <= c.lines.picky {
+		if s := c.pick(now, r); s != nil {
+			return Decision{Started: true, Start: c.start(now, r, s)}
+		}
+	}
+	if r.Hedge {
+		return Decision{Reason: result.ReasonQueueFull}
+	}
+	return c.enqueue(now, r, class)
+}
+
+func (c *Cell) enqueue(now time.Time, r Request, class int) Decision {
+	wait, ok := c.predict(now, class)
+	if !ok || !c.room(now, r.Avoid) {
+		return Decision{Reason: result.ReasonNoServer, RetryAfter: c.nextReturn(now)}
+	}
+	var shed Wake
+	if class != bulk && wait > c.queueWait()/2 {
+		shed = c.shedBulk(wait)
 	}
-	if len(c.order) == 0 {
-		return Decision{Reason: result.ReasonNoServer, RetryAfter: time.Second}
+	switch {
+	case wait > c.waitLimit(class), class == bulk && c.pressed(now):
+		return Decision{Reason: result.ReasonQueueFull, Wait: wait, RetryAfter: retryAfter(wait), Wake: shed}
+	case !r.Deadline.IsZero() && now.Add(wait+c.service).After(r.Deadline):
+		return Decision{Reason: result.ReasonDeadline, Wait: wait, RetryAfter: retryAfter(wait), Wake: shed}
 	}
-	c.queue = append(c.queue, r)
-	return Decision{Queued: true}
+	c.lines.add(now, r)
+	return Decision{Queued: true, Wait: wait, Wake: shed}
 }
 
 // Cancel takes a queued request out. It reports whether the request was queued.
-func (c *Cell) Cancel(_ time.Time, id string) bool {
-	for i, r := range c.queue {
-		if r.ID == id {
-			c.queue = append(c.queue[:i], c.queue[i+1:]...)
+func (c *Cell) Cancel(_ time.Time, id uint64) bool {
+	w := c.lines.byID[id]
+	if w == nil {
+		return false
+	}
+	c.lines.drop(w)
+	return true
+}
+
+// Finish frees the slot of a request that ended and learns from its outcome.
+// A request that doesn't run, or ended before, changes nothing.
+func (c *Cell) Finish(now time.Time, e End) Wake {
+	r, ok := c.running[e.ID]
+	if !ok {
+		return Wake{}
+	}
+	delete(c.running, e.ID)
+	r.server.busy--
+	c.busy[r.class]--
+	if r.suspect {
+		r.server.suspects--
+	}
+	if e.Outcome == result.Unknown {
+		r.server.held = append(r.server.held, hold{now.Add(cancelGrace), 1})
+	}
+	c.learn(now, r, e)
+	if r.server.removed && r.server.busy == 0 {
+		delete(c.servers, r.server.config.Name)
+	}
+	return c.Tick(now)
+}
+
+// Tick returns the queued requests whose wait is over now.
+func (c *Cell) Tick(now time.Time) Wake {
+	for _, s := range c.order {
+		s.release(now)
+	}
+	var w Wake
+	for more := true; more; {
+		more = c.lines.size() > 0 && c.startNext(now, &w)
+	}
+	return w
+}
+
+// Next returns when Tick may have something to do without another call. It
+// reports false while nothing is queued.
+func (c *Cell) Next(now time.Time) (time.Time, bool) {
+	if c.lines.size() == 0 {
+		return time.Time{}, false
+	}
+	var at time.Time
+	sooner := func(t time.Time) {
+		if t.After(now) && (at.IsZero() || t.Before(at)) {
+			at = t
+		}
+	}
+	for _, s := range c.order {
+		sooner(s.ejected)
+		sooner(s.reported.Add(reportLife))
+		if t, ok := s.nextStep(now, c.slowStart()); ok {
+			sooner(t)
+		}
+		for _, h := range s.held {
+			sooner(h.until)
+		}
+	}
+	return at, !at.IsZero()
+}
+
+// startNext starts or refuses the request that is served next. It reports
+// false when nothing can start.
+func (c *Cell) startNext(now time.Time, w *Wake) bool {
+	for _, class := range c.dispatchOrder() {
+		if c.mayStart(now, class) && c.startFrom(now, c.lines.line[class].head, w) {
 			return true
 		}
 	}
 	return false
 }
 
-// Finish frees the slot of a request that ended and returns the queued
-// requests that may start now.
-func (c *Cell) Finish(now time.Time, e End) []Start {
-	if s := c.servers[e.Server]; s != nil && s.busy > 0 {
-		s.busy--
+// startFrom starts the first request of a line that a free server suits, or
+// refuses one that comes too late.
+func (c *Cell) startFrom(now time.Time, q *waiter, w *Wake) bool {
+	for tries := 0; q != nil && tries < lookahead; tries++ {
+		if c.tooLate(now, q.request) {
+			c.lines.drop(q)
+			c.recent.refuse(now)
+			w.Refusals = append(w.Refusals, Refusal{q.request.ID, result.ReasonDeadline, minRetryAfter})
+			return true
+		}
+		if s := c.pick(now, q.request); s != nil {
+			c.lines.drop(q)
+			started := c.start(now, q.request, s)
+			started.Waited = now.Sub(q.since)
+			w.Starts = append(w.Starts, started)
+			return true
+		}
+		if !q.request.picky() {
+			return false
+		}
+		q = q.next
 	}
-	return c.dispatch(now)
+	return false
 }
 
-func (c *Cell) dispatch(_ time.Time) []Start {
-	var out []Start
-	for len(c.queue) > 0 {
-		s := c.idlest(c.queue[0])
-		if s == nil {
-			break
+// room reports whether a server that is not the named one takes work at all.
+func (c *Cell) room(now time.Time, avoid string) bool {
+	for _, s := range c.order {
+		if s.config.Name != avoid && s.usable(now) {
+			return true
 		}
-		s.busy++
-		out = append(out, Start{c.queue[0].ID, s.config})
-		c.queue = c.queue[1:]
 	}
-	return out
+	return false
+}
+
+// lookahead is the number of requests that are tried behind one that can't use
+// the free servers.
+const lookahead = 8
+
+// picky reports whether the request may not use just any server.
+func (r Request) picky() bool { return r.Suspect || r.Avoid != "" }
+
+func (c *Cell) tooLate(now time.Time, r Request) bool {
+	return !r.Deadline.IsZero() && now.Add(c.service).After(r.Deadline)
+}
+
+func (c *Cell) start(now time.Time, r Request, s *server) Start {
+	class := classOf(r.Class)
+	s.busy++
+	c.busy[class]++
+	if r.Suspect {
+		s.suspects++
+	}
+	c.running[r.ID] = run{s, class, r.Suspect, now, r.Deadline}
+	return Start{ID: r.ID, Server: s.config}
 }
 
-// idlest returns the server with the most free slots, or nil.
-func (c *Cell) idlest(r Request) *server {
+// pick returns the server for the request, or nil: one without recent failures
+// first, then the one with the most free slots, in turn among equals.
+func (c *Cell) pick(now time.Time, r Request) *server {
 	var best *server
-	for _, n := range c.order {
-		s := c.servers[n]
-		if s.leaves || n == r.Avoid || s.busy >= s.config.Slots {
+	bestFree := 0
+	n := len(c.order)
+	for i := range n {
+		s := c.order[(c.first+i)%n]
+		if s.config.Name == r.Avoid || r.Suspect && s.suspects > 0 {
+			continue
+		}
+		free := s.free(now, c.slowStart())
+		if free == 0 {
 			continue
 		}
-		if best == nil || s.config.Slots-s.busy > best.config.Slots-best.busy {
-			best = s
+		if best == nil || s.failures < best.failures || s.failures == best.failures && free > bestFree {
+			best, bestFree = s, free
 		}
 	}
+	if best != nil {
+		c.first = (c.first + 1) % n
+	}
 	return best
 }
--- /dev/null
+++ b/steer/slots/cell_test.go
@@ -0,0 +1,207 @@
+package slots
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+	"testing"
+	"time"
+
+	"magnoliahitch/steer/config"
+	"magnoliahitch/steer/result"
+)
+
+func sortedIDs[K cmp.Ordered, V any](m map[K]V) []K { return slices.Sorted(maps.Keys(m)) }
+
+// state returns the state of the named server.
+func (w *world) state(name string) ServerState {
+	for _, s := range w.cell.Servers(w.now) {
+		if s.Server == name {
+			return s
+		}
+	}
+	return ServerState{}
+}
+
+// fill submits interactive requests and returns how many started.
+func (w *world) fill(n int) int {
+	before := len(w.works)
+	for range n {
+		_ = w.submit(config.ClassInteractive, maxDeadline, "")
+	}
+	return len(w.works) - before
+}
+
+func TestDrainEndsInDrained(t *testing.T) {
+	w := newWorld(2)
+	w.fill(6)
+	w.draining["server-0"] = true
+	w.cell.Configure(w.now, w.servers, w.drains, w.profile)
+	if got, want := w.state("server-0").State, StateDraining; got != want {
+		t.Fatalf("got state %s, want %s", got, want)
+	}
+	for id, k := range w.works {
+		if k.server == "server-0" {
+			_ = w.finish(id, result.Done, "")
+		}
+	}
+	if got, want := w.state("server-0").State, StateDrained; got != want {
+		t.Fatalf("got state %s, want %s", got, want)
+	}
+	if got := w.fill(5); got != 0 || w.running("server-0") != 0 {
+		t.Fatalf("got %d started beside a full server, %d on the drained one, want 0", got, w.running("server-0"))
+	}
+}
+
+func TestSlowStartOfAReturningServer(t *testing.T) {
+	w := newWorld(1)
+	w.draining["server-0"] = true
+	w.cell.Configure(w.now, w.servers, w.drains, w.profile)
+	w.draining["server-0"] = false
+	w.cell.Configure(w.now, w.servers, w.drains, w.profile)
+	for _, c := range []struct {
+		after time.Duration
+		want  int
+	}{{0, 1}, {499 * time.Millisecond, 1}, {500 * time.Millisecond, 2}, {999 * time.Millisecond, 2}, {time.Second, 3}} {
+		if got := w.cell.order[0].limit(w.now.Add(c.after), w.cell.slowStart()); got != c.want {
+			t.Errorf("after %v: got limit %d, want %d", c.after, got, c.want)
+		}
+	}
+}
+
+func TestQueueGoesOnWithTheSlowStart(t *testing.T) {
+	w := newWorld(1)
+	w.cell.order[0].ramp = w.now
+	w.fill(2)
+	at, ok := w.cell.Next(w.now)
+	if want := w.now.Add(500 * time.Millisecond); !ok || !at.Equal(want) {
+		t.Fatalf("got next event %v (%v), want %v", at, ok, want)
+	}
+	_ = w.advance(at.Sub(w.now))
+	if got, want := w.running("server-0"), 2; got != want {
+		t.Fatalf("got %d running, want %d", got, want)
+	}
+}
+
+func TestTakeOverHoldsSlotsUntilTheGreatestDeadline(t *testing.T) {
+	w := newWorld(2)
+	w.fill(4)
+	_ = w.replace(false)
+	if got := w.fill(1); got != 0 {
+		t.Fatalf("got %d started at once after a take-over, want 0", got)
+	}
+	_ = w.advance(maxDeadline + cancelGrace)
+	if got, want := w.fill(6), 6; got != want {
+		t.Fatalf("got %d started after the greatest deadline, want %d", got, want)
+	}
+}
+
+func TestHandoverHoldsOnlySlotsInUse(t *testing.T) {
+	w := newWorld(2)
+	w.fill(4)
+	_ = w.replace(true)
+	if got, want := w.fill(6), 2; got != want {
+		t.Fatalf("got %d started after a handover, want %d", got, want)
+	}
+}
+
+func TestEjectionNeverExceedsItsShare(t *testing.T) {
+	w := newWorld(12)
+	w.profile.EjectShare = 0.3
+	w.cell.Configure(w.now, w.servers, w.drains, w.profile)
+	for range 200 {
+		w.fill(1)
+		for id := range w.works {
+			_ = w.finish(id, result.NotRun, result.ReasonUpstream)
+		}
+		if got, want := w.cell.Load(w.now).Ejected, 3; got > want {
+			t.Fatalf("got %d ejected of 12, want at most %d", got, want)
+		}
+	}
+	if got, want := w.cell.Load(w.now).Ejected, 3; got != want {
+		t.Fatalf("got %d ejected of 12, want %d", got, want)
+	}
+	_ = w.advance(ejectBase)
+	if got, want := w.state("server-0").Limit, 1; got != want {
+		t.Fatalf("got limit %d after the ejection, want %d", got, want)
+	}
+}
+
+func TestReportOnlyTakesWorkAway(t *testing.T) {
+	w := newWorld(1)
+	w.cell.Report(w.now, "server-0", 2)
+	if got, want := w.fill(3), 1; got != want {
+		t.Fatalf("got %d started beside 2 foreign requests, want %d", got, want)
+	}
+	_ = w.apply(w.cell.Report(w.now, "server-0", 0))
+	if got, want := w.running("server-0"), 3; got != want {
+		t.Fatalf("got %d running, want %d", got, want)
+	}
+	_ = w.apply(w.cell.Report(w.now, "server-0", -5))
+	if got := w.fill(3); got != 0 {
+		t.Fatalf("got %d started on a full server after a low report, want 0", got)
+	}
+}
+
+func TestEarlyRefusalAndOrderOfClasses(t *testing.T) {
+	w := newWorld(1)
+	w.fill(3)
+	d := w.cell.Submit(w.now, Request{ID: 100, Deadline: w.now.Add(10 * time.Millisecond)})
+	if d.Started || d.Queued || d.Reason != result.ReasonDeadline {
+		t.Fatalf("got %+v, want a refusal as the deadline can't be met", d)
+	}
+	for id, class := range map[uint64]config.Class{101: config.ClassBulk, 102: config.ClassInteractive, 103: config.ClassBooking} {
+		w.cell.Submit(w.now, Request{ID: id, Class: class, Deadline: w.now.Add(maxDeadline)})
+	}
+	var got []uint64
+	for _, id := range []uint64{1, 2, 3} {
+		for _, s := range w.cell.Finish(w.now, End{ID: id, Outcome: result.Done}).Starts {
+			got = append(got, s.ID)
+		}
+	}
+	// The booking takes the reserve; bulk must not take the last reserved slot.
+	if want := []uint64{103, 102, 101}; !slices.Equal(got, want) {
+		t.Fatalf("got order %v, want %v", got, want)
+	}
+}
+
+func TestBulkIsShedFirst(t *testing.T) {
+	w := newWorld(1)
+	w.fill(3)
+	_ = w.submit(config.ClassBulk, maxDeadline, "")
+	bulkID := w.nextID
+	for w.queued[bulkID] {
+		_ = w.submit(config.ClassInteractive, maxDeadline, "")
+		if !w.queued[w.nextID] {
+			t.Fatal("got an interactive request refused before bulk, want bulk shed first")
+		}
+	}
+	d := w.cell.Submit(w.now, Request{ID: 1000, Class: config.ClassBulk, Deadline: w.now.Add(maxDeadline)})
+	if d.Queued || d.Reason != result.ReasonQueueFull {
+		t.Fatalf("got %+v, want bulk refused under pressure", d)
+	}
+}
+
+func TestNoServerIsARefusal(t *testing.T) {
+	w := newWorld(1)
+	d := w.cell.Submit(w.now, Request{ID: 1, Avoid: "server-0"})
+	if d.Started || d.Queued || d.Reason != result.ReasonNoServer {
+		t.Fatalf("got %+v, want a refusal for want of another server", d)
+	}
+}
+
+func TestSuspectsRunApart(t *testing.T) {
+	w := newWorld(2)
+	for id := range uint64(2) {
+		w.cell.Submit(w.now, Request{ID: id + 1, Suspect: true})
+	}
+	if d := w.cell.Submit(w.now, Request{ID: 3, Suspect: true}); !d.Queued {
+		t.Fatalf("got %+v, want the third suspect queued for a server without one", d)
+	}
+	if d := w.cell.Submit(w.now, Request{ID: 4}); !d.Started {
+		t.Fatalf("got %+v, want other work started past the suspect", d)
+	}
+	if got := len(w.cell.Finish(w.now, End{ID: 1, Outcome: result.Done}).Starts); got != 1 {
+		t.Fatalf("got %d started after a suspect ended, want 1", got)
+	}
+}
