crash: keep queries of death off the servers

A request that crashes its server is sent again by its caller, at any host. The record of a suspect is told to the other hosts; the host that saw the death alone tries it again, a second dead server convicts it everywhere, and tries extend the conviction at all hosts. A request that succeeded lately isn't suspected for one death, so that innocents go on at once. Not bounded: first runs of one request at several hosts at the same instant.

--- /dev/null
+++ b/steer/crash/suspects_test.go
@@ -0,0 +1,137 @@
+package crash
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+)
+
+// fleet is a number of hosts that tell each other everything.
+type fleet struct {
+	hosts []*Suspects
+	now   time.Time
+	// dead are the servers lost to the deadly request.
+	dead map[string]bool
+	runs int
+}
+
+func newFleet(hosts int) *fleet {
+	f := &fleet{now: time.Unix(1000, 0), dead: make(map[string]bool)}
+	for i := range hosts {
+		f.hosts = append(f.hosts, New(fmt.Sprintf("host-%d", i)))
+	}
+	return f
+}
+
+func (f *fleet) tell(r Report) {
+	for _, h := range f.hosts {
+		h.Told(f.now, r)
+	}
+}
+
+// run runs the request on the host and reports whether it was let run.
+func (f *fleet) run(host int, p Print, server string, deadly bool) bool {
+	h := f.hosts[host]
+	v, _ := h.Begin(f.now, p)
+	if v == OnTrial || v == Convicted {
+		return false
+	}
+	f.runs++
+	var r Report
+	var tell bool
+	if deadly {
+		f.dead[server] = true
+		r, tell = h.Died(f.now, p, server)
+	} else {
+		r, tell = h.Succeeded(p)
+	}
+	h.End(p)
+	if tell {
+		f.tell(r)
+	}
+	return true
+}
+
+func TestQueryOfDeathKillsTwoServersAtMost(t *testing.T) {
+	for seed := range uint64(20) {
+		rng := rand.New(rand.NewPCG(seed, 1))
+		f := newFleet(3)
+		for range 2000 {
+			f.now = f.now.Add(time.Duration(rng.Int64N(int64(memory))))
+			host := rng.IntN(3)
+			f.run(host, 7, fmt.Sprintf("server-%d-%d", host, rng.IntN(12)), true)
+			for _, r := range f.hosts[host].Tried() {
+				f.tell(r)
+			}
+		}
+		if got, want := len(f.dead), 2; got > want {
+			t.Fatalf("seed %d: got %d servers lost, want at most %d", seed, got, want)
+		}
+	}
+}
+
+func TestInnocentsGoOn(t *testing.T) {
+	f := newFleet(3)
+	const good, fresh = Print(1), Print(2)
+	f.run(0, good, "", false)
+	for _, p := range []Print{good, fresh} {
+		if r, tell := f.hosts[0].Died(f.now, p, "server-0"); tell {
+			f.tell(r)
+		}
+	}
+	if v, _ := f.hosts[1].Begin(f.now, good); v != Clean {
+		t.Fatalf("got %v for a request that succeeded before, want clean", v)
+	}
+	if v, _ := f.hosts[1].Begin(f.now, fresh); v != OnTrial {
+		t.Fatalf("got %v at another host, want onTrial", v)
+	}
+	if !f.run(0, fresh, "", false) {
+		t.Fatal("got the suspect refused at its origin, want a trial")
+	}
+	if v, _ := f.hosts[1].Begin(f.now, fresh); v != Clean {
+		t.Fatalf("got %v after the trial, want clean", v)
+	}
+}
+
+func TestATrialDoesNotWaitForADeadOrigin(t *testing.T) {
+	f := newFleet(2)
+	f.run(0, 7, "server-0", true)
+	if f.run(1, 7, "", false) {
+		t.Fatal("got a second run at another host at once, want it refused")
+	}
+	f.now = f.now.Add(trialTime)
+	v, _ := f.hosts[1].Begin(f.now, 7)
+	if again, _ := f.hosts[1].Begin(f.now, 7); v != Trial || again != OnTrial {
+		t.Fatalf("got %v then %v, want one trial at a time", v, again)
+	}
+	f.hosts[1].End(7)
+	f.now = f.now.Add(memory)
+	if v, _ := f.hosts[1].Begin(f.now, 7); v != Clean {
+		t.Fatalf("got %v after the memory's time, want clean", v)
+	}
+}
+
+func TestRecordsAreBounded(t *testing.T) {
+	s := New("host")
+	now := time.Unix(1000, 0)
+	for i := range maxRecords + 100 {
+		s.Died(now.Add(time.Duration(i)), Print(i+1), "server")
+	}
+	if got, want := s.Len(), maxRecords; got > want {
+		t.Fatalf("got %d records, want at most %d", got, want)
+	}
+}
+
+func TestFingerprintSeparatesItsParts(t *testing.T) {
+	seen := make(map[Print]bool)
+	for _, p := range []Print{
+		Fingerprint("a", "b", "c", nil), Fingerprint("ab", "", "c", nil), Fingerprint("a", "b", "", []byte("c")),
+		Fingerprint("a", "b", "c", []byte("d")), Fingerprint("a", "bc", "", nil),
+	} {
+		if seen[p] {
+			t.Fatalf("got print %x twice, want different ones", p)
+		}
+		seen[p] = true
+	}
+}
