keep: settle each attempt's outcome at its first byte, retry and hedge within a budget

GotConn came too early to call a request run and net/http sends GETs and requests with an Idempotency-Key again by itself on a cut reused connection. Now each attempt owns at most one connection: the connection's first write and the side that gives up settle by compare-and-swap whether the request can have run, and the lease is checked in that write. Setting GetBody to nil alone was ruled out: requests without a body are still sent again. Adds the second attempt (retry budget, hedge), connections opened ahead and counted, suspects told to peers before a retry, handover of cells, metrics and a log line for each placement.

Seen failing: letting a second connection write gives 2 runs for one GET (TestTransportSendsNothingTwice); without the fence, the seal or the context's end the tests named after them fail.

--- a/hitchd/internal/keep/keep.go
+++ b/hitchd/internal/keep/keep.go
@@ -1,5 +1,10 @@
 // Package keep runs the capacity cells that this host keeps and sends their
 // requests to upstream servers.
+//
+// Each try of a request is an attempt. It is not run as long as no byte of it
+// was handed to a connection; the connection and the side that gives up settle
+// that between them once, so that neither a lost lease, a late time-out nor the
+// HTTP library can make a request run that was reported as not run.
 package keep
 
 import (
@@ -14,6 +19,7 @@
 	"magnoliahitch/steer/config"
 	"magnoliahitch/steer/place"
 	"magnoliahitch/steer/result"
+	"magnoliahitch/steer/retry"
 	"magnoliahitch/steer/slots"
 )
 
@@ -24,34 +30,48 @@
 
 // Keeper runs the cells of this host. Each cell has its own lock.
 type Keeper struct {
-	name   string
-	holder Holder
-	log    hclog.Logger
-	sender *sender
+	name    string
+	holder  Holder
+	log     hclog.Logger
+	sender  *sender
+	deaths  *deaths
+	leased  bool
+	changed chan struct{}
 
 	mu     sync.RWMutex
 	config *config.Config
 	cells  map[place.Cell]*cell
 }
 
-// cell is a capacity cell with the requests that wait in it.
-type cell struct {
-	mu      sync.Mutex
-	slots   *slots.Cell
-	waiting map[uint64]chan outcome
-	lastID  uint64
+// Option changes a new keeper.
+type Option func(*Keeper)
+
+// WithPeers lets the keeper tell other hosts of suspect requests.
+func WithPeers(p Peers, m Members) Option {
+	return func(k *Keeper) { k.deaths.peers, k.deaths.members = p, m }
+}
+
+// WithLeases makes the keeper serve only cells that Acquire gave to it.
+func WithLeases() Option {
+	return func(k *Keeper) { k.leased = true }
 }
 
 // New returns a keeper for the named host.
-func New(name string, holder Holder, log hclog.Logger) *Keeper {
-	return &Keeper{
-		name:   name,
-		holder: holder,
-		log:    log,
-		sender: newSender(),
-		config: &config.Config{},
-		cells:  make(map[place.Cell]*cell),
-	}
+func New(name string, holder Holder, log hclog.Logger, options ...Option) *Keeper {
+	k := &Keeper{
+		name:    name,
+		holder:  holder,
+		log:     log,
+		sender:  newSender(),
+		deaths:  newDeaths(name, log),
+		changed: make(chan struct{}, 1),
+		config:  &config.Config{},
+		cells:   make(map[place.Cell]*cell),
+	}
+	for _, o := range options {
+		o(k)
+	}
+	return k
 }
 
 // Configure brings every cell to the configuration.
@@ -59,138 +79,143 @@
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	k.config = c
+	k.deaths.setConfig(c)
+	limits := make(map[string]int, len(c.Servers))
+	for _, s := range c.Servers {
+		limits[s.Addr] = connectionLimit(s)
+	}
+	k.sender.pool.setLimits(limits)
 	for p, l := range k.cells {
 		l.configure(now, p, c)
 	}
+	k.wakeRun()
 }
 
+// connectionLimit is the part of a server's connections that one keeper opens.
+// The other part is left to a predecessor whose connections still stand.
+func connectionLimit(s config.Server) int { return max(1, s.Connections/2) }
+
 // Do admits the request to its cell, waits for a slot and sends it to the
 // server. It refuses when this host doesn't keep the cell.
 func (k *Keeper) Do(ctx context.Context, r *call.Request) (*call.Answer, error) {
-	if !k.holder.Holds(clock.Now(), r.Cell.Key()) {
+	now := clock.Now()
+	if !k.holder.Holds(now, r.Cell.Key()) {
+		return nil, result.Refuse(result.ReasonNotKeeper, "admit request", k.name)
+	}
+	c := k.cell(now, r.Cell)
+	if c == nil {
 		return nil, result.Refuse(result.ReasonNotKeeper, "admit request", k.name)
 	}
-	c := k.cell(clock.Now(), r.Cell)
-	s, err := c.acquire(ctx, clock.Now(), r, k.name)
+	j, err := newJob(r)
 	if err != nil {
-		k.log.Info("placement", "request", r.ID, "cell", r.Cell, "refused", err)
-		return nil, err
+		return nil, result.Refuse(result.ReasonBadRequest, "read body", k.name)
 	}
-	k.log.Info("placement", "request", r.ID, "cell", r.Cell, "server", s.Server.Name)
-	if !k.holder.Holds(clock.Now(), r.Cell.Key()) {
-		c.finish(clock.Now(), slots.End{ID: s.ID, Outcome: result.NotRun})
-		return nil, result.Refuse(result.ReasonFenced, "send request", k.name)
+	c.countRequest(now)
+	first := k.run(ctx, c, j, "")
+	if first.err == nil || !k.mayRetry(ctx, c, j, first) {
+		return first.answer, first.error()
 	}
-	return k.send(ctx, c, r, s)
+	second := k.run(ctx, c, j, first.server)
+	if second.err != nil && (first.err.Outcome == result.Unknown || second.server == "") {
+		return nil, first.err
+	}
+	return second.answer, second.error()
 }
 
-func (k *Keeper) send(ctx context.Context, c *cell, r *call.Request, s slots.Start) (*call.Answer, error) {
-	end := slots.End{ID: s.ID, Outcome: result.Done}
-	a, err := k.sender.send(ctx, r, s.Server)
-	if err != nil {
-		end.Outcome = result.OutcomeOf(err)
-		c.finish(clock.Now(), end)
-		return nil, err
-	}
-	a.Body = &endingBody{ReadCloser: a.Body, end: func() { c.finish(clock.Now(), end) }}
-	return a, nil
+// ran is what became of one round: an answer or an error.
+type ran struct {
+	answer *call.Answer
+	err    *result.Error
+	// server is empty when the request got no slot.
+	server string
+	hedged bool
 }
 
-func (k *Keeper) cell(now time.Time, p place.Cell) *cell {
-	k.mu.RLock()
-	c := k.cells[p]
-	k.mu.RUnlock()
-	if c != nil {
-		return c
-	}
-	k.mu.Lock()
-	defer k.mu.Unlock()
-	if c := k.cells[p]; c != nil {
-		return c
+// error returns the error as an interface that is nil when there is none.
+func (r ran) error() error {
+	if r.err == nil {
+		return nil
 	}
-	c = &cell{slots: slots.NewCell(), waiting: make(map[uint64]chan outcome)}
-	c.configure(now, p, k.config)
-	k.cells[p] = c
-	return c
+	return r.err
 }
 
-func (c *cell) configure(now time.Time, p place.Cell, conf *config.Config) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	draining := func(s config.Server) bool {
-		_, ok := conf.Draining(s)
-		return ok
+// mayRetry reports whether a second round is allowed, and counts it.
+func (k *Keeper) mayRetry(ctx context.Context, c *cell, j *job, r ran) bool {
+	if r.server == "" || r.hedged || !j.repeatable() || ctx.Err() != nil {
+		return false
+	}
+	switch r.err.Reason {
+	case result.ReasonUpstream, result.ReasonShed:
+	default:
+		return false
+	}
+	if r.err.Outcome != result.NotRun && !j.Idempotent() {
+		return false
 	}
-	profile := conf.Profiles[conf.Services[p.Service].Profile]
-	c.wake(c.slots.Configure(now, conf.ServersOf(p.Service, p.Region), draining, profile))
+	return c.takeRetry(clock.Now())
 }
 
-// acquire waits until the request may start.
-func (c *cell) acquire(ctx context.Context, now time.Time, r *call.Request, peer string) (slots.Start, error) {
-	ready := make(chan outcome, 1)
-	c.mu.Lock()
-	c.lastID++
-	id := c.lastID
-	d := c.slots.Submit(now, slots.Request{ID: id, Class: r.Class, Deadline: r.Deadline})
-	if d.Queued {
-		c.waiting[id] = ready
-	}
-	c.wake(d.Wake)
-	c.mu.Unlock()
-	switch {
-	case d.Started:
-		return d.Start, nil
-	case !d.Queued:
-		return slots.Start{}, result.Refuse(d.Reason, "admit request", peer).WithRetryAfter(d.RetryAfter)
-	}
-	select {
-	case o := <-ready:
-		if o.refused != "" {
-			return slots.Start{}, result.Refuse(o.refused, "wait for slot", peer)
+// run waits for a slot and sends the request to the server that it got.
+func (k *Keeper) run(ctx context.Context, c *cell, j *job, avoid string) ran {
+	v, after := k.deaths.begin(clock.Now(), j)
+	if v.refuses() {
+		e := result.Refuse(result.ReasonSuspect, "admit request", k.name).WithRetryAfter(after)
+		k.logPlacement(j, choice{reason: string(e.Reason) + " " + v.String()})
+		return ran{err: e}
+	}
+	wait, cancel := context.WithTimeout(ctx, j.Deadline.Sub(clock.Now()))
+	defer cancel()
+	got, e := c.acquire(wait, slots.Request{Class: j.Class, Deadline: j.Deadline, Avoid: avoid, Suspect: v.trial()}, k.name, k.log.IsInfo())
+	k.logPlacement(j, got)
+	if e != nil {
+		if v.trial() {
+			k.deaths.end(j)
 		}
-		return o.start, nil
-	case <-ctx.Done():
-		c.abandon(clock.Now(), id, ready)
-		return slots.Start{}, result.Refuse(result.ReasonDeadline, "wait for slot", peer)
+		return ran{err: e}
 	}
+	t := k.newTry(ctx, c, j, got.start)
+	t.trial = v.trial()
+	return t.race()
 }
 
-// abandon takes a request out of the queue, or gives back the slot that it
-// got at the same moment.
-func (c *cell) abandon(now time.Time, id uint64, ready chan outcome) {
-	c.mu.Lock()
-	queued := c.slots.Cancel(now, id)
-	if queued {
-		delete(c.waiting, id)
-	}
-	c.mu.Unlock()
-	if queued {
-		return
-	}
-	if o := <-ready; o.refused == "" {
-		c.finish(now, slots.End{ID: id, Outcome: result.NotRun})
+// cell returns the cell, or nil when Acquire has to give it first.
+func (k *Keeper) cell(now time.Time, p place.Cell) *cell {
+	k.mu.RLock()
+	c := k.cells[p]
+	k.mu.RUnlock()
+	if c != nil || k.leased {
+		return c
 	}
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.makeCell(now, p)
 }
 
-func (c *cell) finish(now time.Time, e slots.End) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.wake(c.slots.Finish(now, e))
+func (k *Keeper) makeCell(now time.Time, p place.Cell) *cell {
+	c := k.cells[p]
+	if c == nil {
+		c = newCell(p)
+		c.configure(now, p, k.config)
+		k.cells[p] = c
+		k.gauges(p)
+		k.wakeRun()
+	}
+	return c
 }
 
-func (c *cell) wake(w slots.Wake) {
-	for _, s := range w.Starts {
-		c.waiting[s.ID] <- outcome{start: s}
-		delete(c.waiting, s.ID)
-	}
-	for _, r := range w.Refusals {
-		c.waiting[r.ID] <- outcome{refused: r.Reason}
-		delete(c.waiting, r.ID)
+func newCell(p place.Cell) *cell {
+	return &cell{
+		slots:   slots.NewCell(),
+		waiting: make(map[uint64]chan wakening),
+		budget:  retry.NewBudget(0),
+		meter:   newMeter(p),
 	}
 }
 
-// outcome ends the wait of a queued request.
-type outcome struct {
-	start   slots.Start
-	refused result.Reason
+// wakeRun lets Run look at the cells at once.
+func (k *Keeper) wakeRun() {
+	select {
+	case k.changed <- struct{}{}:
+	default:
+	}
 }
