--- a/steer/slots/cell.go
+++ b/steer/slots/cell.go
@@ -250,23 +250,29 @@
 	return Start{ID: r.ID, Server: s.config}
 }
 
+// trusted is added to the free slots of a server without recent failures.
+const trusted = 1 << 20
+
 // pick returns the server for the request, or nil: one without recent failures
 // first, then the one with the most free slots, in turn among equals.
 func (c *Cell) pick(now time.Time, r Request) *server {
 	var best *server
-	bestFree := 0
+	bestScore := 0
 	n := len(c.order)
 	for i := range n {
 		s := c.order[(c.first+i)%n]
 		if s.config.Name == r.Avoid || r.Suspect && s.suspects > 0 {
 			continue
 		}
-		free := s.free(now, c.slowStart())
-		if free == 0 {
+		score := s.free(now, c.slowStart())
+		if score == 0 {
 			continue
 		}
-		if best == nil || s.failures < best.failures || s.failures == best.failures && free > bestFree {
-			best, bestFree = s, free
+		if !s.doubtful(now) {
+			score += trusted
+		}
+		if score > bestScore {
+			best, bestScore = s, score
 		}
 	}
 	if best != nil {
--- a/steer/slots/server.go
+++ b/steer/slots/server.go
@@ -117,6 +117,11 @@
 	return max(0, s.limit(now, slowStart)-s.busy-s.heldSlots(now))
 }
 
+// doubtful reports whether the server failed lately and had no answer since.
+func (s *server) doubtful(now time.Time) bool {
+	return s.failures > 0 && now.Sub(s.failed) < forgive
+}
+
 // succeed records an answer.
 func (s *server) succeed(now time.Time) {
 	s.failures = 0
--- a/steer/slots/state.go
+++ b/steer/slots/state.go
@@ -155,7 +155,7 @@
 		return "runs a suspect"
 	case s.free(now, c.slowStart()) == 0:
 		return "full"
-	case s.failures > 0:
+	case s.doubtful(now):
 		return "failed lately"
 	}
 	return "busier"
