lend, route: spend budgets in the background and steer between regions

Cause: requests only went to the keeper of their home cell. The router now follows the plan of the shift package: it spends the caps and the link at one moment, sends, and goes on to the next cell after a proof that nothing ran. A keeper that moved is looked up again for any method; lost work is sent once more if it is idempotent and the retry budget allows; no connection means not run. Leases are renewed in the background, one message for each keeper, so the path of a request never waits for them. Answers that leave for another region pass a gate in the region that sends them: refused unrun when their predicted size can't take the link back in time, then paced by the bucket so that bytes are spent as they go. Ruled out: spending the predicted size ahead, since the bytes go in a later window than the one they were counted in.

A region's drain no longer stops its servers at once: what is over the cap is still served there, so keep asks shift.Leaves. The forward carries the origin and the region of entry.

--- a/hitchd/internal/call/call.go
+++ b/hitchd/internal/call/call.go
@@ -47,6 +47,8 @@
 	// Origin is the caller's home region. It differs from the cell's region
 	// when the request was shifted.
 	Origin string
+	// Entry is the region of the host that took the request from the caller.
+	Entry string
 }
 
 // Idempotent reports whether the request may run more than once.
--- a/hitchd/internal/keep/keep.go
+++ b/hitchd/internal/keep/keep.go
@@ -14,6 +14,7 @@
 	"magnoliahitch/steer/config"
 	"magnoliahitch/steer/place"
 	"magnoliahitch/steer/result"
+	"magnoliahitch/steer/shift"
 	"magnoliahitch/steer/slots"
 )
 
@@ -116,10 +117,7 @@
 func (c *cell) configure(now time.Time, p place.Cell, conf *config.Config) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	draining := func(s config.Server) bool {
-		_, ok := conf.Draining(s)
-		return ok
-	}
+	draining := func(s config.Server) bool { return shift.Leaves(conf, s) }
 	profile := conf.Profiles[conf.Services[p.Service].Profile]
 	c.wake(c.slots.Configure(now, conf.ServersOf(p.Service, p.Region), draining, profile))
 }
--- /dev/null
+++ b/hitchd/internal/lend/lend_test.go
@@ -0,0 +1,261 @@
+package lend
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/go-faster/errors"
+	"github.com/hashicorp/go-hclog"
+	"github.com/vmihailenco/msgpack/v5"
+
+	"magnoliahitch/hitchd/internal/call"
+	"magnoliahitch/links/clock"
+	"magnoliahitch/steer/budget"
+	"magnoliahitch/steer/config"
+	"magnoliahitch/steer/member"
+	"magnoliahitch/steer/place"
+	"magnoliahitch/steer/result"
+	"magnoliahitch/steer/shift"
+)
+
+// testConfig has a link of 8 Mbit/s from a to b whose floor is given, and a
+// move from a to b with caps of 100 requests/s and 8 Mbit/s.
+func testConfig(t *testing.T, floor float64) *config.Config {
+	t.Helper()
+	r := config.Records{
+		Regions:  []config.Region{{Name: "a"}, {Name: "b"}},
+		Profiles: []config.Profile{{Name: "p", QueueWaitMs: 100, ShiftFloorShare: floor, MaxHosts: 1}},
+		Services: []config.Service{{Name: "care", Profile: "p"}},
+		Servers:  []config.Server{{Name: "s", Service: "care", Region: "b", Slots: 1}},
+		Links: []config.Link{
+			{Name: "ab", From: "a", To: "b", Mbps: 8, FloorShare: floor, MaxHosts: 1},
+			{Name: "ba", From: "b", To: "a", Mbps: 8, FloorShare: floor, MaxHosts: 1},
+		},
+		Moves: []config.Move{{Name: "m", Service: "care", From: "a", To: "b", Share: 0.5, StepShare: 0.5, StepMs: 1, CapRate: 100, CapMbps: 8}},
+	}
+	c, err := (&config.Config{}).WithChange(config.Change{Revision: 1, Puts: r})
+	if err != nil {
+		t.Fatal(err)
+	}
+	return c
+}
+
+var moveKey = place.Key{Kind: place.Shift, Region: "b", Name: "move/m"}
+
+// testHosts is a set of two hosts of which one keeps every cell.
+type testHosts struct {
+	self, keeper member.Host
+	lost         bool
+}
+
+func (h *testHosts) Self() member.Host { return h.self }
+
+func (h *testHosts) Keeper(time.Time, place.Key) (member.Host, bool) { return h.keeper, true }
+
+func (h *testHosts) Holds(time.Time, place.Key) bool { return !h.lost && h.keeper.Name == h.self.Name }
+
+// testTeller hands messages to the keeper's lenders through the wire format.
+type testTeller struct {
+	lenders *Lenders
+	err     error
+}
+
+func (t *testTeller) Tell(_ context.Context, _ member.Host, _ string, in, out any) error {
+	if t.err != nil {
+		return t.err
+	}
+	data, err := msgpack.Marshal(in)
+	if err != nil {
+		return err
+	}
+	var q request
+	if err := msgpack.Unmarshal(data, &q); err != nil {
+		return err
+	}
+	if data, err = msgpack.Marshal(t.lenders.answer(q)); err != nil {
+		return err
+	}
+	return msgpack.Unmarshal(data, out)
+}
+
+// calm is a destination with room.
+type calm struct{}
+
+func (calm) Load(time.Time, place.Cell) (member.Load, bool) {
+	return member.Load{Slots: 6, Free: 6}, true
+}
+
+func newPair(t *testing.T, c *config.Config) (*testHosts, *Lenders, *Spenders, *testTeller) {
+	t.Helper()
+	keeper := &testHosts{self: member.Host{Name: "k", Region: "b"}, keeper: member.Host{Name: "k"}}
+	lenders := NewLenders(keeper, calm{}, hclog.NewNullLogger())
+	lenders.Configure(clock.Now(), c)
+	teller := &testTeller{lenders: lenders}
+	hosts := &testHosts{self: member.Host{Name: "s", Region: "a"}, keeper: keeper.self}
+	// The process started long ago, so that its window is known.
+	born := clock.Now().Add(-time.Minute)
+	spenders := NewSpenders(born, hosts, teller, nil, hclog.NewNullLogger())
+	spenders.Configure(clock.Now(), c)
+	return keeper, lenders, spenders, teller
+}
+
+// opened is the handover of a cell that has nothing outstanding.
+func opened(t *testing.T, moved float64) []byte {
+	t.Helper()
+	data, err := msgpack.Marshal(handover{Lent: map[shift.Unit]budget.Handover[int64]{
+		shift.Requests: {Lendable: 100}, shift.Bytes: {Lendable: 1e6},
+	}, Moved: moved})
+	if err != nil {
+		t.Fatal(err)
+	}
+	return data
+}
+
+func TestSpenderGetsALeaseInTheBackground(t *testing.T) {
+	_, lenders, spenders, _ := newPair(t, testConfig(t, 0))
+	lenders.Acquire(clock.Now(), moveKey, opened(t, 0))
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	go func() { _ = spenders.Run(ctx, 5*time.Millisecond) }()
+	one := Charge{Account: shift.Account{Key: moveKey, Unit: shift.Requests}, Units: 1}
+	if _, ok := spenders.Spend(clock.Now(), time.Second, one); ok {
+		t.Fatal("got a spend before any lease and without a floor, want it refused")
+	}
+	for {
+		if _, ok := spenders.Spend(clock.Now(), time.Second, one); ok {
+			break
+		}
+		time.Sleep(time.Millisecond)
+	}
+	for spenders.Share(clock.Now(), moveKey) < 0.5 {
+		time.Sleep(time.Millisecond)
+	}
+}
+
+func TestKeeperThatLostItsLeaseGrantsNothing(t *testing.T) {
+	keeper, lenders, _, _ := newPair(t, testConfig(t, 0))
+	lenders.Acquire(clock.Now(), moveKey, opened(t, 0))
+	q := askEntry{Kind: moveKey.Kind, Region: moveKey.Region, Name: moveKey.Name, Unit: shift.Requests, Sequence: 1, Want: 10}
+	if g := lenders.grant("p", q); !g.Granted || g.Share < 10 {
+		t.Fatalf("got %+v from the keeper, want a share of 10 or more", g)
+	}
+	keeper.lost = true
+	q.Sequence = 2
+	if g := lenders.grant("p", q); g.Held || g.Granted {
+		t.Errorf("got %+v after the lease was lost, want nothing", g)
+	}
+}
+
+func TestHandoverCarriesLoansAndTheShareMoved(t *testing.T) {
+	_, lenders, _, _ := newPair(t, testConfig(t, 0))
+	lenders.Acquire(clock.Now(), moveKey, opened(t, 0.5))
+	q := askEntry{Kind: moveKey.Kind, Region: moveKey.Region, Name: moveKey.Name, Unit: shift.Requests, Sequence: 1, Want: 80}
+	first := lenders.grant("p", q)
+	lenders.Acquire(clock.Now(), moveKey, lenders.Release(clock.Now(), moveKey))
+	second := lenders.grant("other", q)
+	if got, want := first.Share+second.Share, int64(100); got > want || second.Share == 0 {
+		t.Errorf("got %d and %d lent, want something for both and at most %d", first.Share, second.Share, want)
+	}
+	if got, want := second.Moved, 0.5; got != want {
+		t.Errorf("got share %g moved after the handover, want %g", got, want)
+	}
+}
+
+func TestNewKeeperLearnsTheShareMoved(t *testing.T) {
+	_, lenders, _, _ := newPair(t, testConfig(t, 0))
+	lenders.Acquire(clock.Now(), moveKey, nil)
+	q := askEntry{Kind: moveKey.Kind, Region: moveKey.Region, Name: moveKey.Name, Unit: shift.Requests, Sequence: 1, Moved: 0.3}
+	g := lenders.grant("p", q)
+	if got, want := g.Moved, 0.3; got != want || g.Known {
+		t.Errorf("got share %g, known %v, want %g that is not yet told", got, g.Known, want)
+	}
+}
+
+func TestSpendTakesAllChargesOrNone(t *testing.T) {
+	_, _, spenders, _ := newPair(t, testConfig(t, 1))
+	requests := shift.Account{Key: moveKey, Unit: shift.Requests}
+	link := shift.Account{Key: place.Key{Kind: place.Link, Region: "a", Name: "ab"}, Unit: shift.Bytes}
+	now := clock.Now()
+	if short, ok := spenders.Spend(now, time.Second, Charge{Account: requests, Units: 100}, Charge{Account: link, Units: 2e6}); ok || short != link {
+		t.Errorf("got short %v, %v, want the link refused", short, ok)
+	}
+	if _, ok := spenders.Spend(now, time.Second, Charge{Account: requests, Units: 100}, Charge{Account: link, Units: 1e6}); !ok {
+		t.Error("got refused, want the whole cap of both, as the refused spend took nothing")
+	}
+	if _, ok := spenders.Spend(now, time.Second, Charge{Account: requests, Units: 1}); ok {
+		t.Error("got a spend over the cap, want it refused")
+	}
+}
+
+func TestExpectedBytesHoldBackNewWork(t *testing.T) {
+	_, _, spenders, _ := newPair(t, testConfig(t, 1))
+	link := shift.Account{Key: place.Key{Kind: place.Link, Region: "a", Name: "ab"}, Unit: shift.Bytes}
+	now := clock.Now()
+	if _, ok := spenders.Spend(now, time.Second, Charge{Account: link, Expect: 9e5}); !ok {
+		t.Fatal("got refused, want 0.9 MB expected within a second at 1 MB/s")
+	}
+	if _, ok := spenders.Spend(now, time.Second, Charge{Account: link, Expect: 2e5}); ok {
+		t.Error("got admitted, want refused until what is expected has gone")
+	}
+	spenders.Expect(link, -9e5)
+	if _, ok := spenders.Spend(now, time.Second, Charge{Account: link, Expect: 2e5}); !ok {
+		t.Error("got refused after settling, want admitted")
+	}
+}
+
+func TestPacedStreamIsWholeAndSpent(t *testing.T) {
+	_, _, spenders, _ := newPair(t, testConfig(t, 1))
+	link := shift.Account{Key: place.Key{Kind: place.Link, Region: "a", Name: "ab"}, Unit: shift.Bytes}
+	content := strings.Repeat("pall ", 40_000)
+	var size int64
+	spenders.Expect(link, 1000)
+	p := spenders.Pace(t.Context(), io.NopCloser(strings.NewReader(content)), 1000, func(n int64) { size = n }, link)
+	got, err := io.ReadAll(p)
+	if err != nil || string(got) != content {
+		t.Fatalf("got %d bytes, %v, want the whole content", len(got), err)
+	}
+	_ = p.Close()
+	a := spenders.account(link)
+	if got, want := a.bucket.Room(clock.Now()), int64(1e6)-WireSize(size); size != int64(len(content)) || got > want {
+		t.Errorf("got room for %d after %d bytes, want at most %d", got, size, want)
+	}
+	if got := a.expected; got != 0 {
+		t.Errorf("got %d still expected, want it settled", got)
+	}
+}
+
+func TestPacedStreamIsCutWhenTheBudgetHasNoRoom(t *testing.T) {
+	_, _, spenders, _ := newPair(t, testConfig(t, 0))
+	link := shift.Account{Key: place.Key{Kind: place.Link, Region: "a", Name: "ab"}, Unit: shift.Bytes}
+	ctx, cancel := context.WithTimeout(t.Context(), 20*time.Millisecond)
+	defer cancel()
+	p := spenders.Pace(ctx, io.NopCloser(bytes.NewReader(make([]byte, 10))), 0, nil, link)
+	if n, err := p.Read(make([]byte, 10)); n != 0 || !errors.Is(err, context.DeadlineExceeded) {
+		t.Errorf("got %d bytes, %v, want none and the context's error", n, err)
+	}
+}
+
+func TestGateRefusesUnrunWhenTheAnswerHasNoRoom(t *testing.T) {
+	for _, c := range []struct {
+		entry string
+		floor float64
+		want  result.Outcome
+	}{{"b", 0, result.Done}, {"a", 0, result.NotRun}, {"a", 1, result.Done}, {"nowhere", 1, result.NotRun}} {
+		_, _, spenders, _ := newPair(t, testConfig(t, c.floor))
+		ran := false
+		g := NewGate("b", call.DoerFunc(func(context.Context, *call.Request) (*call.Answer, error) {
+			ran = true
+			return &call.Answer{Body: io.NopCloser(strings.NewReader("drape"))}, nil
+		}), spenders)
+		g.Configure(testConfig(t, c.floor))
+		r := &call.Request{Cell: place.Cell{Region: "b", Service: "care"}, Entry: c.entry, Deadline: clock.Now().Add(time.Minute)}
+		_, err := g.Do(t.Context(), r)
+		if got := result.OutcomeOf(err); got != c.want || ran != (c.want == result.Done) {
+			t.Errorf("entry %s, floor %g: got %s, ran %v, want %s", c.entry, c.floor, got, ran, c.want)
+		}
+	}
+}
--- a/hitchd/internal/peer/forward.go
+++ b/hitchd/internal/peer/forward.go
@@ -25,12 +25,14 @@
 	headerTarget = "Hitch-Path"
 	headerQuery  = "Hitch-Query"
 	headerClass  = "Hitch-Class"
+	headerOrigin = "Hitch-Origin"
+	headerEntry  = "Hitch-Entry"
 	headerRetry  = "Hitch-Retry-Ms"
 	headerStep   = "Hitch-Step"
 	headerPeer   = "Hitch-Peer"
 )
 
-var ownHeaders = []string{headerCell, headerMethod, headerTarget, headerQuery, headerClass, headerRetry, headerStep, headerPeer}
+var ownHeaders = []string{headerCell, headerMethod, headerTarget, headerQuery, headerClass, headerOrigin, headerEntry, headerRetry, headerStep, headerPeer}
 
 // Forward sends the request to the host and returns its answer. The returned
 // body yields an error when the answer is cut.
@@ -66,6 +68,8 @@
 	req.Header.Set(headerTarget, r.Path)
 	req.Header.Set(headerQuery, r.Query)
 	req.Header.Set(headerClass, string(r.Class))
+	req.Header.Set(headerOrigin, r.Origin)
+	req.Header.Set(headerEntry, r.Entry)
 	req.Header.Set(call.HeaderBlock, r.Block)
 	req.Header.Set(call.HeaderRequestID, r.ID)
 	req.Header.Set(call.HeaderOperation, r.Operation)
@@ -127,6 +131,8 @@
 		Class:     config.Class(req.Header.Get(headerClass)),
 		Block:     req.Header.Get(call.HeaderBlock),
 		Operation: req.Header.Get(call.HeaderOperation),
+		Origin:    req.Header.Get(headerOrigin),
+		Entry:     req.Header.Get(headerEntry),
 		Deadline:  clock.Now().Add(time.Duration(ms) * time.Millisecond),
 		Header:    call.EndToEnd(req.Header),
 		Body:      req.Body,
--- /dev/null
+++ b/hitchd/internal/route/route_test.go
@@ -0,0 +1,209 @@
+package route
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"net/http/httptrace"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/go-faster/errors"
+	"github.com/hashicorp/go-hclog"
+
+	"magnoliahitch/hitchd/internal/call"
+	"magnoliahitch/hitchd/internal/lend"
+	"magnoliahitch/links/clock"
+	"magnoliahitch/steer/config"
+	"magnoliahitch/steer/member"
+	"magnoliahitch/steer/place"
+	"magnoliahitch/steer/result"
+)
+
+// testNet is a view of hosts a1 (this one), a2, b1 and c1 with scripted
+// answers of each host.
+type testNet struct {
+	keepers map[string][]string
+	answers map[string][]error
+	calls   []string
+	bodies  []string
+	unsent  bool
+}
+
+func (n *testNet) Self() member.Host { return member.Host{Name: "a1", Region: "a"} }
+
+// Keeper returns the region's next keeper; the last one stays.
+func (n *testNet) Keeper(_ time.Time, k place.Key) (member.Host, bool) {
+	list := n.keepers[k.Region]
+	if k.Kind != place.Capacity || len(list) == 0 {
+		return member.Host{}, false
+	}
+	return member.Host{Name: list[0], Region: k.Region}, true
+}
+
+func (n *testNet) Load(time.Time, place.Cell) (member.Load, bool) { return member.Load{}, false }
+
+func (n *testNet) Forward(ctx context.Context, to member.Host, r *call.Request) (*call.Answer, error) {
+	if trace := httptrace.ContextClientTrace(ctx); !n.unsent && trace != nil && trace.GotConn != nil {
+		trace.GotConn(httptrace.GotConnInfo{})
+	}
+	n.calls = append(n.calls, to.Name)
+	if r.Body != nil {
+		b, _ := io.ReadAll(r.Body)
+		n.bodies = append(n.bodies, string(b))
+	}
+	var err error
+	if list := n.answers[to.Name]; len(list) > 0 {
+		err, n.answers[to.Name] = list[0], list[1:]
+	}
+	if list := n.keepers[to.Region]; err != nil && len(list) > 1 {
+		n.keepers[to.Region] = list[1:]
+	}
+	if err != nil {
+		return nil, err
+	}
+	return &call.Answer{Status: http.StatusOK, Body: io.NopCloser(strings.NewReader("free")), Server: to.Name}, nil
+}
+
+// Do serves the cells of this host.
+func (n *testNet) Do(ctx context.Context, r *call.Request) (*call.Answer, error) {
+	return n.Forward(ctx, n.Self(), r)
+}
+
+type allow struct{}
+
+func (allow) Request(time.Time) {}
+
+func (allow) Take(time.Time) bool { return true }
+
+type deny struct{ allow }
+
+func (deny) Take(time.Time) bool { return false }
+
+// newRouter returns a router over three regions. Two requests a second may
+// leave each region.
+func newRouter(t *testing.T, n *testNet, b RetryBudget) *Router {
+	t.Helper()
+	r := config.Records{
+		Profiles: []config.Profile{{Name: "p", QueueWaitMs: 100, ShiftRate: 2, ShiftMbps: 100, ShiftFloorShare: 1, MaxHosts: 1}},
+		Services: []config.Service{{Name: "care", Profile: "p"}},
+	}
+	for _, from := range []string{"a", "b", "c"} {
+		r.Regions = append(r.Regions, config.Region{Name: from})
+		r.Servers = append(r.Servers, config.Server{Name: from, Service: "care", Region: from, Slots: 3})
+		for _, to := range []string{"a", "b", "c"} {
+			r.Links = append(r.Links, config.Link{Name: from + to, From: from, To: to, Mbps: 100, FloorShare: 1, MaxHosts: 1})
+		}
+	}
+	c, err := (&config.Config{}).WithChange(config.Change{Revision: 1, Puts: r})
+	if err != nil {
+		t.Fatal(err)
+	}
+	s := lend.NewSpenders(clock.Now().Add(-time.Minute), n, nil, nil, hclog.NewNullLogger())
+	s.Configure(clock.Now(), c)
+	out := New(n, n, n, s, n, func(float64) RetryBudget { return b }, hclog.NewNullLogger())
+	out.Configure(c)
+	return out
+}
+
+func newRequest(method, origin string) *call.Request {
+	r := &call.Request{
+		ID: "r", Method: method, Origin: origin, Path: "/item",
+		Cell:     place.Cell{Region: "a", Service: "care"},
+		Deadline: clock.Now().Add(time.Hour),
+	}
+	if method == http.MethodPost {
+		r.Body = strings.NewReader("velvet pall")
+	}
+	return r
+}
+
+func TestRouter(t *testing.T) {
+	refuse := func(r result.Reason) error { return result.Refuse(r, "test", "test") }
+	lost := result.Lose(result.ReasonPeer, "forward", "test", errors.New("connection lost"))
+	ran := result.Lose(result.ReasonUpstream, "send", "test", errors.New("server died"))
+	all := map[string][]string{"a": {"a2"}, "b": {"b1"}, "c": {"c1"}}
+	one := map[string][]string{"a": {"a2"}, "b": {"b1"}}
+	for _, c := range []struct {
+		name    string
+		keepers map[string][]string
+		answers map[string][]error
+		method  string
+		origin  string
+		budget  RetryBudget
+		unsent  bool
+		calls   string
+		want    result.Outcome
+		reason  result.Reason
+	}{
+		{name: "home", keepers: all, calls: "a2", want: result.Done},
+		{name: "own cell", keepers: map[string][]string{"a": {"a1"}}, calls: "a1", want: result.Done},
+		{name: "moved keeper, POST", method: http.MethodPost, keepers: map[string][]string{"a": {"a2", "a1"}}, answers: map[string][]error{"a2": {refuse(result.ReasonNotKeeper)}}, calls: "a2 a1", want: result.Done},
+		{name: "fenced twice, then away", keepers: one, answers: map[string][]error{"a2": {refuse(result.ReasonFenced), refuse(result.ReasonFenced)}}, calls: "a2 a2 b1", want: result.Done},
+		{name: "full home overflows", method: http.MethodPost, keepers: one, answers: map[string][]error{"a2": {refuse(result.ReasonQueueFull)}}, calls: "a2 b1", want: result.Done},
+		{name: "full everywhere", keepers: one, answers: map[string][]error{"a2": {refuse(result.ReasonQueueFull)}, "b1": {refuse(result.ReasonQueueFull)}}, calls: "a2 b1", want: result.NotRun, reason: result.ReasonQueueFull},
+		{name: "late stays late", keepers: all, answers: map[string][]error{"a2": {refuse(result.ReasonDeadline)}}, calls: "a2", want: result.NotRun, reason: result.ReasonDeadline},
+		{name: "lost POST is not sent again", method: http.MethodPost, keepers: one, answers: map[string][]error{"a2": {lost}}, calls: "a2", want: result.Unknown, reason: result.ReasonPeer},
+		{name: "unsent POST is sent again", method: http.MethodPost, keepers: map[string][]string{"a": {"a2", "a3"}}, unsent: true, answers: map[string][]error{"a2": {lost}}, calls: "a2 a3", want: result.Done},
+		{name: "lost GET once more", keepers: map[string][]string{"a": {"a2", "a3"}}, answers: map[string][]error{"a2": {lost}}, calls: "a2 a3", want: result.Done},
+		{name: "lost GET twice", keepers: map[string][]string{"a": {"a2", "a3"}, "b": {"b1"}}, answers: map[string][]error{"a2": {lost}, "a3": {lost}}, calls: "a2 a3", want: result.Unknown, reason: result.ReasonPeer},
+		{name: "lost GET without budget", budget: deny{}, keepers: one, answers: map[string][]error{"a2": {lost}}, calls: "a2", want: result.Unknown, reason: result.ReasonPeer},
+		{name: "upstream lost it", keepers: one, answers: map[string][]error{"a2": {ran}}, calls: "a2", want: result.Unknown, reason: result.ReasonUpstream},
+		{name: "dead home", origin: "c", keepers: one, calls: "a2", want: result.Done},
+		{name: "nobody", keepers: nil, want: result.NotRun, reason: result.ReasonNoKeeper},
+	} {
+		n := &testNet{keepers: make(map[string][]string), answers: make(map[string][]error), unsent: c.unsent}
+		for k, v := range c.keepers {
+			n.keepers[k] = v
+		}
+		for k, v := range c.answers {
+			n.answers[k] = v
+		}
+		if c.budget == nil {
+			c.budget = allow{}
+		}
+		if c.method == "" {
+			c.method = http.MethodGet
+		}
+		a, err := newRouter(t, n, c.budget).Do(t.Context(), newRequest(c.method, c.origin))
+		if got := result.OutcomeOf(err); got != c.want {
+			t.Errorf("%s: got %s, %v, want %s", c.name, got, err, c.want)
+		}
+		if err != nil && result.From(err).Reason != c.reason {
+			t.Errorf("%s: got reason %s, want %s", c.name, result.From(err).Reason, c.reason)
+		}
+		if got := strings.Join(n.calls, " "); got != c.calls {
+			t.Errorf("%s: got sent to %q, want %q", c.name, got, c.calls)
+		}
+		for _, b := range n.bodies {
+			if b != "velvet pall" {
+				t.Errorf("%s: got body %q, want the whole one each time", c.name, b)
+			}
+		}
+		if a != nil {
+			_ = a.Body.Close()
+		}
+	}
+}
+
+func TestRouterRefusesUnrunOverTheCapOfAFailedRegion(t *testing.T) {
+	n := &testNet{keepers: map[string][]string{"a": {"a1"}}}
+	router := newRouter(t, n, allow{})
+	done := 0
+	for range 5 {
+		_, err := router.Do(t.Context(), newRequest(http.MethodGet, "c"))
+		if err == nil {
+			done++
+			continue
+		}
+		if e := result.From(err); e.Outcome != result.NotRun || e.Reason != result.ReasonShiftCap {
+			t.Errorf("got %s, %s, want notRun, shiftCap", e.Outcome, e.Reason)
+		}
+	}
+	// Five calls within a window of the cap of two; a slow machine may see a
+	// second window, never a third request within one.
+	if done < 2 || done != len(n.calls) {
+		t.Errorf("got %d done of %d sent, want the two of the cap", done, len(n.calls))
+	}
+}
--- a/hitchd/serve.go
+++ b/hitchd/serve.go
@@ -15,7 +15,6 @@
 	"magnoliahitch/hitchd/internal/hosts"
 	"magnoliahitch/hitchd/internal/keep"
 	"magnoliahitch/hitchd/internal/peer"
-	"magnoliahitch/hitchd/internal/route"
 	"magnoliahitch/hitchd/internal/setup"
 	"magnoliahitch/hitchd/internal/spread"
 	"magnoliahitch/hitchd/internal/view"
@@ -63,17 +62,17 @@
 	keeper := keep.New(self.Name, known, log.Named("keep"))
 	conf.Watch(func(c *config.Config) { keeper.Configure(clock.Now(), c) })
 	client := peer.NewClient(keys)
-	router := route.New(known, keeper, client, log.Named("route"))
+	steering := newSteering(known, keeper, client, conf, log)
 	changes := spread.New(table, conf, log.Named("spread"))
 	peers := peer.NewServer(keys)
-	peers.HandleCalls(keeper)
 
 	var g run.Group
 	g.Add(run.ContextHandler(ctx))
 	addLoop(&g, func(ctx context.Context) error { return known.Run(ctx, hostsInterval) })
 	addLoop(&g, func(ctx context.Context) error { return changes.Run(ctx, configInterval) })
 	addLoop(&g, func(ctx context.Context) error { return peers.Serve(ctx, ports.peer) })
-	addServer(&g, front.New(conf, known, router, log.Named("front")).Server(), ports.caller)
+	steering.serve(&g, peers)
+	addServer(&g, front.New(conf, known, steering.router, log.Named("front")).Server(), ports.caller)
 	addServer(&g, admin.New(token, conf, known, changes, log.Named("admin")).Server(), ports.operator)
 	log.Info("started", "caller", s.Listen.Caller, "peer", s.Listen.Peer, "operator", s.Listen.Operator)
 	err = g.Run()
--- /dev/null
+++ b/hitchd/steer.go
@@ -0,0 +1,89 @@
+package main
+
+import (
+	"context"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+	"github.com/oklog/run"
+
+	"magnoliahitch/hitchd/internal/call"
+	"magnoliahitch/hitchd/internal/hosts"
+	"magnoliahitch/hitchd/internal/keep"
+	"magnoliahitch/hitchd/internal/lend"
+	"magnoliahitch/hitchd/internal/peer"
+	"magnoliahitch/hitchd/internal/route"
+	"magnoliahitch/hitchd/internal/view"
+	"magnoliahitch/links/clock"
+	"magnoliahitch/steer/config"
+	"magnoliahitch/steer/member"
+	"magnoliahitch/steer/place"
+	"magnoliahitch/steer/shift"
+)
+
+// Intervals of the loops that lend and spend.
+const (
+	renewInterval = 100 * time.Millisecond
+	holdInterval  = 250 * time.Millisecond
+)
+
+// steering holds the parts that send requests over the regions.
+type steering struct {
+	lenders  *lend.Lenders
+	spenders *lend.Spenders
+	gate     *lend.Gate
+	router   *route.Router
+}
+
+// newSteering wires the parts. Requests of this host's cells go to the keeper.
+func newSteering(known *hosts.Hosts, keeper *keep.Keeper, client *peer.Client, conf *view.View, log hclog.Logger) *steering {
+	loads := loadsOf(known)
+	lenders := lend.NewLenders(known, loads, log.Named("lend"))
+	spenders := lend.NewSpenders(clock.Now(), known, client, lenders, log.Named("spend"))
+	s := &steering{
+		lenders:  lenders,
+		spenders: spenders,
+		gate:     lend.NewGate(known.Self().Region, keeper, spenders),
+		router:   route.New(known, keeper, client, spenders, loads, newRetryBudget, log.Named("route")),
+	}
+	conf.Watch(func(c *config.Config) {
+		lenders.Configure(clock.Now(), c)
+		spenders.Configure(clock.Now(), c)
+		s.gate.Configure(c)
+		s.router.Configure(c)
+	})
+	return s
+}
+
+// serve answers other hosts and renews leases in the group.
+func (s *steering) serve(g *run.Group, peers *peer.Server) {
+	peers.HandleCalls(call.Doer(s.gate))
+	peers.Handle("POST /lend", s.lenders.Handler())
+	addLoop(g, func(ctx context.Context) error { return s.lenders.Run(ctx, holdInterval) })
+	addLoop(g, func(ctx context.Context) error { return s.spenders.Run(ctx, renewInterval) })
+}
+
+// loadsOf returns the loads that the hosts tell each other, if they do.
+func loadsOf(known any) shift.Loads {
+	if l, ok := known.(shift.Loads); ok {
+		return l
+	}
+	return noLoads{}
+}
+
+// noLoads knows no load: destinations decide alone.
+type noLoads struct{}
+
+// Load returns false.
+func (noLoads) Load(time.Time, place.Cell) (member.Load, bool) { return member.Load{}, false }
+
+func newRetryBudget(float64) route.RetryBudget { return noRetries{} }
+
+// noRetries is a retry budget that allows none.
+type noRetries struct{}
+
+// Request counts nothing.
+func (noRetries) Request(time.Time) {}
+
+// Take returns false.
+func (noRetries) Take(time.Time) bool { return false }
--- a/steer/budget/bucket.go
+++ b/steer/budget/bucket.go
@@ -45,10 +45,13 @@
 
 // Spend takes n units if the window has room for them.
 func (b *Bucket[U]) Spend(now time.Time, n U) bool {
-	b.offered += n
+	b.Offer(n)
 	return b.Retry(now, n)
 }
 
+// Offer counts demand without spending.
+func (b *Bucket[U]) Offer(n U) { b.offered += n }
+
 // Retry is a Spend that was refused before, and is no new demand.
 func (b *Bucket[U]) Retry(now time.Time, n U) bool {
 	if n > b.Room(now) {
