--- a/hitchd/internal/route/journey.go
+++ b/hitchd/internal/route/journey.go
@@ -116,14 +116,14 @@
 		return true
 	}
 	b := j.state.retries[j.request.Cell.Service]
-	j.granted = b != nil && b.Take(clock.Now())
+	j.granted = b.RetryBudget != nil && b.Take(clock.Now())
 	return j.granted
 }
 
 func (j *journey) countRequest(now time.Time) {
 	j.retryMu.Lock()
 	defer j.retryMu.Unlock()
-	if b := j.state.retries[j.request.Cell.Service]; b != nil {
+	if b := j.state.retries[j.request.Cell.Service]; b.RetryBudget != nil {
 		b.Request(now)
 	}
 }
--- a/hitchd/internal/route/meters.go
+++ b/hitchd/internal/route/meters.go
@@ -10,7 +10,7 @@
 	"magnoliahitch/steer/shift"
 )
 
-var retries = metrics.NewCounter("hitch_route_retries_total")
+var retriesSent = metrics.NewCounter("hitch_route_retries_total")
 
 func shiftedRequests(o shift.Option) *metrics.Counter {
 	return metrics.GetOrCreateCounter(fmt.Sprintf(`hitch_shifted_requests_total{shift=%q,to=%q}`, o.Shifts[0].Name, o.Cell.Region))
--- a/hitchd/internal/route/route.go
+++ b/hitchd/internal/route/route.go
@@ -58,7 +58,13 @@
 // state is what follows from the configuration.
 type state struct {
 	rules   *shift.Rules
-	retries map[string]RetryBudget
+	retries map[string]retries
+}
+
+// retries is the retry budget of a service and the share it was made of.
+type retries struct {
+	RetryBudget
+	share float64
 }
 
 // New returns a router that serves this host's cells by local. Each service
@@ -73,9 +79,15 @@
 
 // Configure brings the router to the configuration.
 func (t *Router) Configure(c *config.Config) {
-	s := &state{rules: shift.NewRules(c), retries: make(map[string]RetryBudget, len(c.Services))}
+	s := &state{rules: shift.NewRules(c), retries: make(map[string]retries, len(c.Services))}
+	old := t.state.Load()
 	for n, v := range c.Services {
-		s.retries[n] = t.newBudget(c.Profiles[v.Profile].RetryShare)
+		share := c.Profiles[v.Profile].RetryShare
+		if old != nil && old.retries[n].RetryBudget != nil && old.retries[n].share == share {
+			s.retries[n] = old.retries[n]
+			continue
+		}
+		s.retries[n] = retries{t.newBudget(share), share}
 	}
 	t.state.Store(s)
 }
--- a/hitchd/internal/route/send.go
+++ b/hitchd/internal/route/send.go
@@ -87,7 +87,7 @@
 	j.sends++
 	if j.lost {
 		j.resent = true
-		retries.Inc()
+		retriesSent.Inc()
 	}
 	j.logChoice(o, to)
 	r := j.attempt(o)
--- a/hitchd/steer.go
+++ b/hitchd/steer.go
@@ -9,7 +9,6 @@
 
 	"magnoliahitch/hitchd/internal/call"
 	"magnoliahitch/hitchd/internal/hosts"
-	"magnoliahitch/hitchd/internal/keep"
 	"magnoliahitch/hitchd/internal/lend"
 	"magnoliahitch/hitchd/internal/peer"
 	"magnoliahitch/hitchd/internal/route"
@@ -18,6 +17,7 @@
 	"magnoliahitch/steer/config"
 	"magnoliahitch/steer/member"
 	"magnoliahitch/steer/place"
+	"magnoliahitch/steer/retry"
 	"magnoliahitch/steer/shift"
 )
 
@@ -35,16 +35,16 @@
 	router   *route.Router
 }
 
-// newSteering wires the parts. Requests of this host's cells go to the keeper.
-func newSteering(known *hosts.Hosts, keeper *keep.Keeper, client *peer.Client, conf *view.View, log hclog.Logger) *steering {
+// newSteering wires the parts. Requests of this host's cells go to local.
+func newSteering(known *hosts.Hosts, local call.Doer, client *peer.Client, conf *view.View, log hclog.Logger) *steering {
 	loads := loadsOf(known)
 	lenders := lend.NewLenders(known, loads, log.Named("lend"))
 	spenders := lend.NewSpenders(clock.Now(), known, client, lenders, log.Named("spend"))
 	s := &steering{
 		lenders:  lenders,
 		spenders: spenders,
-		gate:     lend.NewGate(known.Self().Region, keeper, spenders),
-		router:   route.New(known, keeper, client, spenders, loads, newRetryBudget, log.Named("route")),
+		gate:     lend.NewGate(known.Self().Region, local, spenders),
+		router:   route.New(known, local, client, spenders, loads, newRetryBudget, log.Named("route")),
 	}
 	conf.Watch(func(c *config.Config) {
 		lenders.Configure(clock.Now(), c)
@@ -57,7 +57,7 @@
 
 // serve answers other hosts and renews leases in the group.
 func (s *steering) serve(g *run.Group, peers *peer.Server) {
-	peers.HandleCalls(call.Doer(s.gate))
+	peers.HandleCalls(s.gate)
 	peers.Handle("POST /lend", s.lenders.Handler())
 	addLoop(g, func(ctx context.Context) error { return s.lenders.Run(ctx, holdInterval) })
 	addLoop(g, func(ctx context.Context) error { return s.spenders.Run(ctx, renewInterval) })
@@ -77,13 +77,4 @@
 // Load returns false.
 func (noLoads) Load(time.Time, place.Cell) (member.Load, bool) { return member.Load{}, false }
 
-func newRetryBudget(float64) route.RetryBudget { return noRetries{} }
-
-// noRetries is a retry budget that allows none.
-type noRetries struct{}
-
-// Request counts nothing.
-func (noRetries) Request(time.Time) {}
-
-// Take returns false.
-func (noRetries) Take(time.Time) bool { return false }
+func newRetryBudget(share float64) route.RetryBudget { return retry.NewBudget(share) }
--- a/steer/config/record.go
+++ b/steer/config/record.go
@@ -128,6 +128,9 @@
 	CapRate float64 `json:"capRate" ini:"capRate"`
 	// CapMbps caps the shifted traffic in Mbit/s.
 	CapMbps float64 `json:"capMbps" ini:"capMbps"`
+	// Until is the planned end as RFC 3339 text. It is shown to operators; the
+	// drain itself ends when it is cancelled.
+	Until string `json:"until,omitempty" ini:"until"`
 	// StepShare is the part of a region's traffic that each step sends away.
 	// Zero means [DefaultDrainStepShare].
 	StepShare float64 `json:"stepShare,omitempty" ini:"stepShare"`
