--- /dev/null
+++ b/steer/budget/bench_test.go
@@ -0,0 +1,16 @@
+package budget
+
+import (
+	"testing"
+	"time"
+)
+
+// BenchmarkSpend measures what a request pays for the check of one budget.
+func BenchmarkSpend(b *testing.B) {
+	bucket := NewBucket(start, Requests(1<<40))
+	now := start.Add(time.Hour)
+	for b.Loop() {
+		now = now.Add(10 * time.Microsecond)
+		bucket.Spend(now, 1)
+	}
+}
--- a/steer/budget/bucket.go
+++ b/steer/budget/bucket.go
@@ -9,6 +9,15 @@
 	slotWidth = Window/slotCount + Window/slotCount/50
 )
 
+// Memory of demand.
+const (
+	// demandPeriods is the number of asks whose demand counts.
+	demandPeriods = 3
+	// demandMemory is the time for which a share is kept for the largest
+	// demand at once.
+	demandMemory = 10 * time.Second
+)
+
 // Bucket limits what one host spends. It is not safe for concurrent use.
 type Bucket[U Unit] struct {
 	born  time.Time
@@ -28,8 +37,13 @@
 	head  int64
 	spent U
 
+	// offered is the demand since the last ask, recent that of the periods
+	// before it, in units a window.
 	offered U
-	demand  U
+	recent  [demandPeriods]U
+	// largest is the largest demand at once, offeredAt the last ask that had any.
+	largest   U
+	offeredAt time.Time
 }
 
 // NewBucket returns a bucket of a process that started at born. The floor is
@@ -50,7 +64,10 @@
 }
 
 // Offer counts demand without spending.
-func (b *Bucket[U]) Offer(n U) { b.offered += n }
+func (b *Bucket[U]) Offer(n U) {
+	b.offered += n
+	b.largest = max(b.largest, n)
+}
 
 // Retry is a Spend that was refused before, and is no new demand.
 func (b *Bucket[U]) Retry(now time.Time, n U) bool {
@@ -114,22 +131,26 @@
 	b.measure(now)
 	b.asked++
 	b.sentAt = now
-	want := b.demand + b.demand/4 + pending
-	if want > 0 {
-		want++
-	}
+	demand := max(b.recent[0], b.recent[1], b.recent[2])
+	want := max(demand+demand/4+pending, b.largest)
 	return Ask[U]{Sequence: b.asked, Applied: b.applied, Want: want}
 }
 
-// measure updates the demand. It follows a rise at once and halves in each
-// period of a fall.
+// measure updates the demand. It follows a rise at once and forgets one after
+// a few periods.
 func (b *Bucket[U]) measure(now time.Time) {
-	period := max(now.Sub(b.sentAt), Renew)
-	if b.sentAt.IsZero() {
-		period = Renew
+	period := Renew
+	if !b.sentAt.IsZero() {
+		period = max(Renew, now.Sub(b.sentAt))
+	}
+	copy(b.recent[1:], b.recent[:])
+	b.recent[0] = U(float64(b.offered) * float64(Window) / float64(period))
+	if b.offered > 0 {
+		b.offeredAt = now
+	}
+	if now.Sub(b.offeredAt) > demandMemory {
+		b.largest = 0
 	}
-	rate := U(float64(b.offered) * float64(Window) / float64(period))
-	b.demand = max(rate, b.demand/2)
 	b.offered = 0
 }
 
@@ -144,8 +165,8 @@
 	return true
 }
 
-// Idle reports whether the bucket holds and spends nothing.
+// Idle reports whether the bucket spends nothing and has had no demand lately.
 func (b *Bucket[U]) Idle(now time.Time) bool {
 	b.advance(now)
-	return b.spent == 0 && b.offered == 0 && b.demand == 0
+	return b.spent == 0 && b.offered == 0 && b.largest == 0
 }
--- a/steer/budget/handover.go
+++ b/steer/budget/handover.go
@@ -58,6 +58,7 @@
 			s.held = append(s.held, held[U]{g.Sequence, g.Share, now.Add(g.Left)})
 		}
 		l.spenders[o.Process] = s
+		l.count(now, s)
 	}
 	return l
 }
--- a/steer/budget/lender.go
+++ b/steer/budget/lender.go
@@ -30,6 +30,8 @@
 	want     U
 	heard    time.Time
 	held     []held[U]
+	// counted is at least what the process may live by.
+	counted U
 }
 
 // Lender lends shares of a cap. It is not safe for concurrent use. It must be
@@ -42,6 +44,8 @@
 
 	level   level[U]
 	levelAt time.Time
+	// counted is the sum of what is counted for all processes.
+	counted U
 }
 
 // NewLender returns the lender of a keeper that took over at now and doesn't
@@ -77,7 +81,6 @@
 		}
 		s = &spender[U]{}
 		l.spenders[process] = s
-		l.levelAt = time.Time{}
 	}
 	if a.Sequence <= s.sequence {
 		return Grant[U]{}, false
@@ -86,10 +89,12 @@
 	s.drop(now, a.Applied)
 	g := Grant[U]{Sequence: a.Sequence}
 	if !now.Before(l.opens) && s.want > 0 {
-		free := l.lendable.get(now) - (l.Lent(now) - s.lent(now))
-		g.Share = min(l.fair(now, s.want), max(0, free))
+		l.refresh(now)
+		free := l.lendable.get(now) - (l.counted - s.counted)
+		g.Share = min(l.level.share(s.want), max(0, free))
 	}
 	s.hold(held[U]{a.Sequence, g.Share, now.Add(lapse)})
+	l.count(now, s)
 	return g, true
 }
 
@@ -112,24 +117,34 @@
 func (l *Lender[U]) prune(now time.Time) {
 	for n, s := range l.spenders {
 		if s.lent(now) == 0 && now.Sub(s.heard) > lapse {
+			l.counted -= s.counted
 			delete(l.spenders, n)
 		}
 	}
 }
 
-// fair returns the share of a spender with the demand.
-func (l *Lender[U]) fair(now time.Time, want U) U {
-	if l.levelAt.IsZero() || now.Sub(l.levelAt) >= levelAge {
-		l.prune(now)
-		wants := make([]U, 0, len(l.spenders))
-		for _, s := range l.spenders {
-			if now.Sub(s.heard) < Life {
-				wants = append(wants, s.want)
-			}
+// refresh counts what is lent and divides the rate anew when that is due. In
+// between, counts only grow, which errs on the safe side.
+func (l *Lender[U]) refresh(now time.Time) {
+	if !l.levelAt.IsZero() && now.Sub(l.levelAt) < levelAge {
+		return
+	}
+	l.prune(now)
+	wants := make([]U, 0, len(l.spenders))
+	for _, s := range l.spenders {
+		l.count(now, s)
+		if s.want > 0 && now.Sub(s.heard) < Life {
+			wants = append(wants, s.want)
 		}
-		l.level, l.levelAt = divide(l.lendable.get(now), wants), now
 	}
-	return l.level.share(want)
+	l.level, l.levelAt = divide(l.lendable.get(now), wants), now
+}
+
+// count brings the sum to what the process may live by.
+func (l *Lender[U]) count(now time.Time, s *spender[U]) {
+	lent := s.lent(now)
+	l.counted += lent - s.counted
+	s.counted = lent
 }
 
 // lent returns the greatest share that the process may live by.
