--- a/hitchd/internal/lend/lenders.go
+++ b/hitchd/internal/lend/lenders.go
@@ -153,6 +153,7 @@
 		return grantEntry{}
 	}
 	e.step(now, l.loads, a.Moved, func(v shift.Verdict) {
+		movedGauge(k).Set(e.stepper.Share())
 		l.log.Info("placement", "shift", k.Name, "verdict", v, "share", e.stepper.Share(), "goal", e.pace.Goal)
 	})
 	lender := e.lenders[a.Unit]
@@ -160,6 +161,7 @@
 		return grantEntry{}
 	}
 	g, ok := lender.Grant(now, process, budget.Ask[int64]{Sequence: a.Sequence, Applied: a.Applied, Want: a.Want})
+	lentGauge(k, a.Unit).Set(float64(lender.Counted()))
 	if l.log.IsDebug() {
 		l.log.Debug("placement", "cell", k, "unit", a.Unit, "process", process, "want", a.Want, "share", g.Share, "granted", ok)
 	}
--- a/hitchd/internal/lend/meters.go
+++ b/hitchd/internal/lend/meters.go
@@ -5,11 +5,22 @@
 
 	"github.com/VictoriaMetrics/metrics"
 
+	"magnoliahitch/steer/place"
 	"magnoliahitch/steer/shift"
 )
 
 var asksFailed = metrics.NewCounter("hitch_lend_asks_failed_total")
 
+// lentGauge shows what this host lends of a budget as its keeper.
+func lentGauge(k place.Key, u shift.Unit) *metrics.Gauge {
+	return metrics.GetOrCreateGauge(fmt.Sprintf(`hitch_budget_lent{kind=%q,name=%q,unit=%q}`, k.Kind, k.Name, u), nil)
+}
+
+// movedGauge shows the present share of a planned shift on its keeper.
+func movedGauge(k place.Key) *metrics.Gauge {
+	return metrics.GetOrCreateGauge(fmt.Sprintf(`hitch_shift_share{name=%q}`, k.Name), nil)
+}
+
 // meters count what goes through an account.
 type meters struct {
 	spent, refused *metrics.Counter
--- a/steer/budget/lender.go
+++ b/steer/budget/lender.go
@@ -107,6 +107,9 @@
 	return sum
 }
 
+// Counted returns at least what is lent, without a look at each process.
+func (l *Lender[U]) Counted() U { return l.counted }
+
 // Spenders returns the number of processes that hold a grant.
 func (l *Lender[U]) Spenders(now time.Time) int {
 	l.prune(now)
--- a/steer/shift/measure_test.go
+++ b/steer/shift/measure_test.go
@@ -39,9 +39,11 @@
 			r.Drains[0].CapRate, r.Drains[0].CapMbps = 200, 200
 		}))
 		start := w.now
-		for w.ranIn("a", time.Second) > 0 {
+		for {
+			if w.ranIn("a", time.Second) == 0 {
+				return w.now - start - time.Second
+			}
 		}
-		return w.now - start - time.Second
 	})
 }
 
