lend: take floors away from too many hosts, and tell the state of budgets

Cause: a floor is divided over a set number of hosts; more of them would spend more than it. A host that counts more now lives by leases alone. The keeper's state of each budget can be listed for operators, and bulk work is no longer cut short for a retry, as it may wait in a queue that long.

--- a/hitchd/internal/lend/account.go
+++ b/hitchd/internal/lend/account.go
@@ -19,21 +19,32 @@
 	// expected is the predicted size of admitted work that isn't spent yet.
 	expected int64
 	asked    time.Time
-	zero     bool
+	amount   shift.Amount
 }
 
 func newAccount(born time.Time, name shift.Account, m shift.Amount) *account {
 	return &account{
 		name: name, meters: newMeters(name),
-		bucket: budget.NewBucket(born, m.HostFloor), zero: m.Cap == 0,
+		bucket: budget.NewBucket(born, m.HostFloor), amount: m,
 	}
 }
 
 func (a *account) configure(now time.Time, m shift.Amount) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
+	a.amount = m
 	a.bucket.SetFloor(now, m.HostFloor)
-	a.zero = m.Cap == 0
+}
+
+// fit takes the floor away while there are more hosts than share it.
+func (a *account) fit(now time.Time, hosts int) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	floor := a.amount.HostFloor
+	if hosts > a.amount.Hosts {
+		floor = 0
+	}
+	a.bucket.SetFloor(now, floor)
 }
 
 func (a *account) before(b *account) int { return cmp.Compare(a.name.String(), b.name.String()) }
@@ -45,7 +56,7 @@
 	if now.Sub(a.asked) < budget.Renew {
 		return false
 	}
-	return watched || !a.zero && (a.expected > 0 || !a.bucket.Idle(now))
+	return watched || a.amount.Cap > 0 && (a.expected > 0 || !a.bucket.Idle(now))
 }
 
 func (a *account) ask(now time.Time, m *moved) askEntry {
--- a/hitchd/internal/lend/lend_test.go
+++ b/hitchd/internal/lend/lend_test.go
@@ -50,10 +50,19 @@
 type testHosts struct {
 	self, keeper member.Host
 	lost         bool
+	count        int
 }
 
 func (h *testHosts) Self() member.Host { return h.self }
 
+func (h *testHosts) Live() []member.Host {
+	out := make([]member.Host, h.count)
+	for i := range out {
+		out[i].Region = h.self.Region
+	}
+	return out
+}
+
 func (h *testHosts) Keeper(time.Time, place.Key) (member.Host, bool) { return h.keeper, true }
 
 func (h *testHosts) Holds(time.Time, place.Key) bool { return !h.lost && h.keeper.Name == h.self.Name }
@@ -191,6 +200,21 @@
 	}
 }
 
+func TestFloorIsTakenAwayFromTooManyHosts(t *testing.T) {
+	_, _, spenders, _ := newPair(t, testConfig(t, 1))
+	one := Charge{Account: shift.Account{Key: moveKey, Unit: shift.Requests}, Units: 1}
+	for _, c := range []struct {
+		hosts int
+		want  bool
+	}{{1, true}, {2, false}} {
+		spenders.hosts.(*testHosts).count = c.hosts
+		spenders.fit(clock.Now())
+		if _, got := spenders.Spend(clock.Now(), time.Second, one); got != c.want {
+			t.Errorf("got spend %v with %d hosts on a floor for one, want %v", got, c.hosts, c.want)
+		}
+	}
+}
+
 func TestExpectedBytesHoldBackNewWork(t *testing.T) {
 	_, _, spenders, _ := newPair(t, testConfig(t, 1))
 	link := shift.Account{Key: place.Key{Kind: place.Link, Region: "a", Name: "ab"}, Unit: shift.Bytes}
--- a/hitchd/internal/lend/lenders.go
+++ b/hitchd/internal/lend/lenders.go
@@ -85,7 +85,7 @@
 			l.acquire(now, a.Key, nil)
 		}
 		if !held && known {
-			delete(l.cells, a.Key)
+			l.drop(a.Key)
 		}
 	}
 }
@@ -113,7 +113,7 @@
 func (l *Lenders) Release(now time.Time, k place.Key) []byte {
 	l.mu.Lock()
 	e := l.cells[k]
-	delete(l.cells, k)
+	l.drop(k)
 	l.mu.Unlock()
 	if e == nil {
 		return nil
@@ -198,7 +198,16 @@
 		l.mu.Lock()
 		defer l.mu.Unlock()
 		if l.cells[k] == e {
-			delete(l.cells, k)
+			l.drop(k)
 		}
 	}()
 }
+
+// drop takes the cell out and clears what its keeper shows.
+func (l *Lenders) drop(k place.Key) {
+	delete(l.cells, k)
+	for _, u := range units {
+		lentGauge(k, u).Set(0)
+	}
+	movedGauge(k).Set(0)
+}
--- a/hitchd/internal/lend/spenders.go
+++ b/hitchd/internal/lend/spenders.go
@@ -20,6 +20,7 @@
 // Hosts tells who this host is and who keeps a cell.
 type Hosts interface {
 	Self() member.Host
+	Live() []member.Host
 	Keeper(now time.Time, k place.Key) (member.Host, bool)
 }
 
@@ -110,12 +111,21 @@
 	return s.accounts[a]
 }
 
+// fitInterval is the time between two counts of the hosts that share floors.
+const fitInterval = time.Second
+
 // Run renews leases until the context ends.
 func (s *Spenders) Run(ctx context.Context, interval time.Duration) error {
 	t := time.NewTicker(interval)
 	defer t.Stop()
+	var fitted time.Time
 	for {
-		s.renew(ctx, clock.Now())
+		now := clock.Now()
+		if now.Sub(fitted) >= fitInterval {
+			s.fit(now)
+			fitted = now
+		}
+		s.renew(ctx, now)
 		select {
 		case <-ctx.Done():
 			return nil
@@ -124,6 +134,22 @@
 	}
 }
 
+// fit compares the number of hosts with those that the floors are divided
+// over. Only hosts of its region spend from a link.
+func (s *Spenders) fit(now time.Time) {
+	live := s.hosts.Live()
+	near := len(place.InRegion(live, s.hosts.Self().Region))
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	for n, a := range s.accounts {
+		count := len(live)
+		if n.Key.Kind == place.Link {
+			count = near
+		}
+		a.fit(now, count)
+	}
+}
+
 // renew asks each keeper for the leases that are due, unless an ask to it is
 // under way: a second one would make the answer to the first worthless.
 func (s *Spenders) renew(ctx context.Context, now time.Time) {
--- a/hitchd/internal/route/route_test.go
+++ b/hitchd/internal/route/route_test.go
@@ -33,6 +33,8 @@
 
 func (n *testNet) Self() member.Host { return member.Host{Name: "a1", Region: "a"} }
 
+func (n *testNet) Live() []member.Host { return []member.Host{n.Self()} }
+
 // Keeper returns the region's next keeper; the last one stays.
 func (n *testNet) Keeper(_ time.Time, k place.Key) (member.Host, bool) {
 	list := n.keepers[k.Region]
--- a/hitchd/internal/route/send.go
+++ b/hitchd/internal/route/send.go
@@ -12,6 +12,7 @@
 	"magnoliahitch/hitchd/internal/call"
 	"magnoliahitch/hitchd/internal/lend"
 	"magnoliahitch/links/clock"
+	"magnoliahitch/steer/config"
 	"magnoliahitch/steer/member"
 	"magnoliahitch/steer/place"
 	"magnoliahitch/steer/result"
@@ -211,9 +212,9 @@
 
 // limit cancels idempotent work when half of its time is gone without an
 // answer, if the retry budget lets it be sent once more. Stop must be called
-// when the answer has begun.
+// when the answer has begun. Bulk work may wait in a queue that long.
 func (j *journey) limit(ctx context.Context) (limited context.Context, stop func()) {
-	if j.resent || !j.request.Idempotent() {
+	if j.resent || !j.request.Idempotent() || j.request.Class == config.ClassBulk {
 		return ctx, func() {}
 	}
 	limited, cancel := context.WithCancel(ctx)
--- a/steer/shift/budgets.go
+++ b/steer/shift/budgets.go
@@ -30,8 +30,10 @@
 	Cap int64
 	// Floor is the part of the cap that is never lent.
 	Floor int64
-	// HostFloor is what each host may spend without a lease.
+	// HostFloor is what each host may spend without a lease, as long as there
+	// are at most Hosts of them.
 	HostFloor int64
+	Hosts     int
 }
 
 // bytesPerMbit is the number of bytes in 10^6 bits.
@@ -43,7 +45,7 @@
 	}
 	limit := int64(max(0, rate))
 	each := int64(float64(limit)*min(max(0, floorShare), 1)) / int64(hosts)
-	return Amount{Cap: limit, Floor: each * int64(hosts), HostFloor: each}
+	return Amount{Cap: limit, Floor: each * int64(hosts), HostFloor: each, Hosts: hosts}
 }
 
 // Amounts returns every budget of the configuration.
