--- a/hitchd/internal/lend/lend_test.go
+++ b/hitchd/internal/lend/lend_test.go
@@ -24,7 +24,7 @@
 
 // testConfig has a link of 8 Mbit/s from a to b whose floor is given, and a
 // move from a to b with caps of 100 requests/s and 8 Mbit/s.
-func testConfig(t *testing.T, floor float64) *config.Config {
+func testConfig(t testing.TB, floor float64) *config.Config {
 	t.Helper()
 	r := config.Records{
 		Regions:  []config.Region{{Name: "a"}, {Name: "b"}},
@@ -98,7 +98,7 @@
 	return member.Load{Slots: 6, Free: 6}, true
 }
 
-func newPair(t *testing.T, c *config.Config) (*testHosts, *Lenders, *Spenders, *testTeller) {
+func newPair(t testing.TB, c *config.Config) (*testHosts, *Lenders, *Spenders, *testTeller) {
 	t.Helper()
 	keeper := &testHosts{self: member.Host{Name: "k", Region: "b"}, keeper: member.Host{Name: "k"}}
 	lenders := NewLenders(keeper, calm{}, hclog.NewNullLogger())
@@ -113,7 +113,7 @@
 }
 
 // opened is the handover of a cell that has nothing outstanding.
-func opened(t *testing.T, moved float64) []byte {
+func opened(t testing.TB, moved float64) []byte {
 	t.Helper()
 	data, err := msgpack.Marshal(handover{Lent: map[shift.Unit]budget.Handover[int64]{
 		shift.Requests: {Lendable: 100}, shift.Bytes: {Lendable: 1e6},
--- a/steer/shift/world_test.go
+++ b/steer/shift/world_test.go
@@ -1,6 +1,7 @@
 package shift
 
 import (
+	"cmp"
 	"fmt"
 	"math/rand/v2"
 	"slices"
@@ -70,9 +71,11 @@
 	rules   *Rules
 	amounts map[Account]Amount
 	paces   map[place.Key]Pace
-	hosts   []*actor
-	seats   map[place.Key]*seat
-	events  []timed
+	// accounts are those of amounts, in order.
+	accounts []Account
+	hosts    []*actor
+	seats    map[place.Key]*seat
+	events   []timed
 
 	storeDown, blind bool
 	// lost are regions without hosts, apart are pairs that don't reach each other.
@@ -130,11 +133,14 @@
 
 func (w *world) configure(c *config.Config) {
 	w.conf, w.rules, w.amounts, w.paces = c, NewRules(c), Amounts(c), Paces(c)
+	w.accounts = w.accounts[:0]
 	for a := range w.amounts {
+		w.accounts = append(w.accounts, a)
 		if w.seats[a.Key] == nil {
 			w.seats[a.Key] = &seat{key: a.Key}
 		}
 	}
+	slices.SortFunc(w.accounts, func(a, b Account) int { return cmp.Compare(a.String(), b.String()) })
 	for _, h := range w.hosts {
 		for a, m := range w.amounts {
 			if h.buckets[a] == nil {
@@ -239,7 +245,7 @@
 
 // renew asks for the leases of the host. One message in 50 is lost.
 func (w *world) renew(h *actor) {
-	for a := range w.amounts {
+	for _, a := range w.accounts {
 		b, s := h.buckets[a], w.seats[a.Key]
 		_, paced := w.paces[a.Key]
 		if b.Idle(w.clock(h)) && !paced {
