shift: let a drain go on slowly without measurements

Cause: in a trial with real processes whose loads weren't known, a region's drain never left its first step. A move still holds, as it can wait.

--- a/steer/shift/budgets.go
+++ b/steer/shift/budgets.go
@@ -128,6 +128,9 @@
 	// Every is the least time between two steps.
 	Every  time.Duration
 	Paused bool
+	// Insists is set for a drain: it grows slowly also while the load of its
+	// destinations isn't known, as they refuse what they have no room for.
+	Insists bool
 	// Cells are the possible destinations of each service.
 	Cells map[string][]place.Cell
 	// Limits are those of each service's profile.
@@ -171,7 +174,7 @@
 
 func drainPace(c *config.Config, d config.Drain, k place.Key) Pace {
 	p := Pace{
-		Key: k, From: d.Target, Goal: 1, Step: d.StepShare,
+		Key: k, From: d.Target, Goal: 1, Step: d.StepShare, Insists: true,
 		Every:  time.Duration(d.StepMs) * time.Millisecond,
 		Cells:  make(map[string][]place.Cell),
 		Limits: make(map[string]Limits),
--- a/steer/shift/step.go
+++ b/steer/shift/step.go
@@ -24,7 +24,8 @@
 	VerdictDone Verdict = "done"
 	// VerdictPaused is held by the operator.
 	VerdictPaused Verdict = "paused"
-	// VerdictBlind holds as the destination's load isn't known.
+	// VerdictBlind holds as the destination's load isn't known. A drain goes on
+	// after a longer time.
 	VerdictBlind Verdict = "blind"
 	// VerdictBack is a step to a smaller share since the destination is over
 	// its limits.
@@ -75,7 +76,7 @@
 	case s.share >= p.Goal:
 		s.backoff = 1
 		return VerdictDone
-	case !known:
+	case !known && (!p.Insists || now.Before(s.changed.Add(p.Every*maxBackoff))):
 		return VerdictBlind
 	case strain || now.Before(s.changed.Add(p.Every*time.Duration(s.backoff))):
 		return VerdictWait
--- a/steer/shift/step_test.go
+++ b/steer/shift/step_test.go
@@ -57,6 +57,18 @@
 	}
 }
 
+func TestDrainGoesOnSlowlyWithoutMeasurements(t *testing.T) {
+	c := configOf(t, withDrain(config.TargetRegion, "a"))
+	k, _ := place.DrainKey(c, c.Drains["d-a"])
+	s, p := NewStepper(noon, 0), Paces(c)[k]
+	if got, want := s.Step(noon.Add(maxBackoff*p.Every-1), p, testView{blind: true}), VerdictBlind; got != want {
+		t.Errorf("got %s before the longer time, want %s", got, want)
+	}
+	if got, want := s.Step(noon.Add(maxBackoff*p.Every), p, testView{blind: true}), VerdictGrow; got != want {
+		t.Errorf("got %s after the longer time, want %s", got, want)
+	}
+}
+
 func TestStepperWaitsLongerAfterSteppingBack(t *testing.T) {
 	s, p := NewStepper(noon, 0.3), paceOf(t, moveAB)
 	slow := testView{loads: map[string]member.Load{"b": {Slots: 6, QueueDelay: time.Second}}}
