--- a/hitchd/internal/keep/tenant.go
+++ b/hitchd/internal/keep/tenant.go
@@ -11,6 +11,7 @@
 	"magnoliahitch/steer/member"
 	"magnoliahitch/steer/place"
 	"magnoliahitch/steer/result"
+	"magnoliahitch/steer/shift"
 	"magnoliahitch/steer/slots"
 )
 
@@ -138,8 +139,7 @@
 		kept[c.Cell] = true
 	}
 	for _, s := range conf.Servers {
-		_, leaves := conf.Draining(s)
-		if leaves || !kept[place.Cell{Region: s.Region, Service: s.Service}] {
+		if shift.Leaves(conf, s) || !kept[place.Cell{Region: s.Region, Service: s.Service}] {
 			k.sender.pool.cool(s.Addr)
 			continue
 		}
--- a/hitchd/internal/peer/forward.go
+++ b/hitchd/internal/peer/forward.go
@@ -29,6 +29,8 @@
 	headerTarget = "Hitch-Path"
 	headerQuery  = "Hitch-Query"
 	headerClass  = "Hitch-Class"
+	headerOrigin = "Hitch-Origin"
+	headerEntry  = "Hitch-Entry"
 	headerRetry  = "Hitch-Retry-Ms"
 	headerStep   = "Hitch-Step"
 	headerPeer   = "Hitch-Peer"
@@ -36,7 +38,10 @@
 	headerAnswerTo = "Hitch-Answer-To"
 )
 
-var ownHeaders = []string{headerCell, headerMethod, headerTarget, headerQuery, headerClass, headerRetry, headerStep, headerPeer, headerAnswerTo, headerDigest}
+var ownHeaders = []string{
+	headerCell, headerMethod, headerTarget, headerQuery, headerClass, headerOrigin, headerEntry,
+	headerRetry, headerStep, headerPeer, headerAnswerTo, headerDigest,
+}
 
 // Forward sends the request to the host and returns its answer. The returned
 // body yields an error when the answer is cut.
@@ -112,6 +117,8 @@
 	req.Header.Set(headerTarget, r.Path)
 	req.Header.Set(headerQuery, r.Query)
 	req.Header.Set(headerClass, string(r.Class))
+	req.Header.Set(headerOrigin, r.Origin)
+	req.Header.Set(headerEntry, r.Entry)
 	req.Header.Set(call.HeaderBlock, r.Block)
 	req.Header.Set(call.HeaderRequestID, r.ID)
 	req.Header.Set(call.HeaderOperation, r.Operation)
@@ -177,6 +184,8 @@
 		Class:     config.Class(h.Get(headerClass)),
 		Block:     h.Get(call.HeaderBlock),
 		Operation: h.Get(call.HeaderOperation),
+		Origin:    h.Get(headerOrigin),
+		Entry:     h.Get(headerEntry),
 		Deadline:  clock.Now().Add(time.Duration(ms) * time.Millisecond),
 		Header:    call.EndToEnd(h),
 	}
--- a/hitchd/serve.go
+++ b/hitchd/serve.go
@@ -17,7 +17,6 @@
 	"magnoliahitch/hitchd/internal/hosts"
 	"magnoliahitch/hitchd/internal/keep"
 	"magnoliahitch/hitchd/internal/peer"
-	"magnoliahitch/hitchd/internal/route"
 	"magnoliahitch/hitchd/internal/setup"
 	"magnoliahitch/hitchd/internal/spread"
 	"magnoliahitch/hitchd/internal/view"
