--- a/hitchd/internal/claims/claims_test.go
+++ b/hitchd/internal/claims/claims_test.go
@@ -25,6 +25,8 @@
 type cluster struct {
 	store *mem.Store
 	hosts []*node
+	// faulty makes dispatches fail in every way.
+	faulty bool
 
 	mu sync.Mutex
 	// runs counts runs by operation, ran remembers the request ids that ran.
@@ -39,8 +41,6 @@
 	self    member.Host
 	claims  *Claims
 	dead    bool
-	// faulty makes dispatches fail in every way.
-	faulty bool
 }
 
 func newCluster(ctx context.Context, n int, seed uint64) *cluster {
@@ -104,7 +104,7 @@
 // dispatch is the upstream: it runs work, refuses it unrun, or loses its answer.
 func (d *node) dispatch(_ context.Context, r *call.Request) (*call.Answer, error) {
 	fate := 9
-	if d.faulty {
+	if d.cluster.faulty {
 		fate = d.cluster.draw(10)
 	}
 	time.Sleep(time.Duration(d.cluster.draw(50)) * time.Millisecond)
@@ -238,9 +238,7 @@
 func TestRandomisedRun(t *testing.T) {
 	const operations, hosts, sends = 10_000, 4, 3
 	bubble(t, hosts, 7, func(ctx context.Context, c *cluster) {
-		for _, d := range c.hosts {
-			d.faulty = true
-		}
+		c.faulty = true
 		go breakThings(ctx, c, hosts)
 		var wg sync.WaitGroup
 		for i := range operations {
@@ -270,9 +268,6 @@
 		c.store.SetFault(faults[n%len(faults)])
 		if n%3 == 0 {
 			c.add(ctx, c.draw(hosts))
-			c.mu.Lock()
-			c.hosts[n%hosts].faulty = true
-			c.mu.Unlock()
 		}
 		pause(ctx, 500*time.Millisecond)
 	}
