--- a/steer/shift/proof_test.go
+++ b/steer/shift/proof_test.go
@@ -207,3 +207,27 @@
 	}
 	return out
 }
+
+// TestThinLinksHold sends four times more answers over the links than they
+// carry, while keepers die one after another. Answers wait.
+func TestThinLinksHold(t *testing.T) {
+	w := newWorld(t, 10, 3, func(r *config.Records) {
+		for i := range r.Links {
+			r.Links[i].Mbps = 4
+		}
+	})
+	w.calls = map[string]int{"a": 1800, "b": 10, "c": 10}
+	w.run(10 * time.Second)
+	for range 2 {
+		for _, k := range []string{"ba", "ca"} {
+			w.keeperOf(k).holder.frozenTil = w.now + 2*leaseTime
+		}
+		w.run(10 * time.Second)
+	}
+	for _, k := range []string{"ba", "ca"} {
+		a := Account{w.keeperOf(k).key, Bytes}
+		if got, want := w.peak[a], w.amounts[a].Cap/2; got < want {
+			t.Errorf("got a peak of %d bytes over link %s, want a loaded link of %d or more", got, k, want)
+		}
+	}
+}
