--- a/hitchd/serve.go
+++ b/hitchd/serve.go
@@ -11,6 +11,7 @@
 	"github.com/oklog/run"
 
 	"magnoliahitch/hitchd/internal/admin"
+	"magnoliahitch/hitchd/internal/blocks"
 	"magnoliahitch/hitchd/internal/claims"
 	"magnoliahitch/hitchd/internal/front"
 	"magnoliahitch/hitchd/internal/hosts"
@@ -25,6 +26,13 @@
 	"magnoliahitch/steer/member"
 )
 
+// Times of the tables of caller blocks.
+const (
+	tableInterval = 2 * time.Second
+	// tableTimeout bounds the load of a table of some 10 MB.
+	tableTimeout = time.Minute
+)
+
 // serve runs the daemon until the context ends, then stops gracefully.
 func serve(ctx context.Context, s setup.Settings, log hclog.Logger) error {
 	keys, err := openKeys(s, log.Named("keys"))
@@ -47,24 +55,29 @@
 	table := plat.NewClient(s.Platform.Table, plat.WithTimeout(s.Platform.Timeout))
 	conf := view.New()
 	known := hosts.New(self, table, log.Named("hosts"))
-	keeper := keep.New(self.Name, known, log.Named("keep"))
-	conf.Watch(func(c *config.Config) { keeper.Configure(clock.Now(), c) })
 	client := peer.NewClient(keys.certs)
+	keeper := keep.New(self.Name, known, log.Named("keep"), keep.WithPeers(client, known))
+	conf.Watch(func(c *config.Config) { keeper.Configure(clock.Now(), c) })
+	tables := blocks.New(plat.NewClient(s.Platform.Objects, plat.WithTimeout(tableTimeout)), conf, log.Named("blocks"))
 	operations := claims.New(table, known, client, keeper, log.Named("claims"))
 	steering := newSteering(known, operations, client, conf, log)
 	changes := spread.New(table, conf, log.Named("spread"))
 	peers := peer.NewServer(keys.certs)
+	peers.Handle("POST /suspects", keeper.Suspects())
 	operations.Handle(peers)
 
 	var g run.Group
 	g.Add(run.ContextHandler(ctx))
 	addLoop(&g, func(ctx context.Context) error { return known.Run(ctx, s.Daemon.HostsInterval) })
+	addLoop(&g, keeper.Run)
 	addLoop(&g, operations.Run)
 	addLoop(&g, func(ctx context.Context) error { return changes.Run(ctx, s.Daemon.ConfigInterval) })
+	addLoop(&g, func(ctx context.Context) error { return tables.Run(ctx, tableInterval) })
+	addLoop(&g, func(ctx context.Context) error { return runLevel(ctx, log) })
 	addLoop(&g, func(ctx context.Context) error { return keys.run(ctx, s.Keys.Reload) })
 	addLoop(&g, func(ctx context.Context) error { return peers.Serve(ctx, ports.Peer) })
 	steering.serve(&g, peers)
-	addServer(&g, front.New(conf, known, steering.router, log.Named("front")).Server(), ports.Caller, s.Daemon.StopTimeout)
+	addServer(&g, front.New(conf, known, steering.router, log.Named("front"), front.WithLimits(s.Caller), front.WithBlocks(tables)).Server(), ports.Caller, s.Daemon.StopTimeout)
 	addServer(&g, admin.New(keys.Token, conf, known, changes, log.Named("admin")).Server(), ports.Operator, s.Daemon.StopTimeout)
 	log.Info("started", "caller", s.Listen.Caller, "peer", s.Listen.Peer, "operator", s.Listen.Operator)
 	err = g.Run()
