--- a/hitchd/serve.go
+++ b/hitchd/serve.go
@@ -58,13 +58,15 @@
 	client := peer.NewClient(keys.certs)
 	keeper := keep.New(self.Name, known, log.Named("keep"), keep.WithPeers(client, known))
 	conf.Watch(func(c *config.Config) { keeper.Configure(clock.Now(), c) })
-	tables := blocks.New(plat.NewClient(s.Platform.Objects, plat.WithTimeout(tableTimeout)), conf, log.Named("blocks"))
+	objects := plat.NewClient(s.Platform.Objects, plat.WithTimeout(tableTimeout))
+	tables := blocks.New(objects, conf, log.Named("blocks"))
 	operations := claims.New(table, known, client, keeper, log.Named("claims"))
 	steering := newSteering(known, operations, client, conf, log)
-	changes := spread.New(table, conf, log.Named("spread"))
+	changes := spread.New(table, conf, log.Named("spread"), spread.WithPeers(known, client), spread.WithObjects(objects))
 	peers := peer.NewServer(keys.certs)
 	peers.Handle("POST /suspects", keeper.Suspects())
 	operations.Handle(peers)
+	changes.Register(peers)
 
 	var g run.Group
 	g.Add(run.ContextHandler(ctx))
