--- a/hitchctl/client/run.go
+++ b/hitchctl/client/run.go
@@ -52,11 +52,11 @@
 	ctx context.Context
 	out io.Writer
 	err io.Writer
-	global
+	Global
 }
 
-// global are the options of every command.
-type global struct {
+// Global are the options of every command.
+type Global struct {
 	Addr  []string `long:"addr" description:"operator address of a host; may be repeated, the next is tried when one fails" default:"127.0.0.1:8002" env:"HITCH_ADDR" env-delim:"," value-name:"IP:PORT"`
 	Token string   `long:"token-file" description:"file with the operators' token" env:"HITCH_TOKEN_FILE" value-name:"FILE"`
 	JSON  bool     `long:"json" description:"print JSON for scripts"`
@@ -75,12 +75,12 @@
 Exit codes: 0 done, 1 failed, 2 usage, 3 another change came first,
 4 refused with faults, 5 platform down, 6 timed out waiting.`
 
-// Run runs the command line and returns its exit code.
-func Run(ctx context.Context, args []string, out, errOut io.Writer, more ...Command) int {
+// Run runs the command line, with further commands, and returns its exit code.
+func Run(ctx context.Context, args []string, out, errOut io.Writer, more ...func(*Global) Command) int {
 	s := &session{ctx: ctx, out: out, err: errOut}
 	p := flags.NewNamedParser("hitchctl", flags.HelpFlag|flags.PassDoubleDash)
 	p.Usage = usage
-	_, err := p.AddGroup("Options of every command", "", &s.global)
+	_, err := p.AddGroup("Options of every command", "", &s.Global)
 	if err == nil {
 		err = addCommands(p, s, more)
 	}
@@ -112,7 +112,7 @@
 }
 
 // addCommands adds every command to the parser.
-func addCommands(p *flags.Parser, s *session, more []Command) error {
+func addCommands(p *flags.Parser, s *session, more []func(*Global) Command) error {
 	commands := []Command{
 		{"check", "parse and validate a file of records without any host", &checkCommand{session: s}},
 		{"lookup", "ask a host which entry hosts serve a service", &lookupCommand{session: s}},
@@ -121,7 +121,10 @@
 		{"explain", "show where a request for a service would go and why", &explainCommand{session: s}},
 		{"log-level", "change the log level of the host while it runs", &levelCommand{session: s}},
 	}
-	for _, c := range append(commands, more...) {
+	for _, f := range more {
+		commands = append(commands, f(&s.Global))
+	}
+	for _, c := range commands {
 		if _, err := p.AddCommand(c.Name, c.Description, "", c.Data); err != nil {
 			return err
 		}
--- a/hitchctl/client/status.go
+++ b/hitchctl/client/status.go
@@ -56,11 +56,13 @@
 }
 
 type shift struct {
-	Name    string  `json:"name"`
-	Rate    float64 `json:"rate"`
-	CapRate float64 `json:"capRate"`
-	Mbps    float64 `json:"mbps"`
-	CapMbps float64 `json:"capMbps"`
+	Name     string  `json:"name"`
+	LentRate float64 `json:"lentRate"`
+	CapRate  float64 `json:"capRate"`
+	LentMbps float64 `json:"lentMbps"`
+	CapMbps  float64 `json:"capMbps"`
+	Share    float64 `json:"share"`
+	Goal     float64 `json:"goal"`
 }
 
 // Execute prints the status that the host gives.
@@ -85,14 +87,14 @@
 	}
 	s.printDrains(a.Drains)
 	s.printMoves(a.Moves)
-	switch {
-	case !a.ShiftsKnown:
-		fmt.Fprintln(s.out, "shifted traffic: not known to this host")
-	default:
-		fmt.Fprintln(s.out, "shifts:", len(a.Shifts))
-		for _, v := range a.Shifts {
-			fmt.Fprintf(s.out, "  %s: %g of %g requests/s, %g of %g Mbit/s\n", v.Name, v.Rate, v.CapRate, v.Mbps, v.CapMbps)
-		}
+	known := ""
+	if !a.ShiftsKnown {
+		known = "or more, as not every host told"
+	}
+	fmt.Fprintln(s.out, "shifts:", len(a.Shifts), known)
+	for _, v := range a.Shifts {
+		fmt.Fprintf(s.out, "  %s: at %g of %g, lent %g of %g requests/s, %g of %g Mbit/s\n",
+			v.Name, v.Share, v.Goal, v.LentRate, v.CapRate, v.LentMbps, v.CapMbps)
 	}
 }
 
--- a/hitchctl/main.go
+++ b/hitchctl/main.go
@@ -13,6 +13,7 @@
 func main() {
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
-	os.Exit(client.Run(ctx, os.Args[1:], os.Stdout, os.Stderr,
-		client.Command{Name: "keys", Description: "make keys for development", Data: &keysCommand{}}))
+	os.Exit(client.Run(ctx, os.Args[1:], os.Stdout, os.Stderr, func(g *client.Global) client.Command {
+		return client.Command{Name: "keys", Description: "make keys for development", Data: &keysCommand{client: g}}
+	}))
 }
--- a/hitchd/internal/admin/admin.go
+++ b/hitchd/internal/admin/admin.go
@@ -58,19 +58,37 @@
 	Explain(now time.Time, cell place.Cell, block string) []string
 }
 
-// Shift is the use of a shift's cap.
+// Shift is what is lent of a shift's cap, and how far the shift has gone.
 type Shift struct {
-	Name    string  `json:"name"`
-	Rate    float64 `json:"rate"`
-	CapRate float64 `json:"capRate"`
-	Mbps    float64 `json:"mbps"`
-	CapMbps float64 `json:"capMbps"`
+	Name     string  `json:"name"`
+	LentRate float64 `json:"lentRate"`
+	CapRate  float64 `json:"capRate"`
+	LentMbps float64 `json:"lentMbps"`
+	CapMbps  float64 `json:"capMbps"`
+	// Share is the part that has moved, Goal the part that shall move.
+	Share float64 `json:"share"`
+	Goal  float64 `json:"goal"`
+}
+
+// Reporter collects what the live hosts count themselves.
+type Reporter interface {
+	Report(ctx context.Context) Report
+}
+
+// Report is what the live hosts count themselves.
+type Report struct {
+	// Missing names the hosts that didn't answer.
+	Missing []string
+	// Busy counts the requests on a server, by its name. Servers whose keeper
+	// didn't answer are missing.
+	Busy map[string]int
+	// Shifts are those whose keepers answered.
+	Shifts []Shift
 }
 
 // Admin is the operator port.
 type Admin struct {
-	token   [sha256.Size]byte
-	empty   bool
+	token   func() string
 	view    Viewer
 	members Members
 	commit  Committer
@@ -78,8 +96,7 @@
 
 	checks  []func(*config.Config) []config.Fault
 	explain Explainer
-	work    func(ctx context.Context, d config.Drain) (inFlight int, known bool)
-	shifts  func(now time.Time) []Shift
+	report  Reporter
 }
 
 // Option changes an operator port.
@@ -95,22 +112,16 @@
 	return func(a *Admin) { a.explain = e }
 }
 
-// WithWork sets the source of the work in flight on the servers that a drain
-// covers. Without it the state of drains is unknown.
-func WithWork(f func(ctx context.Context, d config.Drain) (inFlight int, known bool)) Option {
-	return func(a *Admin) { a.work = f }
-}
-
-// WithShifts sets the source of the use of shifts' caps. Without it the use
-// is unknown.
-func WithShifts(f func(now time.Time) []Shift) Option {
-	return func(a *Admin) { a.shifts = f }
+// WithReporter sets the source of what hosts count themselves. Without it the
+// state of drains and the use of caps are unknown.
+func WithReporter(r Reporter) Option {
+	return func(a *Admin) { a.report = r }
 }
 
-// New returns an operator port that demands the bearer token. With an empty
-// token every call is refused.
-func New(token string, v Viewer, m Members, c Committer, log hclog.Logger, options ...Option) *Admin {
-	a := &Admin{token: sha256.Sum256([]byte(token)), empty: token == "", view: v, members: m, commit: c, log: log}
+// New returns an operator port that demands the bearer token in force. With an
+// empty token every call is refused.
+func New(token func() string, v Viewer, m Members, c Committer, log hclog.Logger, options ...Option) *Admin {
+	a := &Admin{token: token, view: v, members: m, commit: c, log: log}
 	for _, o := range options {
 		o(a)
 	}
@@ -143,9 +154,10 @@
 func (a *Admin) authenticate(next echo.HandlerFunc) echo.HandlerFunc {
 	return func(c echo.Context) error {
 		text, ok := strings.CutPrefix(c.Request().Header.Get("Authorization"), "Bearer ")
-		got := sha256.Sum256([]byte(text))
-		same := subtle.ConstantTimeCompare(got[:], a.token[:]) == 1
-		if !ok || a.empty || text == "" || !same {
+		token := a.token()
+		got, want := sha256.Sum256([]byte(text)), sha256.Sum256([]byte(token))
+		same := subtle.ConstantTimeCompare(got[:], want[:]) == 1
+		if !ok || token == "" || text == "" || !same {
 			a.log.Warn("operator call refused", "from", c.RealIP(), "path", c.Path())
 			return &problem{Status: http.StatusUnauthorized, Reason: reasonToken, Detail: "operator token missing or wrong"}
 		}
--- a/hitchd/internal/admin/admin_test.go
+++ b/hitchd/internal/admin/admin_test.go
@@ -16,7 +16,6 @@
 	"magnoliahitch/hitchd/internal/spread"
 	"magnoliahitch/hitchd/internal/view"
 	"magnoliahitch/links/mem"
-	"magnoliahitch/steer/config"
 )
 
 // post sends a body with the token and returns the status and the problem.
@@ -52,7 +51,7 @@
 			t.Errorf("token %q: got status %d and %q, want 401", got, code, p.Reason)
 		}
 	}
-	none := New("", view.New(), s, s.spread, hclog.NewNullLogger()).Server().Handler
+	none := New(func() string { return "" }, view.New(), s, s.spread, hclog.NewNullLogger()).Server().Handler
 	for _, h := range []string{"", "Bearer", "Bearer "} {
 		r := httptest.NewRequest(http.MethodGet, "/v1/config", nil)
 		r.Header["Authorization"] = []string{h}
@@ -126,29 +125,8 @@
 	}
 }
 
-// apart refuses drains that leave a region without any failure domain, and
-// drains of a region that a move goes to.
-func apart(c *config.Config) []config.Fault {
-	var out []config.Fault
-	drained := make(map[string]bool)
-	for _, d := range c.Drains {
-		drained[d.Target] = true
-	}
-	for n, r := range c.Regions {
-		if len(r.Domains) == 2 && drained[r.Domains[0]] && drained[r.Domains[1]] {
-			out = append(out, config.Fault{Kind: config.KindRegion, Name: n, Key: "domains", Value: "all drained", Want: "one that serves"})
-		}
-	}
-	for n, m := range c.Moves {
-		if drained[m.To] {
-			out = append(out, config.Fault{Kind: config.KindMove, Name: n, Key: "to", Value: m.To, Want: "a region that serves"})
-		}
-	}
-	return out
-}
-
 func TestConflictingDrainsAndMovesAreRefused(t *testing.T) {
-	s := newSite(t, WithChecks(apart))
+	s := newSite(t)
 	for _, tt := range []struct {
 		line string
 		code int
@@ -156,13 +134,15 @@
 		{`apply --file records.ini --reason r`, client.ExitOK},
 		{`drain declare a --domain norte-a --reason r`, client.ExitOK},
 		{`drain declare a --domain norte-b --reason r`, client.ExitConflict},
-		{`drain declare b --domain norte-b --reason r`, client.ExitRefused},
-		{`drain declare c --region litoral --reason r`, client.ExitOK},
+		{`drain declare b --domain litoral-a --reason r`, client.ExitRefused},
+		{`drain cancel a --reason r`, client.ExitOK},
+		{`drain declare c --region litoral --reason r`, client.ExitRefused},
+		{`drain declare c --region litoral --cap-rate 1 --cap-mbps 1 --reason r`, client.ExitOK},
 		{`move declare m --service care --from norte --to litoral --share 1 --cap-rate 1 --cap-mbps 1 --reason r`, client.ExitRefused},
 		{`drain cancel c --reason r`, client.ExitOK},
 		{`drain cancel c --reason r`, client.ExitRefused},
 		{`move declare m --service care --from norte --to litoral --share 1 --cap-rate 1 --cap-mbps 1 --reason r`, client.ExitOK},
-		{`drain declare c --region litoral --reason r`, client.ExitRefused},
+		{`drain declare c --region litoral --cap-rate 1 --cap-mbps 1 --reason r`, client.ExitRefused},
 		{`move pause m --reason r`, client.ExitOK},
 		{`move cancel m --reason r`, client.ExitOK},
 		{`move resume m --reason r`, client.ExitRefused},
@@ -225,7 +205,7 @@
 	s := newSite(t)
 	var text bytes.Buffer
 	root := hclog.New(&hclog.LoggerOptions{Level: hclog.Info, Output: &text})
-	a := New(token, view.New(), s, spread.New(s.store, view.New(), root), root.Named("admin"))
+	a := New(func() string { return token }, view.New(), s, spread.New(s.store, view.New(), root), root.Named("admin"))
 	h := a.Server().Handler
 	for level, want := range map[string]int{"debug": 200, "loud": 422} {
 		r := httptest.NewRequest(http.MethodPut, "/v1/log", strings.NewReader(`{"level":"`+level+`"}`))
--- a/hitchd/internal/admin/change.go
+++ b/hitchd/internal/admin/change.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -136,7 +137,14 @@
 	for _, f := range a.checks {
 		out = append(out, f(next)...)
 	}
-	return out
+	// Checks may find the same fault; one of its kind is enough.
+	seen := make(map[config.Fault]bool)
+	return slices.DeleteFunc(out, func(f config.Fault) bool {
+		key := config.Fault{Kind: f.Kind, Name: f.Name, Key: f.Key, Value: f.Value}
+		had := seen[key]
+		seen[key] = true
+		return had
+	})
 }
 
 type historyAnswer struct {
--- a/hitchd/internal/admin/pages_test.go
+++ b/hitchd/internal/admin/pages_test.go
@@ -19,15 +19,23 @@
 	"magnoliahitch/hitchd/internal/view"
 	"magnoliahitch/links/clock"
 	"magnoliahitch/links/mem"
-	"magnoliahitch/steer/config"
 	"magnoliahitch/steer/member"
 	"magnoliahitch/steer/place"
+	"magnoliahitch/steer/shift"
 )
 
 const recordsText = `[profile latency]
 queueWaitMs = 200
 [region norte]
 domains = norte-a, norte-b
+[link out]
+from = norte
+to = litoral
+mbps = 300
+[link back]
+from = litoral
+to = norte
+mbps = 300
 [region litoral]
 domains = litoral-a
 [service care]
@@ -79,6 +87,11 @@
 	return errors.New("no answer")
 }
 
+// Report tells that no request runs.
+func (s *site) Report(context.Context) Report {
+	return Report{Busy: map[string]int{"care-1": 0, "care-2": 0}}
+}
+
 func (s *site) now() time.Time { return clock.Now() }
 
 // Keeper returns the host for cells of its region.
@@ -102,8 +115,7 @@
 	s.self = member.Host{Name: "h", Region: "norte", Domain: "norte-a", CallerAddr: strings.TrimPrefix(caller.URL, "http://")}
 	v := view.New()
 	s.spread = spread.New(s.store, v, hclog.NewNullLogger(), spread.WithPeers(s, s))
-	done := func(context.Context, config.Drain) (int, bool) { return 0, true }
-	a := New(token, v, s, s.spread, hclog.NewNullLogger(), append([]Option{WithWork(done)}, options...)...)
+	a := New(func() string { return token }, v, s, s.spread, hclog.NewNullLogger(), append([]Option{WithReporter(s), WithChecks(shift.Faults)}, options...)...)
 	s.server = httptest.NewServer(a.Server().Handler)
 	t.Cleanup(s.server.Close)
 	for name, text := range map[string]string{"operator.token": token + "\n", "records.ini": recordsText, "latency.ini": "[profile latency]\nqueueWaitMs = 100\n"} {
--- a/hitchd/internal/admin/status.go
+++ b/hitchd/internal/admin/status.go
@@ -84,7 +84,6 @@
 		Fork:     st.Fork,
 		Platform: platformStatus{State: stateUnknown},
 		Hosts:    a.hosts(ctx, conf.Revision),
-		Drains:   a.drains(ctx, conf),
 		Moves:    conf.Records().Moves,
 	}
 	if st.CurrentAge >= 0 {
@@ -96,9 +95,12 @@
 	case st.StoreKnown:
 		out.Platform.State = stateUp
 	}
-	if a.shifts != nil {
-		out.ShiftsKnown, out.Shifts = true, a.shifts(now)
+	var r Report
+	if a.report != nil {
+		r = a.report.Report(ctx)
+		out.ShiftsKnown, out.Shifts = len(r.Missing) == 0, r.Shifts
 	}
+	out.Drains = drains(conf, r)
 	for _, k := range place.Keys(conf) {
 		out.Cells++
 		if _, ok := a.members.Keeper(now, k); !ok {
@@ -126,7 +128,8 @@
 	return out
 }
 
-func (a *Admin) drains(ctx context.Context, conf *config.Config) []drainStatus {
+// drains tells the progress of each drain from the work that hosts count.
+func drains(conf *config.Config, r Report) []drainStatus {
 	var out []drainStatus
 	for _, n := range conf.Drains.Names() {
 		d := conf.Drains[n]
@@ -134,12 +137,10 @@
 		if until, err := time.Parse(time.RFC3339, d.Until); err == nil {
 			s.Overdue = time.Now().After(until)
 		}
-		if a.work != nil {
-			if count, ok := a.work(ctx, d); ok {
-				s.State, s.InFlight = stateDraining, count
-				if count == 0 {
-					s.State = stateDrained
-				}
+		if count, ok := inFlight(conf, d, r); ok {
+			s.State, s.InFlight = stateDraining, count
+			if count == 0 {
+				s.State = stateDrained
 			}
 		}
 		out = append(out, s)
@@ -147,6 +148,23 @@
 	return out
 }
 
+// inFlight counts the requests on the servers that the drain covers. It
+// returns false when a server's keeper didn't tell.
+func inFlight(conf *config.Config, d config.Drain, r Report) (int, bool) {
+	sum := 0
+	for _, s := range conf.Servers {
+		if !d.Covers(s) {
+			continue
+		}
+		n, ok := r.Busy[s.Name]
+		if !ok {
+			return 0, false
+		}
+		sum += n
+	}
+	return sum, r.Busy != nil
+}
+
 type revisionsAnswer struct {
 	Revision uint64       `json:"revision"`
 	Hosts    []hostStatus `json:"hosts"`
--- a/hitchd/internal/peer/forward.go
+++ b/hitchd/internal/peer/forward.go
@@ -1,12 +1,16 @@
 package peer
 
 import (
+	"bytes"
 	"context"
 	"io"
 	"net/http"
 	"strconv"
+	"strings"
 	"time"
 
+	"github.com/go-faster/errors"
+
 	"magnoliahitch/hitchd/internal/call"
 	"magnoliahitch/links/clock"
 	"magnoliahitch/steer/config"
@@ -25,35 +29,82 @@
 	headerTarget = "Hitch-Path"
 	headerQuery  = "Hitch-Query"
 	headerClass  = "Hitch-Class"
+	headerOrigin = "Hitch-Origin"
+	headerEntry  = "Hitch-Entry"
 	headerRetry  = "Hitch-Retry-Ms"
 	headerStep   = "Hitch-Step"
 	headerPeer   = "Hitch-Peer"
+	// headerAnswerTo names the request that an answer belongs to.
+	headerAnswerTo = "Hitch-Answer-To"
 )
 
-var ownHeaders = []string{headerCell, headerMethod, headerTarget, headerQuery, headerClass, headerRetry, headerStep, headerPeer}
+var ownHeaders = []string{
+	headerCell, headerMethod, headerTarget, headerQuery, headerClass, headerOrigin, headerEntry,
+	headerRetry, headerStep, headerPeer, headerAnswerTo, headerDigest,
+}
 
 // Forward sends the request to the host and returns its answer. The returned
 // body yields an error when the answer is cut.
 func (c *Client) Forward(ctx context.Context, to member.Host, r *call.Request) (*call.Answer, error) {
-	var body io.Reader = http.NoBody
-	if r.Body != nil {
-		body = r.Body
+	body, err := wholeBody(r)
+	if err != nil {
+		return nil, result.Refuse(result.ReasonBadRequest, "read request body", to.Name)
 	}
-	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "https://"+to.PeerAddr+callPath, body)
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "https://"+to.PeerAddr+callPath, bytes.NewReader(body))
 	if err != nil {
 		return nil, result.Refuse(result.ReasonBadRequest, "build forwarded request", to.Name)
 	}
 	setRequest(req, r)
-	res, err := c.transport.RoundTrip(req)
+	// The digest of a request goes before it, that of an answer after it.
+	sum := newSummer()
+	_, _ = sum.Write(body)
+	req.Header.Set(headerDigest, sum.String())
+	res, err := c.roundTrip(to, req)
 	if err != nil {
-		return nil, result.Lose(result.ReasonPeer, "forward request", to.Name, err)
+		return nil, lost(err, to)
+	}
+	if id := res.Header.Get(headerAnswerTo); id != r.ID {
+		defer res.Body.Close()
+		return nil, result.Lose(result.ReasonPeer, "match answer", to.Name, errors.Errorf("answer to request %q", id))
 	}
 	if res.Header.Get(call.HeaderOutcome) != result.Done.String() {
 		defer res.Body.Close()
 		return nil, readError(res, to.Name)
 	}
-	server := res.Header.Get(call.HeaderServer)
-	return &call.Answer{Status: res.StatusCode, Header: call.EndToEnd(res.Header), Body: res.Body, Server: server}, nil
+	return readAnswer(res), nil
+}
+
+// wholeBody reads the request's body, whose size the caller port bounds.
+func wholeBody(r *call.Request) ([]byte, error) {
+	if r.Body == nil {
+		return nil, nil
+	}
+	return io.ReadAll(r.Body)
+}
+
+// lost returns the error of a request without an answer. It did not run when
+// no connection to the host came about.
+func lost(err error, to member.Host) error {
+	e := result.Lose(result.ReasonPeer, "forward request", to.Name, err)
+	var dial *dialError
+	if errors.As(err, &dial) {
+		e.Outcome = result.NotRun
+	}
+	return e
+}
+
+// readAnswer returns the answer with a body that is checked at its end.
+func readAnswer(res *http.Response) *call.Answer {
+	a := &call.Answer{
+		Status: res.StatusCode,
+		Header: call.EndToEnd(res.Header),
+		Body:   &checkedBody{ReadCloser: res.Body, sum: newSummer(), digest: func() string { return res.Trailer.Get(headerDigest) }},
+		Server: res.Header.Get(call.HeaderServer),
+	}
+	for _, n := range ownHeaders {
+		a.Header.Del(n)
+	}
+	return a
 }
 
 func setRequest(req *http.Request, r *call.Request) {
@@ -66,6 +117,8 @@
 	req.Header.Set(headerTarget, r.Path)
 	req.Header.Set(headerQuery, r.Query)
 	req.Header.Set(headerClass, string(r.Class))
+	req.Header.Set(headerOrigin, r.Origin)
+	req.Header.Set(headerEntry, r.Entry)
 	req.Header.Set(call.HeaderBlock, r.Block)
 	req.Header.Set(call.HeaderRequestID, r.ID)
 	req.Header.Set(call.HeaderOperation, r.Operation)
@@ -93,6 +146,7 @@
 func (s *Server) HandleCalls(next call.Doer) {
 	s.mux.HandleFunc("POST "+callPath, func(w http.ResponseWriter, req *http.Request) {
 		r, ok := readRequest(req)
+		w.Header().Set(headerAnswerTo, req.Header.Get(call.HeaderRequestID))
 		if !ok {
 			writeError(w, result.Refuse(result.ReasonBadRequest, "read forwarded request", req.RemoteAddr))
 			return
@@ -109,31 +163,42 @@
 	})
 }
 
+// maxDeadline is the longest time that a forwarded request may have left.
+const maxDeadline = time.Hour
+
+// readRequest reads a forwarded request. It reports false when a host would
+// not have sent it so.
 func readRequest(req *http.Request) (*call.Request, bool) {
-	cell, ok := place.ParseCell(req.Header.Get(headerCell))
-	if !ok {
-		return nil, false
-	}
-	ms, err := strconv.Atoi(req.Header.Get(call.HeaderDeadline))
-	if err != nil {
+	h := req.Header
+	cell, ok := place.ParseCell(h.Get(headerCell))
+	ms, err := strconv.Atoi(h.Get(call.HeaderDeadline))
+	if !ok || err != nil || int64(ms) > maxDeadline.Milliseconds() {
 		return nil, false
 	}
 	r := &call.Request{
-		ID:        req.Header.Get(call.HeaderRequestID),
+		ID:        h.Get(call.HeaderRequestID),
 		Cell:      cell,
-		Method:    req.Header.Get(headerMethod),
-		Path:      req.Header.Get(headerTarget),
-		Query:     req.Header.Get(headerQuery),
-		Class:     config.Class(req.Header.Get(headerClass)),
-		Block:     req.Header.Get(call.HeaderBlock),
-		Operation: req.Header.Get(call.HeaderOperation),
+		Method:    h.Get(headerMethod),
+		Path:      h.Get(headerTarget),
+		Query:     h.Get(headerQuery),
+		Class:     config.Class(h.Get(headerClass)),
+		Block:     h.Get(call.HeaderBlock),
+		Operation: h.Get(call.HeaderOperation),
+		Origin:    h.Get(headerOrigin),
+		Entry:     h.Get(headerEntry),
 		Deadline:  clock.Now().Add(time.Duration(ms) * time.Millisecond),
-		Header:    call.EndToEnd(req.Header),
-		Body:      req.Body,
+		Header:    call.EndToEnd(h),
+	}
+	if !strings.HasPrefix(r.Path, "/") || !r.Idempotent() && r.Operation == "" {
+		return nil, false
+	}
+	if _, err := http.NewRequest(r.Method, "http://"+cell.Service+r.Path, nil); err != nil {
+		return nil, false
 	}
 	for _, n := range ownHeaders {
 		r.Header.Del(n)
 	}
+	r.Body = &checkedBody{ReadCloser: req.Body, sum: newSummer(), digest: func() string { return req.Header.Get(headerDigest) }}
 	return r, true
 }
 
@@ -143,10 +208,14 @@
 	}
 	w.Header().Set(call.HeaderOutcome, result.Done.String())
 	w.Header().Set(call.HeaderServer, a.Server)
+	w.Header().Set("Trailer", headerDigest)
 	w.WriteHeader(a.Status)
-	if _, err := io.Copy(w, a.Body); err != nil {
+	sum := newSummer()
+	if _, err := io.Copy(io.MultiWriter(w, sum), a.Body); err != nil {
+		// Resets the stream, so that a cut answer can't pass as whole.
 		panic(http.ErrAbortHandler)
 	}
+	w.Header().Set(headerDigest, sum.String())
 }
 
 func writeError(w http.ResponseWriter, err error) {
