--- a/hitchd/internal/spread/cluster_test.go
+++ b/hitchd/internal/spread/cluster_test.go
@@ -37,6 +37,10 @@
 	random          *rand.Rand
 	cut             func(a, b member.Host) bool
 	messages, bytes int
+	// live is the list of running hosts, nil when it isn't known.
+	live []member.Host
+	// lateLost drops messages to a frozen host whose sender has given up.
+	lateLost bool
 	// flights counts the messages on their way.
 	flights sync.WaitGroup
 }
@@ -84,7 +88,7 @@
 	mux := http.NewServeMux()
 	n.spread.Register(mux)
 	n.mu.Lock()
-	n.mux = mux
+	n.mux, n.live = mux, nil
 	n.cancel, n.done, n.stopped, n.revisions = cancel, make(chan struct{}), false, nil
 	n.mu.Unlock()
 	go func() {
@@ -96,7 +100,7 @@
 // stop ends the host.
 func (n *node) stop() {
 	n.mu.Lock()
-	n.stopped = true
+	n.stopped, n.live = true, nil
 	n.mu.Unlock()
 	n.unfreeze()
 	n.cancel()
@@ -146,13 +150,14 @@
 func (n *node) Live() []member.Host {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	var out []member.Host
-	for _, o := range n.nodes {
-		if !o.stopped {
-			out = append(out, o.self)
+	if n.live == nil {
+		for _, o := range n.nodes {
+			if !o.stopped {
+				n.live = append(n.live, o.self)
+			}
 		}
 	}
-	return out
+	return n.live
 }
 
 // delay returns the one-way delay between two hosts.
@@ -174,7 +179,7 @@
 		return err
 	}
 	answer := make(chan []byte, 1)
-	n.flights.Go(func() { n.deliver(to, path, body, answer) })
+	n.flights.Go(func() { n.deliver(ctx, to, path, body, answer) })
 	select {
 	case data := <-answer:
 		n.await()
@@ -184,13 +189,16 @@
 	}
 }
 
-func (n *node) deliver(to member.Host, path string, body []byte, answer chan<- []byte) {
+func (n *node) deliver(ctx context.Context, to member.Host, path string, body []byte, answer chan<- []byte) {
 	time.Sleep(n.delay(n.self, to))
 	target, ok := n.reach(to, len(body))
 	if !ok {
 		return
 	}
 	target.await()
+	if n.lateLost && ctx.Err() != nil {
+		return
+	}
 	w := httptest.NewRecorder()
 	n.mu.Lock()
 	mux := target.mux
--- a/hitchd/internal/spread/known.go
+++ b/hitchd/internal/spread/known.go
@@ -223,9 +223,9 @@
 // report sets the metrics and logs when the host begins or ends to be current.
 func (s *Spread) report() {
 	st := s.State(s.now())
-	s.meters.current.Set(flag(st.Current))
-	s.meters.storeDown.Set(flag(st.StoreDown))
-	s.meters.fork.Set(flag(st.Fork != ""))
+	s.meters.current.Set(gaugeOf(st.Current))
+	s.meters.storeDown.Set(gaugeOf(st.StoreDown))
+	s.meters.fork.Set(gaugeOf(st.Fork != ""))
 	s.meters.knownAge.Set(st.CurrentAge.Seconds())
 	s.mu.Lock()
 	changed := s.known.told != st.Current
--- a/hitchd/internal/spread/meters.go
+++ b/hitchd/internal/spread/meters.go
@@ -28,8 +28,8 @@
 	}
 }
 
-// flag returns 1 for true and 0 for false.
-func flag(b bool) float64 {
+// gaugeOf returns 1 for true and 0 for false.
+func gaugeOf(b bool) float64 {
 	if b {
 		return 1
 	}
--- a/hitchd/internal/spread/push.go
+++ b/hitchd/internal/spread/push.go
@@ -212,7 +212,6 @@
 
 // takePush answers a push.
 func (s *Spread) takePush(in pushMessage) (pushAnswer, error) {
-	s.heard(in.From, config.Mark{Revision: in.Revision, Digest: in.Digest})
 	entries, err := decodeAll(in.Entries)
 	if err != nil {
 		return pushAnswer{}, errors.Wrapf(err, "push of host %s", in.From)
@@ -228,6 +227,9 @@
 	case err != nil:
 		s.forked(in.From, errors.Wrapf(err, "push of host %s", in.From))
 	}
+	// Noted after the changes are in force, so that it calls for a question
+	// only when the message didn't hold them all.
+	s.heard(in.From, config.Mark{Revision: in.Revision, Digest: in.Digest})
 	end := s.held().End()
 	return pushAnswer{end.Revision, end.Digest}, nil
 }
--- a/hitchd/internal/spread/ranks.go
+++ b/hitchd/internal/spread/ranks.go
@@ -44,19 +44,17 @@
 	return func(h member.Host) bool { return h.Name == name }
 }
 
-// others returns the live hosts but this one, by name.
+// others returns the live hosts but this one.
 func (s *Spread) others() []member.Host {
 	if s.members == nil {
 		return nil
 	}
 	self := s.members.Self().Name
-	out := slices.DeleteFunc(slices.Clone(s.members.Live()), named(self))
-	slices.SortFunc(out, func(a, b member.Host) int { return cmp.Compare(a.Name, b.Name) })
-	return out
+	return slices.DeleteFunc(slices.Clone(s.members.Live()), named(self))
 }
 
 // neighbours returns the hosts that this one asks in turn: those of its own
-// domain and the pollers of the others.
+// domain and the pollers of the others, by name.
 func (s *Spread) neighbours() []member.Host {
 	all := s.others()
 	if len(all) == 0 {
@@ -67,6 +65,7 @@
 	for _, p := range relays(all, domain) {
 		out = append(out, p...)
 	}
+	slices.SortFunc(out, func(a, b member.Host) int { return cmp.Compare(a.Name, b.Name) })
 	return out
 }
 
