--- a/hitchctl/client/call.go
+++ b/hitchctl/client/call.go
@@ -82,7 +82,7 @@
 		}
 	}
 	err = errors.New("no address given (--addr)")
-	for _, addr := range s.Addr {
+	for i, addr := range s.Addr {
 		var p *problem
 		err = s.callHost(addr, strings.TrimSpace(string(token)), method, path, body, out)
 		switch {
@@ -91,7 +91,9 @@
 		case errors.As(err, &p) && p.Status != http.StatusServiceUnavailable && p.Status != http.StatusGatewayTimeout:
 			return exit(p.code(), err)
 		}
-		fmt.Fprintf(s.err, "host %s: %v\n", addr, err)
+		if i < len(s.Addr)-1 {
+			fmt.Fprintf(s.err, "trying the next address: %v\n", err)
+		}
 	}
 	var p *problem
 	if errors.As(err, &p) {
