spread: let an operator write a history over a forked table

A fork, or a table that lost more changes than a host holds, left every change refused with no way out but emptying the table by hand. Override writes the host's history, raised by empty changes above the table's, in one transaction; hosts of the same history follow, others are restarted. It is refused when histories don't differ.

--- a/hitchctl/client/apply.go
+++ b/hitchctl/client/apply.go
@@ -83,3 +83,19 @@
 	}
 	return exit(ExitRefused, &problem{Detail: "file " + c.File + " has faults", Faults: faults})
 }
+
+type overrideCommand struct {
+	session *session
+	Author  string `long:"author" description:"who decides" env:"USER" default:"operator" value-name:"NAME"`
+	Reason  string `long:"reason" description:"why; it stands in the history" required:"true" value-name:"TEXT"`
+}
+
+// Execute writes the asked host's history over the table's.
+func (c *overrideCommand) Execute([]string) error {
+	var a changeAnswer
+	in := changeRequest{Author: c.Author, Reason: c.Reason}
+	if err := c.session.call(http.MethodPost, "/v1/override", in, &a); err != nil {
+		return err
+	}
+	return c.session.print(a, func() { c.session.printChange(a) })
+}
--- a/hitchd/internal/admin/admin.go
+++ b/hitchd/internal/admin/admin.go
@@ -38,6 +38,7 @@
 	History(ctx context.Context, limit int) []config.Change
 	Revisions(ctx context.Context) map[string]uint64
 	State(now time.Time) spread.State
+	Override(ctx context.Context, author, reason string) (config.Entry, error)
 }
 
 // Viewer gives the configuration in force.
@@ -141,6 +142,7 @@
 	g := e.Group("/v1", a.count, a.authenticate, limitBody)
 	g.GET("/config", a.config)
 	g.POST("/changes", a.change)
+	g.POST("/override", a.override)
 	g.GET("/history", a.history)
 	g.GET("/status", a.status)
 	g.GET("/revisions", a.revisions)
--- a/hitchd/internal/admin/admin_test.go
+++ b/hitchd/internal/admin/admin_test.go
@@ -149,6 +149,7 @@
 		{`drain declare d --server nothing --reason r`, client.ExitRefused},
 		{`drain declare d --reason r`, client.ExitUsage},
 		{`drain declare d --server care-1`, client.ExitUsage},
+		{`override --reason r`, client.ExitRefused},
 		{`profile show none`, client.ExitUsage},
 		{`check --file absent.ini`, client.ExitUsage},
 	} {
--- a/hitchd/internal/admin/change.go
+++ b/hitchd/internal/admin/change.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"net/http"
 	"slices"
 	"strconv"
@@ -11,6 +12,7 @@
 	"github.com/google/uuid"
 	"github.com/labstack/echo/v4"
 
+	"magnoliahitch/hitchd/internal/spread"
 	"magnoliahitch/steer/config"
 )
 
@@ -162,3 +164,29 @@
 	}
 	return c.JSON(http.StatusOK, historyAnswer{a.commit.History(c.Request().Context(), limit)})
 }
+
+// overrideRequest asks to write this host's history over the table's.
+type overrideRequest struct {
+	Author string `json:"author"`
+	Reason string `json:"reason"`
+}
+
+func (a *Admin) override(c echo.Context) error {
+	var in overrideRequest
+	if err := c.Bind(&in); err != nil {
+		return err
+	}
+	if in.Author == "" || in.Reason == "" {
+		return &problem{Status: http.StatusBadRequest, Reason: reasonRequest, Detail: "author and reason: want a text"}
+	}
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(c.Request().Context()), commitTimeout)
+	defer cancel()
+	e, err := a.commit.Override(ctx, in.Author, in.Reason)
+	if errors.Is(err, spread.ErrNoFork) || errors.Is(err, spread.ErrTooFar) {
+		return &problem{Status: http.StatusUnprocessableEntity, Reason: reasonFork, Detail: err.Error() + "; nothing was changed"}
+	}
+	if err != nil {
+		return err
+	}
+	return c.JSON(http.StatusOK, changeAnswer{Revision: e.Change.Revision, WriteID: e.Change.WriteID})
+}
--- a/hitchd/internal/spread/spread_test.go
+++ b/hitchd/internal/spread/spread_test.go
@@ -211,6 +211,52 @@
 		if _, err := o.tryCommit("ann"); !errors.Is(err, config.ErrFork) {
 			t.Errorf("got %v, want %v", err, config.ErrFork)
 		}
+		// The operator decides for the history that the hosts hold.
+		e, err := o.spread.Override(context.Background(), "ann", "restored by mistake")
+		if err != nil || e.Change.Revision != 4 {
+			t.Fatalf("got revision %d and %v, want 4 above both histories", e.Change.Revision, err)
+		}
+		n.stop()
+		n.start()
+		c.within(frozenLimit, 4)
+		if got, want := n.spread.held().End(), o.spread.held().End(); got != want {
+			t.Errorf("got %v on the restarted host, want %v", got, want)
+		}
+		if _, err := o.spread.Override(context.Background(), "ann", "again"); !errors.Is(err, ErrNoFork) {
+			t.Errorf("got %v, want %v", err, ErrNoFork)
+		}
+		c.within(inForceLimit, c.nodes[5].commit("bob"))
+	})
+}
+
+func TestTableThatLostTooMuchIsOverwritten(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(t, 1, 2)
+		defer c.stop()
+		n := c.nodes[0]
+		time.Sleep(time.Second)
+		n.commit("ann")
+		old := c.store.Copy()
+		for range config.MaxLogEntries + 2 {
+			n.commit("ann")
+		}
+		c.within(inForceLimit, n.revision())
+		c.store.Restore(old)
+		if _, err := n.tryCommit("bob"); !errors.Is(err, ErrLost) {
+			t.Errorf("got %v, want %v", err, ErrLost)
+		}
+		want, err := n.spread.Override(context.Background(), "ann", "restored by mistake")
+		if err != nil {
+			t.Fatal(err)
+		}
+		c.within(inForceLimit, want.Change.Revision)
+		for _, o := range c.nodes {
+			o.stop()
+		}
+		n.start()
+		c.within(inForceLimit, want.Change.Revision)
+		n.commit("bob")
+		c.neverBack()
 	})
 }
 
