route: report a request as unknown once a send may have run

Ruled out: the keeper's second round, which keeps the first outcome. Seen failing: case 'lost GET, then full' without the change.

--- a/hitchd/internal/route/journey.go
+++ b/hitchd/internal/route/journey.go
@@ -30,6 +30,8 @@
 	// outcome again, lost when such work is to be sent, resent when it was.
 	granted, lost, resent bool
 	last                  error
+	// unknown is the error of a send that may have run.
+	unknown error
 }
 
 // readBody takes in the whole body, so that it can be sent again when nothing ran.
@@ -48,6 +50,16 @@
 	return body, nil
 }
 
+// do returns the answer, or the error of the send that may have run when there
+// was one: a later refusal doesn't make the request not run.
+func (j *journey) do(ctx context.Context) (*call.Answer, error) {
+	a, err := j.run(ctx)
+	if err != nil && j.unknown != nil {
+		return nil, j.unknown
+	}
+	return a, err
+}
+
 // run tries the options in order. It goes on to the next one after a proof
 // that nothing ran, and once more for idempotent work that a peer lost.
 func (j *journey) run(ctx context.Context) (*call.Answer, error) {
--- a/hitchd/internal/route/route.go
+++ b/hitchd/internal/route/route.go
@@ -108,7 +108,7 @@
 	q := shift.Request{ID: r.ID, Service: r.Cell.Service, Origin: r.Origin, At: self.Region}
 	j := &journey{Router: t, state: s, request: r, body: body, plan: s.rules.Decide(now, q, view{t})}
 	j.countRequest(now)
-	return j.run(ctx)
+	return j.do(ctx)
 }
 
 // view is what the decision on a request sees.
--- a/hitchd/internal/route/route_test.go
+++ b/hitchd/internal/route/route_test.go
@@ -150,6 +150,7 @@
 		{name: "unsent POST is sent again", method: http.MethodPost, keepers: map[string][]string{"a": {"a2", "a3"}}, unsent: true, answers: map[string][]error{"a2": {lost}}, calls: "a2 a3", want: result.Done},
 		{name: "lost GET once more", keepers: map[string][]string{"a": {"a2", "a3"}}, answers: map[string][]error{"a2": {lost}}, calls: "a2 a3", want: result.Done},
 		{name: "lost GET twice", keepers: map[string][]string{"a": {"a2", "a3"}, "b": {"b1"}}, answers: map[string][]error{"a2": {lost}, "a3": {lost}}, calls: "a2 a3", want: result.Unknown, reason: result.ReasonPeer},
+		{name: "lost GET, then full", keepers: map[string][]string{"a": {"a2", "a3"}}, answers: map[string][]error{"a2": {lost}, "a3": {refuse(result.ReasonQueueFull)}}, calls: "a2 a3", want: result.Unknown, reason: result.ReasonPeer},
 		{name: "lost GET without budget", budget: deny{}, keepers: one, answers: map[string][]error{"a2": {lost}}, calls: "a2", want: result.Unknown, reason: result.ReasonPeer},
 		{name: "upstream lost it", keepers: one, answers: map[string][]error{"a2": {ran}}, calls: "a2", want: result.Unknown, reason: result.ReasonUpstream},
 		{name: "dead home", origin: "c", keepers: one, calls: "a2", want: result.Done},
--- a/hitchd/internal/route/send.go
+++ b/hitchd/internal/route/send.go
@@ -102,7 +102,11 @@
 		for _, n := range caps {
 			j.spenders.Expect(n, -expect)
 		}
-		j.rule(o, result.From(err).Reason)
+		e := result.From(err)
+		if e.Outcome == result.Unknown {
+			j.unknown = err
+		}
+		j.rule(o, e.Reason)
 		return nil, err
 	}
 	if len(o.Shifts) > 0 {
--- a/standin/demo.go
+++ b/standin/demo.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"fmt"
 	"os"
 	"path/filepath"
@@ -92,6 +93,9 @@
 	if err != nil {
 		return err
 	}
+	if err := writeRecords(filepath.Join(s.Dir, "records.jsonl"), result.Records); err != nil {
+		return err
+	}
 	verdicts, err := judge.Check(lines, e)
 	if err != nil {
 		return err
@@ -124,6 +128,22 @@
 	return nil
 }
 
+// writeRecords keeps what the callers saw, for a look at a failed outcome.
+func writeRecords(path string, records []play.Record) error {
+	f, err := os.Create(path)
+	if err != nil {
+		return errors.Wrap(err, "write records")
+	}
+	defer f.Close()
+	e := json.NewEncoder(f)
+	for _, r := range records {
+		if err := e.Encode(r); err != nil {
+			return errors.Wrap(err, "write records")
+		}
+	}
+	return f.Close()
+}
+
 func micros(v int64) time.Duration { return time.Duration(v) * time.Microsecond }
 
 func want(o trace.Outcome) string {
--- a/standin/internal/play/caller.go
+++ b/standin/internal/play/caller.go
@@ -148,7 +148,7 @@
 }
 
 func (c *Caller) request(ctx context.Context, id, host string, left time.Duration, r *trace.Request) (*http.Request, error) {
-	url := fmt.Sprintf("http://%s/service/%s%s?costMs=%d&size=%d&origin=%s", host, r.Service, r.Path, r.CostMs, r.Size, c.region)
+	url := fmt.Sprintf("http://%s/service/%s%s?costMs=%d&size=%d", host, r.Service, r.Path, r.CostMs, r.Size)
 	var body io.Reader
 	if r.Operation != "" {
 		// A reader without GetBody keeps net/http from sending it again.
@@ -159,6 +159,7 @@
 		return nil, err
 	}
 	req.Header.Set("X-Request-Id", id)
+	req.Header.Set(serve.HeaderOrigin, c.region)
 	req.Header.Set("Hitch-Deadline-Ms", strconv.FormatInt(max(1, left.Milliseconds()), 10))
 	if r.Operation != "" {
 		req.Header.Set("Idempotency-Key", r.Operation)
--- a/standin/internal/serve/serve.go
+++ b/standin/internal/serve/serve.go
@@ -20,6 +20,10 @@
 // maxBody bounds request bodies, in bytes.
 const maxBody = 64 << 20
 
+// HeaderOrigin names the caller's home region. It is a header so that the
+// same request from two regions looks the same to the system.
+const HeaderOrigin = "Standin-Origin"
+
 // crashCode is the exit code after a request that crashes the server.
 const crashCode = 7
 
@@ -79,7 +83,7 @@
 		Server:    u.name,
 		Request:   req.Header.Get("X-Request-Id"),
 		Operation: req.Header.Get("Idempotency-Key"),
-		Origin:    c.QueryParam("origin"),
+		Origin:    req.Header.Get(HeaderOrigin),
 		Size:      size,
 		Crash:     strings.HasPrefix(req.URL.Path, "/crash"),
 	}
