--- a/hitchd/internal/route/send.go
+++ b/hitchd/internal/route/send.go
@@ -196,7 +196,10 @@
 	traced := httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { sent.Store(true) }})
 	traced, stop := j.limit(traced)
 	a, err := j.peers.Forward(traced, to, r)
-	stop()
+	if gaveUp := stop(); gaveUp && err == nil {
+		_ = a.Body.Close()
+		err = result.Lose(result.ReasonPeer, "forward request", to.Name, context.Canceled)
+	}
 	if err == nil {
 		j.reach.succeed(to.Name)
 		return a, nil
@@ -216,16 +219,21 @@
 
 // limit cancels idempotent work when half of its time is gone without an
 // answer, if the retry budget lets it be sent once more. Stop must be called
-// when the answer has begun. Bulk work may wait in a queue that long.
-func (j *journey) limit(ctx context.Context) (limited context.Context, stop func()) {
+// when the answer has begun; it reports whether the work was given up before.
+// Bulk work may wait in a queue that long.
+func (j *journey) limit(ctx context.Context) (limited context.Context, stop func() bool) {
 	if j.resent || !j.request.Idempotent() || j.request.Class == config.ClassBulk {
-		return ctx, func() {}
+		return ctx, func() bool { return false }
 	}
+	var ended atomic.Bool
 	limited, cancel := context.WithCancel(ctx)
 	timer := time.AfterFunc(j.request.Deadline.Sub(clock.Now())/2, func() {
-		if j.mayRetry() {
+		if j.mayRetry() && ended.CompareAndSwap(false, true) {
 			cancel()
 		}
 	})
-	return limited, func() { timer.Stop() }
+	return limited, func() bool {
+		timer.Stop()
+		return !ended.CompareAndSwap(false, true)
+	}
 }
--- a/standin/internal/play/caller.go
+++ b/standin/internal/play/caller.go
@@ -149,9 +149,10 @@
 
 func (c *Caller) request(ctx context.Context, id, host string, left time.Duration, r *trace.Request) (*http.Request, error) {
 	url := fmt.Sprintf("http://%s/service/%s%s?costMs=%d&size=%d", host, r.Service, r.Path, r.CostMs, r.Size)
-	var body io.Reader
+	// A reader without GetBody keeps net/http from sending a request again by
+	// itself, under the same id.
+	body := io.MultiReader()
 	if r.Operation != "" {
-		// A reader without GetBody keeps net/http from sending it again.
 		body = io.MultiReader(strings.NewReader("operation " + r.Operation))
 	}
 	req, err := http.NewRequestWithContext(ctx, r.Method, url, body)
