--- a/hitchd/bench_test.go
+++ b/hitchd/bench_test.go
@@ -145,6 +145,7 @@
 // BenchmarkAddedLatency compares calls through the daemon's stages with calls
 // straight to an upstream, at 2,000 requests/s. The two alternate.
 func BenchmarkAddedLatency(b *testing.B) {
+	tuneMemory()
 	conf := startUpstreams(b)
 	log := hclog.New(&hclog.LoggerOptions{Level: hclog.Info, Output: io.Discard, JSONFormat: true})
 	self := oneHost{member.Host{Name: "norte-a-1", Region: "norte", Domain: "norte-a"}}
--- a/hitchd/internal/peer/forward.go
+++ b/hitchd/internal/peer/forward.go
@@ -65,15 +65,22 @@
 	req.Header.Set(headerCell, r.Cell.String())
 	req.Header.Set(headerMethod, r.Method)
 	req.Header.Set(headerTarget, r.Path)
-	req.Header.Set(headerQuery, r.Query)
-	req.Header.Set(headerClass, string(r.Class))
-	req.Header.Set(call.HeaderBlock, r.Block)
+	setIfAny(req.Header, headerQuery, r.Query)
+	setIfAny(req.Header, headerClass, string(r.Class))
+	setIfAny(req.Header, call.HeaderBlock, r.Block)
 	req.Header.Set(call.HeaderRequestID, r.ID)
-	req.Header.Set(call.HeaderOperation, r.Operation)
+	setIfAny(req.Header, call.HeaderOperation, r.Operation)
 	left := r.Deadline.Sub(clock.Now()).Milliseconds()
 	req.Header.Set(call.HeaderDeadline, strconv.FormatInt(left, 10))
 }
 
+// setIfAny sets the header unless the value is empty.
+func setIfAny(h http.Header, name, value string) {
+	if value != "" {
+		h.Set(name, value)
+	}
+}
+
 func readError(res *http.Response, peer string) error {
 	e := &result.Error{
 		Outcome: result.ParseOutcome(res.Header.Get(call.HeaderOutcome)),
--- a/hitchd/internal/setup/setup_test.go
+++ b/hitchd/internal/setup/setup_test.go
@@ -6,6 +6,7 @@
 	"net"
 	"os"
 	"path/filepath"
+	"reflect"
 	"strings"
 	"testing"
 	"time"
@@ -180,3 +181,28 @@
 		t.Error(err)
 	}
 }
+
+func TestPageListsEachKeyWithItsDefault(t *testing.T) {
+	page, err := os.ReadFile("../../../docs/ops/install.md")
+	if err != nil {
+		t.Fatal(err)
+	}
+	sections := reflect.TypeFor[Settings]()
+	for i := range sections.NumField() {
+		section := sections.Field(i)
+		if section.Tag.Get("ini") == "" {
+			continue
+		}
+		for j := range section.Type.NumField() {
+			tag := section.Type.Field(j).Tag
+			cell := ""
+			if d := tag.Get("default"); d != "" {
+				cell = "`" + d + "` "
+			}
+			want := "| " + section.Tag.Get("ini") + " | `" + tag.Get("ini") + "` | " + cell + "|"
+			if !strings.Contains(string(page), want) {
+				t.Errorf("got no row %q in docs/ops/install.md, want one", want)
+			}
+		}
+	}
+}
