--- a/hitchd/internal/peer/forward.go
+++ b/hitchd/internal/peer/forward.go
@@ -1,6 +1,7 @@
 package peer
 
 import (
+	"bytes"
 	"context"
 	"io"
 	"net/http"
@@ -8,6 +9,8 @@
 	"strings"
 	"time"
 
+	"github.com/go-faster/errors"
+
 	"magnoliahitch/hitchd/internal/call"
 	"magnoliahitch/links/clock"
 	"magnoliahitch/steer/config"
@@ -26,35 +29,82 @@
 	headerTarget = "Hitch-Path"
 	headerQuery  = "Hitch-Query"
 	headerClass  = "Hitch-Class"
+	headerOrigin = "Hitch-Origin"
+	headerEntry  = "Hitch-Entry"
 	headerRetry  = "Hitch-Retry-Ms"
 	headerStep   = "Hitch-Step"
 	headerPeer   = "Hitch-Peer"
+	// headerAnswerTo names the request that an answer belongs to.
+	headerAnswerTo = "Hitch-Answer-To"
 )
 
-var ownHeaders = []string{headerCell, headerMethod, headerTarget, headerQuery, headerClass, headerRetry, headerStep, headerPeer}
+var ownHeaders = []string{
+	headerCell, headerMethod, headerTarget, headerQuery, headerClass, headerOrigin, headerEntry,
+	headerRetry, headerStep, headerPeer, headerAnswerTo, headerDigest,
+}
 
 // Forward sends the request to the host and returns its answer. The returned
 // body yields an error when the answer is cut.
 func (c *Client) Forward(ctx context.Context, to member.Host, r *call.Request) (*call.Answer, error) {
-	var body io.Reader = http.NoBody
-	if r.Body != nil {
-		body = r.Body
+	body, err := wholeBody(r)
+	if err != nil {
+		return nil, result.Refuse(result.ReasonBadRequest, "read request body", to.Name)
 	}
-	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "https://"+to.PeerAddr+callPath, body)
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "https://"+to.PeerAddr+callPath, bytes.NewReader(body))
 	if err != nil {
 		return nil, result.Refuse(result.ReasonBadRequest, "build forwarded request", to.Name)
 	}
 	setRequest(req, r)
+	// The digest of a request goes before it, that of an answer after it.
+	sum := newSummer()
+	_, _ = sum.Write(body)
+	req.Header.Set(headerDigest, sum.String())
 	res, err := c.roundTrip(to, req)
 	if err != nil {
-		return nil, result.Lose(result.ReasonPeer, "forward request", to.Name, err)
+		return nil, lost(err, to)
+	}
+	if id := res.Header.Get(headerAnswerTo); id != r.ID {
+		defer res.Body.Close()
+		return nil, result.Lose(result.ReasonPeer, "match answer", to.Name, errors.Errorf("answer to request %q", id))
 	}
 	if res.Header.Get(call.HeaderOutcome) != result.Done.String() {
 		defer res.Body.Close()
 		return nil, readError(res, to.Name)
 	}
-	server := res.Header.Get(call.HeaderServer)
-	return &call.Answer{Status: res.StatusCode, Header: call.EndToEnd(res.Header), Body: res.Body, Server: server}, nil
+	return readAnswer(res), nil
+}
+
+// wholeBody reads the request's body, whose size the caller port bounds.
+func wholeBody(r *call.Request) ([]byte, error) {
+	if r.Body == nil {
+		return nil, nil
+	}
+	return io.ReadAll(r.Body)
+}
+
+// lost returns the error of a request without an answer. It did not run when
+// no connection to the host came about.
+func lost(err error, to member.Host) error {
+	e := result.Lose(result.ReasonPeer, "forward request", to.Name, err)
+	var dial *dialError
+	if errors.As(err, &dial) {
+		e.Outcome = result.NotRun
+	}
+	return e
+}
+
+// readAnswer returns the answer with a body that is checked at its end.
+func readAnswer(res *http.Response) *call.Answer {
+	a := &call.Answer{
+		Status: res.StatusCode,
+		Header: call.EndToEnd(res.Header),
+		Body:   &checkedBody{ReadCloser: res.Body, sum: newSummer(), digest: func() string { return res.Trailer.Get(headerDigest) }},
+		Server: res.Header.Get(call.HeaderServer),
+	}
+	for _, n := range ownHeaders {
+		a.Header.Del(n)
+	}
+	return a
 }
 
 func setRequest(req *http.Request, r *call.Request) {
@@ -67,6 +117,8 @@
 	req.Header.Set(headerTarget, r.Path)
 	setIfAny(req.Header, headerQuery, r.Query)
 	setIfAny(req.Header, headerClass, string(r.Class))
+	setIfAny(req.Header, headerOrigin, r.Origin)
+	setIfAny(req.Header, headerEntry, r.Entry)
 	setIfAny(req.Header, call.HeaderBlock, r.Block)
 	req.Header.Set(call.HeaderRequestID, r.ID)
 	setIfAny(req.Header, call.HeaderOperation, r.Operation)
@@ -101,6 +153,7 @@
 func (s *Server) HandleCalls(next call.Doer) {
 	s.mux.HandleFunc("POST "+callPath, func(w http.ResponseWriter, req *http.Request) {
 		r, ok := readRequest(req)
+		w.Header().Set(headerAnswerTo, req.Header.Get(call.HeaderRequestID))
 		if !ok {
 			writeError(w, result.Refuse(result.ReasonBadRequest, "read forwarded request", req.RemoteAddr))
 			return
@@ -138,9 +191,10 @@
 		Class:     config.Class(h.Get(headerClass)),
 		Block:     h.Get(call.HeaderBlock),
 		Operation: h.Get(call.HeaderOperation),
+		Origin:    h.Get(headerOrigin),
+		Entry:     h.Get(headerEntry),
 		Deadline:  clock.Now().Add(time.Duration(ms) * time.Millisecond),
 		Header:    call.EndToEnd(h),
-		Body:      req.Body,
 	}
 	if !strings.HasPrefix(r.Path, "/") || !r.Idempotent() && r.Operation == "" {
 		return nil, false
@@ -151,6 +205,7 @@
 	for _, n := range ownHeaders {
 		r.Header.Del(n)
 	}
+	r.Body = &checkedBody{ReadCloser: req.Body, sum: newSummer(), digest: func() string { return req.Header.Get(headerDigest) }}
 	return r, true
 }
 
@@ -160,10 +215,14 @@
 	}
 	w.Header().Set(call.HeaderOutcome, result.Done.String())
 	w.Header().Set(call.HeaderServer, a.Server)
+	w.Header().Set("Trailer", headerDigest)
 	w.WriteHeader(a.Status)
-	if _, err := io.Copy(w, a.Body); err != nil {
+	sum := newSummer()
+	if _, err := io.Copy(io.MultiWriter(w, sum), a.Body); err != nil {
+		// Resets the stream, so that a cut answer can't pass as whole.
 		panic(http.ErrAbortHandler)
 	}
+	w.Header().Set(headerDigest, sum.String())
 }
 
 func writeError(w http.ResponseWriter, err error) {
--- a/hitchd/serve.go
+++ b/hitchd/serve.go
@@ -17,7 +17,6 @@
 	"magnoliahitch/hitchd/internal/hosts"
 	"magnoliahitch/hitchd/internal/keep"
 	"magnoliahitch/hitchd/internal/peer"
-	"magnoliahitch/hitchd/internal/route"
 	"magnoliahitch/hitchd/internal/setup"
 	"magnoliahitch/hitchd/internal/spread"
 	"magnoliahitch/hitchd/internal/view"
@@ -56,27 +55,31 @@
 	table := plat.NewClient(s.Platform.Table, plat.WithTimeout(s.Platform.Timeout))
 	conf := view.New()
 	known := hosts.New(self, table, log.Named("hosts"))
-	keeper := keep.New(self.Name, known, log.Named("keep"))
-	conf.Watch(func(c *config.Config) { keeper.Configure(clock.Now(), c) })
-	tables := blocks.New(plat.NewClient(s.Platform.Objects, plat.WithTimeout(tableTimeout)), conf, log.Named("blocks"))
 	client := peer.NewClient(keys.certs)
+	keeper := keep.New(self.Name, known, log.Named("keep"), keep.WithPeers(client, known))
+	conf.Watch(func(c *config.Config) { keeper.Configure(clock.Now(), c) })
+	objects := plat.NewClient(s.Platform.Objects, plat.WithTimeout(tableTimeout))
+	tables := blocks.New(objects, conf, log.Named("blocks"))
 	operations := claims.New(table, known, client, keeper, log.Named("claims"))
-	router := route.New(known, operations, client, log.Named("route"))
-	changes := spread.New(table, conf, log.Named("spread"))
+	steering := newSteering(known, operations, client, conf, log)
+	changes := spread.New(table, conf, log.Named("spread"), spread.WithPeers(known, client), spread.WithObjects(objects))
 	peers := peer.NewServer(keys.certs)
-	peers.HandleCalls(operations)
+	peers.Handle("POST /suspects", keeper.Suspects())
 	operations.Handle(peers)
+	changes.Register(peers)
 
 	var g run.Group
 	g.Add(run.ContextHandler(ctx))
 	addLoop(&g, func(ctx context.Context) error { return known.Run(ctx, s.Daemon.HostsInterval) })
+	addLoop(&g, keeper.Run)
 	addLoop(&g, operations.Run)
 	addLoop(&g, func(ctx context.Context) error { return changes.Run(ctx, s.Daemon.ConfigInterval) })
 	addLoop(&g, func(ctx context.Context) error { return tables.Run(ctx, tableInterval) })
 	addLoop(&g, func(ctx context.Context) error { return runLevel(ctx, log) })
 	addLoop(&g, func(ctx context.Context) error { return keys.run(ctx, s.Keys.Reload) })
 	addLoop(&g, func(ctx context.Context) error { return peers.Serve(ctx, ports.Peer) })
-	addServer(&g, front.New(conf, known, router, log.Named("front"), front.WithLimits(s.Caller), front.WithBlocks(tables)).Server(), ports.Caller, s.Daemon.StopTimeout)
+	steering.serve(&g, peers)
+	addServer(&g, front.New(conf, known, steering.router, log.Named("front"), front.WithLimits(s.Caller), front.WithBlocks(tables)).Server(), ports.Caller, s.Daemon.StopTimeout)
 	addServer(&g, admin.New(keys.Token, conf, known, changes, log.Named("admin")).Server(), ports.Operator, s.Daemon.StopTimeout)
 	log.Info("started", "caller", s.Listen.Caller, "peer", s.Listen.Peer, "operator", s.Listen.Operator)
 	err = g.Run()
--- a/steer/shift/budgets.go
+++ b/steer/shift/budgets.go
@@ -30,8 +30,10 @@
 	Cap int64
 	// Floor is the part of the cap that is never lent.
 	Floor int64
-	// HostFloor is what each host may spend without a lease.
+	// HostFloor is what each host may spend without a lease, as long as there
+	// are at most Hosts of them.
 	HostFloor int64
+	Hosts     int
 }
 
 // bytesPerMbit is the number of bytes in 10^6 bits.
@@ -43,7 +45,7 @@
 	}
 	limit := int64(max(0, rate))
 	each := int64(float64(limit)*min(max(0, floorShare), 1)) / int64(hosts)
-	return Amount{Cap: limit, Floor: each * int64(hosts), HostFloor: each}
+	return Amount{Cap: limit, Floor: each * int64(hosts), HostFloor: each, Hosts: hosts}
 }
 
 // Amounts returns every budget of the configuration.
@@ -126,6 +128,9 @@
 	// Every is the least time between two steps.
 	Every  time.Duration
 	Paused bool
+	// Insists is set for a drain: it grows slowly also while the load of its
+	// destinations isn't known, as they refuse what they have no room for.
+	Insists bool
 	// Cells are the possible destinations of each service.
 	Cells map[string][]place.Cell
 	// Limits are those of each service's profile.
@@ -169,7 +174,7 @@
 
 func drainPace(c *config.Config, d config.Drain, k place.Key) Pace {
 	p := Pace{
-		Key: k, From: d.Target, Goal: 1, Step: d.StepShare,
+		Key: k, From: d.Target, Goal: 1, Step: d.StepShare, Insists: true,
 		Every:  time.Duration(d.StepMs) * time.Millisecond,
 		Cells:  make(map[string][]place.Cell),
 		Limits: make(map[string]Limits),
