shift: check what the configuration's own faults leave out

Cause: config.Faults now checks names, ranges and links, which stood twice. The new settings of floors and hosts are checked here. Answers that no budget limits are read in whole buffers.

--- a/hitchd/internal/lend/pace.go
+++ b/hitchd/internal/lend/pace.go
@@ -63,6 +63,11 @@
 // Read returns up to a chunk of bytes when they may go. It waits for room until
 // the context ends.
 func (p *Paced) Read(b []byte) (int, error) {
+	if len(p.accounts) == 0 {
+		n, err := p.ReadCloser.Read(b)
+		p.size += int64(n)
+		return n, err
+	}
 	limit := int64(chunk)
 	for _, a := range p.accounts {
 		limit = min(limit, max(1, a.limit(clock.Now())/chunksPerWindow))
--- a/steer/shift/fault.go
+++ b/steer/shift/fault.go
@@ -7,13 +7,17 @@
 	"magnoliahitch/steer/config"
 )
 
-// Faults returns the reasons why the drains, moves and links of the
-// configuration are not accepted: unknown targets, shares and caps out of
-// range, moves that cross, and drains that leave a service no place.
+// Faults returns the reasons why the drains and moves of the configuration
+// can't be carried out: caps that aren't set, moves that cross or lead nowhere,
+// and drains that leave a service no place. It comes after [config.Config.Faults],
+// which checks names and ranges.
 func Faults(c *config.Config) []config.Fault {
 	f := faults{conf: c}
 	for _, n := range c.Links.Names() {
-		f.link(c.Links[n])
+		f.hosts(config.KindLink, n, c.Links[n].MaxHosts)
+	}
+	for _, n := range c.Profiles.Names() {
+		f.profile(c.Profiles[n])
 	}
 	for _, n := range c.Moves.Names() {
 		f.move(c.Moves[n])
@@ -34,12 +38,6 @@
 	f.list = append(f.list, config.Fault{Kind: k, Name: name, Key: key, Value: fmt.Sprint(value), Want: want})
 }
 
-func (f *faults) region(k config.Kind, name, key, region string) {
-	if _, ok := f.conf.Regions[region]; !ok {
-		f.add(k, name, key, region, "the name of a region")
-	}
-}
-
 func (f *faults) share(k config.Kind, name, key string, v float64) {
 	if !(v > 0 && v <= 1) {
 		f.add(k, name, key, v, "above 0 and up to 1")
@@ -55,32 +53,26 @@
 	}
 }
 
-func (f *faults) link(l config.Link) {
-	f.region(config.KindLink, l.Name, "from", l.From)
-	f.region(config.KindLink, l.Name, "to", l.To)
-	if l.From == l.To {
-		f.add(config.KindLink, l.Name, "to", l.To, "another region than from")
-	}
-	if !(l.Mbps > 0) {
-		f.add(config.KindLink, l.Name, "mbps", l.Mbps, "a number of Mbit/s above 0")
+func (f *faults) hosts(k config.Kind, name string, hosts int) {
+	if hosts < 0 {
+		f.add(k, name, "maxHosts", hosts, "a number of hosts, or 0 for the default")
 	}
-	if !(l.FloorShare >= 0 && l.FloorShare < 1) {
-		f.add(config.KindLink, l.Name, "floorShare", l.FloorShare, "0 or more and below 1")
-	}
-	for _, n := range f.conf.Links.Names() {
-		if o := f.conf.Links[n]; n < l.Name && o.From == l.From && o.To == l.To {
-			f.add(config.KindLink, l.Name, "to", l.To, "one link for each direction; link "+n+" is the same")
+}
+
+func (f *faults) profile(p config.Profile) {
+	f.hosts(config.KindProfile, p.Name, p.MaxHosts)
+	for _, s := range []struct {
+		key   string
+		value float64
+	}{{"shiftFloorShare", p.ShiftFloorShare}, {"refusedShare", p.RefusedShare}} {
+		if !(s.value >= 0 && s.value <= 1) {
+			f.add(config.KindProfile, p.Name, s.key, s.value, "a share from 0 to 1")
 		}
 	}
 }
 
 func (f *faults) move(m config.Move) {
 	k := config.KindMove
-	if _, ok := f.conf.Services[m.Service]; !ok {
-		f.add(k, m.Name, "service", m.Service, "the name of a service")
-	}
-	f.region(k, m.Name, "from", m.From)
-	f.region(k, m.Name, "to", m.To)
 	f.share(k, m.Name, "share", m.Share)
 	f.share(k, m.Name, "stepShare", m.StepShare)
 	if m.StepMs <= 0 {
@@ -97,11 +89,10 @@
 // destination checks that the region that a move leads to can serve.
 func (f *faults) destination(m config.Move) {
 	k := config.KindMove
-	switch {
-	case m.From == m.To:
-		f.add(k, m.Name, "to", m.To, "another region than from")
+	if m.From == m.To {
 		return
-	case !serves(f.conf, m.Service, m.To):
+	}
+	if !serves(f.conf, m.Service, m.To) {
 		f.add(k, m.Name, "to", m.To, "a region with a server of "+m.Service+" that takes new work")
 	}
 	if d, ok := regionDrain(f.conf, m.To); ok {
@@ -163,21 +154,9 @@
 
 func (f *faults) drain(d config.Drain) {
 	k := config.KindDrain
-	switch d.TargetKind {
-	case config.TargetServer:
-		if _, ok := f.conf.Servers[d.Target]; !ok {
-			f.add(k, d.Name, "target", d.Target, "the name of a server")
-		}
-	case config.TargetDomain:
-		if !f.hasDomain(d.Target) {
-			f.add(k, d.Name, "target", d.Target, "the name of a failure domain")
-		}
-	case config.TargetRegion:
-		f.region(k, d.Name, "target", d.Target)
+	if d.TargetKind == config.TargetRegion {
 		f.caps(k, d.Name, d.CapRate, d.CapMbps)
 		f.sameTarget(d)
-	default:
-		f.add(k, d.Name, "targetKind", d.TargetKind, "server, domain or region")
 	}
 	if d.StepShare != 0 {
 		f.share(k, d.Name, "stepShare", d.StepShare)
@@ -187,15 +166,6 @@
 	}
 }
 
-func (f *faults) hasDomain(name string) bool {
-	for _, r := range f.conf.Regions {
-		if slices.Contains(r.Domains, name) {
-			return true
-		}
-	}
-	return false
-}
-
 // sameTarget refuses a second drain of a region, as only one cap can hold.
 func (f *faults) sameTarget(d config.Drain) {
 	if o, ok := regionDrain(f.conf, d.Target); ok && o.Name != d.Name {
--- a/steer/shift/fault_test.go
+++ b/steer/shift/fault_test.go
@@ -26,14 +26,12 @@
 		{"a move into a drain", []func(*config.Records){withMove(moveAB), withDrain(config.TargetRegion, "b")}, "drain d-b empties it"},
 		{"more than all", []func(*config.Records){withMove(moveAB), edit(func(m *config.Move) { m.Name, m.To, m.Share = "ac", "c", 0.6 })}, "the total is 1.1"},
 		{"no cap", []func(*config.Records){edit(func(m *config.Move) { m.CapRate = 0 })}, "capRate = 0: want 1 request/s or more"},
-		{"an unknown target", []func(*config.Records){withDrain(config.TargetServer, "x")}, "target = x: want the name of a server"},
 		{"two drains of a region", []func(*config.Records){withDrain(config.TargetRegion, "a"), func(r *config.Records) {
 			r.Drains = append(r.Drains, config.Drain{Name: "again", TargetKind: config.TargetRegion, Target: "a", CapRate: 1, CapMbps: 1})
 		}}, "a region without a drain"},
 		{"no link", []func(*config.Records){withMove(moveAB), func(r *config.Records) { r.Links = r.Links[1:] }}, "link record from a to b"},
-		{"a link given twice", []func(*config.Records){func(r *config.Records) {
-			r.Links = append(r.Links, config.Link{Name: "zz", From: "a", To: "b", Mbps: 1})
-		}}, "one link for each direction"},
+		{"a floor above the cap", []func(*config.Records){func(r *config.Records) { r.Profiles[0].ShiftFloorShare = 1.5 }}, "shiftFloorShare = 1.5"},
+		{"a negative number of hosts", []func(*config.Records){func(r *config.Records) { r.Links[0].MaxHosts = -1 }}, "maxHosts = -1"},
 	} {
 		var got []string
 		for _, f := range Faults(configOf(t, c.edits...)) {
