--- a/steer/shift/fault_test.go
+++ b/steer/shift/fault_test.go
@@ -45,3 +45,16 @@
 		}
 	}
 }
+
+func TestALinkGivenTwiceIsRefused(t *testing.T) {
+	c := configOf(t, func(r *config.Records) {
+		r.Links = append(r.Links, config.Link{Name: "zz", From: "a", To: "b", Mbps: 1})
+	})
+	var got []string
+	for _, f := range c.Faults() {
+		got = append(got, f.Error())
+	}
+	if want := "one link for each direction"; !strings.Contains(strings.Join(got, "\n"), want) {
+		t.Errorf("got faults %q, want one with %q", got, want)
+	}
+}
