lend: use no handover over a cell that was lent from

Cause: a handover knows nothing of loans that this host made before it came, so a second lender could have lent the same share. The test got 100 lent twice without the check.

--- a/hitchd/internal/lend/lend_test.go
+++ b/hitchd/internal/lend/lend_test.go
@@ -174,6 +174,17 @@
 	}
 }
 
+func TestHandoverOverALentCellIsNotUsed(t *testing.T) {
+	_, lenders, _, _ := newPair(t, testConfig(t, 0))
+	q := askEntry{Kind: moveKey.Kind, Region: moveKey.Region, Name: moveKey.Name, Unit: shift.Requests, Sequence: 1, Want: 100}
+	lenders.Acquire(clock.Now(), moveKey, opened(t, 0))
+	lenders.grant("p", q)
+	lenders.Acquire(clock.Now(), moveKey, opened(t, 0))
+	if g := lenders.grant("other", q); g.Share > 0 {
+		t.Errorf("got %d lent again at once, want nothing until the first loan has lapsed", g.Share)
+	}
+}
+
 func TestNewKeeperLearnsTheShareMoved(t *testing.T) {
 	_, lenders, _, _ := newPair(t, testConfig(t, 0))
 	lenders.Acquire(clock.Now(), moveKey, nil)
--- a/hitchd/internal/lend/lenders.go
+++ b/hitchd/internal/lend/lenders.go
@@ -91,10 +91,14 @@
 }
 
 // Acquire starts to lend a cell that this host has become the keeper of. The
-// handover is what the predecessor's Release returned, or nil.
+// handover is what the predecessor's Release returned, or nil. It tells nothing
+// of what this host may have lent of the cell meanwhile, so it isn't used then.
 func (l *Lenders) Acquire(now time.Time, k place.Key, handover []byte) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	if l.cells[k] != nil {
+		handover = nil
+	}
 	l.acquire(now, k, handover)
 }
 
