--- a/standin/demo.go
+++ b/standin/demo.go
@@ -82,7 +82,7 @@
 				far = append(far, h.Caller)
 			}
 		}
-		out[r] = play.NewCaller(r, append(near, far...))
+		out[r] = play.NewCaller(r, d.CallerIP(r), append(near, far...))
 	}
 	return out
 }
@@ -190,6 +190,9 @@
 	ctx, cancel := context.WithTimeout(ctx, startTimeout)
 	defer cancel()
 	hosts := d.Hosts()
+	if err := until(ctx, func() error { return d.StoreBlocks(ctx) }); err != nil {
+		return err
+	}
 	if err := until(ctx, func() error {
 		_, err := s.Operate(hosts[0], "apply", "--file", s.RecordsFile(), "--reason", "first configuration")
 		return err
--- a/standin/deployments.go
+++ b/standin/deployments.go
@@ -17,7 +17,9 @@
 		},
 		ServersPerCell: 2,
 		HostsPerDomain: 1,
-		Profiles:       profileText("latency", "200") + linkText("4000", "montevideo", "litoral", "norte"),
+		Profiles: func(blockTable string) string {
+			return profileText("latency", "200", blockTable) + linkText("4000", "montevideo", "litoral", "norte")
+		},
 	},
 	"lens": {
 		Regions: []string{"lowlands", "highlands", "borders"},
@@ -29,6 +31,8 @@
 		},
 		ServersPerCell: 2,
 		HostsPerDomain: 1,
-		Profiles:       profileText("headroom", "500") + linkText("300", "lowlands", "highlands", "borders"),
+		Profiles: func(blockTable string) string {
+			return profileText("headroom", "500", blockTable) + linkText("300", "lowlands", "highlands", "borders")
+		},
 	},
 }
--- a/standin/internal/play/caller.go
+++ b/standin/internal/play/caller.go
@@ -7,6 +7,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"strconv"
 	"strings"
@@ -56,13 +57,14 @@
 // failedPause is how long a host that failed is avoided.
 const failedPause = 2 * time.Second
 
-// NewCaller returns the callers of a region, which know the caller addresses
-// of entry hosts, nearest first.
-func NewCaller(region string, entries []string) *Caller {
+// NewCaller returns the callers of a region, which call from the IP address
+// and know the caller addresses of entry hosts, nearest first.
+func NewCaller(region, ip string, entries []string) *Caller {
+	dialer := &net.Dialer{LocalAddr: &net.TCPAddr{IP: net.ParseIP(ip)}}
 	return &Caller{
 		region:  region,
 		entries: entries,
-		client:  &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 64}},
+		client:  &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 64, DialContext: dialer.DialContext}},
 		cache:   make(map[string]lookup),
 		failed:  make(map[string]time.Time),
 	}
--- a/standin/internal/stage/deploy.go
+++ b/standin/internal/stage/deploy.go
@@ -24,8 +24,9 @@
 	ServersPerCell int
 	// HostsPerDomain is the number of entry hosts in each failure domain.
 	HostsPerDomain int
-	// Profiles is the INI text of the profiles and links.
-	Profiles string
+	// Profiles returns the INI text of the profiles and links. The profiles
+	// name the block table by its digest.
+	Profiles func(blockTable string) string
 	// Port is the first port of the deployment on loopback.
 	Port int
 }
@@ -94,9 +95,9 @@
 func address(port int) string { return fmt.Sprintf("127.0.0.1:%d", port) }
 
 // Records returns the INI text of the deployment's configuration.
-func (d Deployment) Records() string {
+func (d Deployment) Records(blockTable string) string {
 	var b strings.Builder
-	b.WriteString(d.Profiles)
+	b.WriteString(d.Profiles(blockTable))
 	for _, r := range d.Regions {
 		fmt.Fprintf(&b, "\n[region %s]\ndomains = %s\n", r, strings.Join(domains(r), ","))
 	}
@@ -149,7 +150,11 @@
 	if err := os.WriteFile(s.TokenFile(), []byte("demo-operator-token\n"), 0o600); err != nil {
 		return errors.Wrap(err, "write token")
 	}
-	if err := os.WriteFile(s.RecordsFile(), []byte(d.Records()), 0o644); err != nil {
+	digest, err := d.BlockDigest()
+	if err != nil {
+		return err
+	}
+	if err := os.WriteFile(s.RecordsFile(), []byte(d.Records(digest)), 0o644); err != nil {
 		return errors.Wrap(err, "write records")
 	}
 	for _, h := range d.Hosts() {
--- a/standin/records.go
+++ b/standin/records.go
@@ -6,7 +6,7 @@
 )
 
 // profileText returns a profile's section of a records file.
-func profileText(name, queueWaitMs string) string {
+func profileText(name, queueWaitMs, blockTable string) string {
 	return fmt.Sprintf(`[profile %s]
 queueWaitMs = %s
 reserveShare = 0.2
@@ -17,7 +17,8 @@
 slowStartMs = 1000
 ejectShare = 0.5
 lookupTtlMs = 1000
-`, name, queueWaitMs, shiftRate)
+blockTable = %s
+`, name, queueWaitMs, shiftRate, blockTable)
 }
 
 // linkText returns the sections of the links between each pair of regions.
