--- a/hitchd/internal/route/route_test.go
+++ b/hitchd/internal/route/route_test.go
@@ -210,3 +210,14 @@
 		t.Errorf("got %d done of %d sent, want the two of the cap", done, len(n.calls))
 	}
 }
+
+func TestExplainNamesTheCellsInOrder(t *testing.T) {
+	n := &testNet{keepers: map[string][]string{"b": {"b1"}}}
+	got := newRouter(t, n, allow{}).Explain(clock.Now(), place.Cell{Region: "a", Service: "care"}, "")
+	if len(got) < 2 || !strings.HasPrefix(got[0], "b/care (failure): keeper b1, counts against shift/") {
+		t.Errorf("got %q, want region b first, with its cap", got)
+	}
+	if want := "not a/care (home): noKeeper"; !strings.Contains(strings.Join(got, "\n"), want) {
+		t.Errorf("got %q, want %q in it", got, want)
+	}
+}
--- a/hitchd/serve.go
+++ b/hitchd/serve.go
@@ -84,7 +84,7 @@
 	peers.Handle("POST "+reportPath, reports.handler())
 	addServer(&g, front.New(conf, known, steering.router, log.Named("front"), front.WithLimits(s.Caller), front.WithBlocks(tables)).Server(), ports.Caller, s.Daemon.StopTimeout)
 	addServer(&g, admin.New(keys.Token, conf, known, changes, log.Named("admin"),
-		admin.WithChecks(shift.Faults), admin.WithReporter(reports)).Server(), ports.Operator, s.Daemon.StopTimeout)
+		admin.WithChecks(shift.Faults), admin.WithReporter(reports), admin.WithExplainer(steering.router)).Server(), ports.Operator, s.Daemon.StopTimeout)
 	log.Info("started", "caller", s.Listen.Caller, "peer", s.Listen.Peer, "operator", s.Listen.Operator)
 	err = g.Run()
 	_ = client.Close()
