slots: replay overload and failures, eject outliers only, queue bookings on their reserve

A seeded event loop replays one region's cell of today's size. Ejection now takes three failures in a row and twice the others' share of errors.

--- a/steer/slots/cell.go
+++ b/steer/slots/cell.go
@@ -44,6 +44,8 @@
 	// urgent is when a request above bulk came last.
 	urgent time.Time
 	recent recent
+	// starts is the memory of the last Wake.
+	starts []Start
 }
 
 // run is a request that runs on a server.
@@ -135,7 +137,8 @@
 	if r.suspect {
 		r.server.suspects--
 	}
-	if e.Outcome == result.Unknown {
+	if e.Outcome == result.Unknown && e.Reason != result.ReasonUpstream {
+		// Given up by this side: the server may still be busy with it.
 		r.server.held = append(r.server.held, hold{now.Add(cancelGrace), 1})
 	}
 	c.learn(now, r, e)
@@ -150,10 +153,11 @@
 	for _, s := range c.order {
 		s.release(now)
 	}
-	var w Wake
+	w := Wake{Starts: c.starts[:0]}
 	for more := true; more; {
 		more = c.lines.size() > 0 && c.startNext(now, &w)
 	}
+	c.starts = w.Starts
 	return w
 }
 
@@ -198,15 +202,15 @@
 func (c *Cell) startFrom(now time.Time, q *waiter, w *Wake) bool {
 	for tries := 0; q != nil && tries < lookahead; tries++ {
 		if c.tooLate(now, q.request) {
-			c.lines.drop(q)
+			late := c.lines.drop(q)
 			c.recent.refuse(now)
-			w.Refusals = append(w.Refusals, Refusal{q.request.ID, result.ReasonDeadline, minRetryAfter})
+			w.Refusals = append(w.Refusals, Refusal{late.request.ID, result.ReasonDeadline, minRetryAfter})
 			return true
 		}
 		if s := c.pick(now, q.request); s != nil {
-			c.lines.drop(q)
-			started := c.start(now, q.request, s)
-			started.Waited = now.Sub(q.since)
+			next := c.lines.drop(q)
+			started := c.start(now, next.request, s)
+			started.Waited = now.Sub(next.since)
 			w.Starts = append(w.Starts, started)
 			return true
 		}
--- a/steer/slots/class.go
+++ b/steer/slots/class.go
@@ -92,8 +92,8 @@
 func (c *Cell) shedBulk(wait time.Duration) Wake {
 	var w Wake
 	for q := c.lines.line[bulk].head; q != nil; q = c.lines.line[bulk].head {
-		c.lines.drop(q)
-		w.Refusals = append(w.Refusals, Refusal{q.request.ID, result.ReasonQueueFull, retryAfter(wait)})
+		dropped := c.lines.drop(q)
+		w.Refusals = append(w.Refusals, Refusal{dropped.request.ID, result.ReasonQueueFull, retryAfter(wait)})
 	}
 	return w
 }
@@ -129,7 +129,13 @@
 		blocked, open = release.Sub(now), slots
 	}
 	turns := time.Duration(c.ahead(class) + 1)
-	return blocked + c.service*turns/time.Duration(open), true
+	wait := c.service * turns / time.Duration(open)
+	if n := min(open, c.reserve()); class == booking && n > 0 {
+		// The slots that bookings hold of the reserve go to bookings again.
+		turns = time.Duration(c.lines.line[booking].size + 1)
+		wait = min(wait, c.service*turns/time.Duration(n))
+	}
+	return blocked + wait, true
 }
 
 // nextReturn returns the time until an ejected server may be used again.
--- a/steer/slots/health.go
+++ b/steer/slots/health.go
@@ -32,20 +32,28 @@
 }
 
 // failed records a failed attempt and ejects the server when it failed in a
-// row, unless that would eject more than the profile's share.
+// row and stands out from the others, unless that would eject more than the
+// profile's share.
 func (c *Cell) failed(now time.Time, s *server) {
 	s.fail(now)
 	if s.failures < ejectFailures || now.Before(s.ejected) {
 		return
 	}
-	ejected, total := 1, 0
+	ejected, others, errors := 1, 0, 0.0
 	for _, o := range c.order {
-		total++
-		if now.Before(o.ejected) {
+		switch {
+		case o == s:
+		case now.Before(o.ejected):
 			ejected++
+		default:
+			others++
+			errors += o.errors
 		}
 	}
-	if float64(ejected) <= c.profile.EjectShare*float64(total) {
+	if float64(ejected) > c.profile.EjectShare*float64(len(c.order)) {
+		return
+	}
+	if others == 0 || s.errors > outlierFactor*errors/float64(others) {
 		s.eject(now)
 	}
 }
--- a/steer/slots/hold.go
+++ b/steer/slots/hold.go
@@ -81,8 +81,7 @@
 	var out []uint64
 	for i := range c.lines.line {
 		for q := c.lines.line[i].head; q != nil; q = c.lines.line[i].head {
-			out = append(out, q.request.ID)
-			c.lines.drop(q)
+			out = append(out, c.lines.drop(q).request.ID)
 		}
 	}
 	return out
--- a/steer/slots/queue.go
+++ b/steer/slots/queue.go
@@ -70,10 +70,18 @@
 	byID map[uint64]*waiter
 	// picky counts the waiters that may not use just any server.
 	picky int
+	// free lists waiters to be used again.
+	free *waiter
 }
 
 func (l *lines) add(now time.Time, r Request) {
-	w := &waiter{request: r, class: classOf(r.Class), since: now}
+	w := l.free
+	if w == nil {
+		w = &waiter{}
+	} else {
+		l.free = w.next
+	}
+	*w = waiter{request: r, class: classOf(r.Class), since: now}
 	l.line[w.class].push(w)
 	l.byID[r.ID] = w
 	if r.picky() {
@@ -81,12 +89,17 @@
 	}
 }
 
-func (l *lines) drop(w *waiter) {
+// drop takes the waiter out and returns what it was.
+func (l *lines) drop(w *waiter) waiter {
 	l.line[w.class].remove(w)
 	delete(l.byID, w.request.ID)
 	if w.request.picky() {
 		l.picky--
 	}
+	was := *w
+	*w = waiter{next: l.free}
+	l.free = w
+	return was
 }
 
 func (l *lines) size() int { return len(l.byID) }
--- a/steer/slots/server.go
+++ b/steer/slots/server.go
@@ -9,7 +9,11 @@
 // Times of a server's health.
 const (
 	// ejectFailures is the number of failures in a row that ejects a server.
-	ejectFailures = 2
+	ejectFailures = 3
+	// errorSamples is the number of attempts that the share of errors covers.
+	errorSamples = 64
+	// outlierFactor times the others' share of errors makes an outlier.
+	outlierFactor = 2
 	// ejectBase is the length of the first ejection; each further one doubles it.
 	ejectBase = time.Second
 	ejectMax  = 30 * time.Second
@@ -38,6 +42,8 @@
 	ejections int
 	failures  int
 	failed    time.Time
+	// errors is the share of failed attempts among the last ones.
+	errors float64
 	// foreign is work of others by the server's last report.
 	foreign  int
 	reported time.Time
@@ -125,6 +131,7 @@
 // succeed records an answer.
 func (s *server) succeed(now time.Time) {
 	s.failures = 0
+	s.errors -= s.errors / errorSamples
 	if now.Sub(s.failed) > forgive {
 		s.ejections = 0
 	}
@@ -133,6 +140,7 @@
 // fail records a failed attempt.
 func (s *server) fail(now time.Time) {
 	s.failures++
+	s.errors += (1 - s.errors) / errorSamples
 	s.failed = now
 }
 
--- /dev/null
+++ b/steer/slots/sim_test.go
@@ -0,0 +1,356 @@
+package slots
+
+import (
+	"cmp"
+	"container/heap"
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"magnoliahitch/steer/config"
+	"magnoliahitch/steer/result"
+	"magnoliahitch/steer/retry"
+)
+
+// Sizes of one region's cell: 12 servers of a service over 3 regions.
+const (
+	simServers  = 4
+	simSlots    = 3
+	simHosts    = 6
+	simService  = 20 * time.Millisecond
+	simSigma    = 1.0
+	simCapacity = simServers * simSlots * float64(time.Second) / float64(simService)
+)
+
+// sim replays a seeded open-loop trace on explicit time.
+type sim struct {
+	now     time.Time
+	rng     *rand.Rand
+	events  events
+	servers []*simServer
+	setup   simSetup
+	cell    *Cell
+	budget  *retry.Budget
+	latency retry.Latency
+	// counts are the requests in flight of each host of the baseline.
+	counts  [simHosts][simServers]int
+	queued  map[uint64]*simRequest
+	started map[uint64]*simRequest
+	nextID  uint64
+	done    []simDone
+	tries   int
+	// tick is when the cell's Tick is due.
+	tick time.Time
+}
+
+// simSetup says what is replayed against which policy.
+type simSetup struct {
+	seed     uint64
+	baseline bool
+	profile  config.Profile
+	length   time.Duration
+	// rate is the load of a class as a share of the capacity.
+	rate     func(at time.Duration, class int) float64
+	deadline [classes]time.Duration
+	// slow multiplies the service time of the first server, failing is the
+	// share of attempts that any server fails.
+	slow, failing float64
+}
+
+// simRequest is a request of the trace.
+type simRequest struct {
+	class           int
+	arrived, ends   time.Time
+	service         time.Duration
+	attempts, alive int
+	finished        bool
+}
+
+// simDone is what became of a request.
+type simDone struct {
+	class   int
+	at      time.Duration
+	latency time.Duration
+	outcome string
+}
+
+type simServer struct {
+	conf    config.Server
+	running int
+	waiting []func()
+	peak    int
+}
+
+type event struct {
+	at  time.Time
+	seq int
+	do  func()
+}
+
+type events struct {
+	list []event
+	seq  int
+}
+
+func (e *events) Len() int { return len(e.list) }
+func (e *events) Less(i, j int) bool {
+	a, b := e.list[i], e.list[j]
+	return cmp.Or(a.at.Compare(b.at), cmp.Compare(a.seq, b.seq)) < 0
+}
+func (e *events) Swap(i, j int) { e.list[i], e.list[j] = e.list[j], e.list[i] }
+func (e *events) Push(x any)    { e.list = append(e.list, x.(event)) }
+func (e *events) Pop() any {
+	last := e.list[len(e.list)-1]
+	e.list = e.list[:len(e.list)-1]
+	return last
+}
+
+func (s *sim) at(t time.Time, do func()) {
+	s.events.seq++
+	heap.Push(&s.events, event{t, s.events.seq, do})
+}
+
+var simStart = time.Unix(1000, 0)
+
+func runSim(setup simSetup) *sim {
+	s := &sim{
+		now: simStart, rng: rand.New(rand.NewPCG(setup.seed, 1)), setup: setup, cell: NewCell(),
+		budget: retry.NewBudget(setup.profile.RetryShare),
+		queued: make(map[uint64]*simRequest), started: make(map[uint64]*simRequest),
+	}
+	var servers []config.Server
+	for i := range simServers {
+		c := config.Server{Name: fmt.Sprint("server-", i), Slots: simSlots}
+		servers = append(servers, c)
+		s.servers = append(s.servers, &simServer{conf: c})
+	}
+	s.cell.Configure(s.now, servers, func(config.Server) bool { return false }, setup.profile)
+	for class := range classes {
+		s.schedule(class)
+	}
+	for s.events.Len() > 0 {
+		e := heap.Pop(&s.events).(event)
+		s.now = e.at
+		e.do()
+	}
+	return s
+}
+
+// schedule lets the next request of the class arrive.
+func (s *sim) schedule(class int) {
+	elapsed := s.now.Sub(simStart)
+	rate := s.setup.rate(elapsed, class) * simCapacity
+	if elapsed >= s.setup.length || rate <= 0 {
+		return
+	}
+	gap := time.Duration(s.rng.ExpFloat64() / rate * float64(time.Second))
+	s.at(s.now.Add(gap), func() {
+		s.schedule(class)
+		service := math.Exp(s.rng.NormFloat64()*simSigma-simSigma*simSigma/2) * float64(simService)
+		r := &simRequest{class: class, arrived: s.now, ends: s.now.Add(s.setup.deadline[class]), service: time.Duration(service)}
+		if s.setup.baseline {
+			s.spread(r)
+			return
+		}
+		s.budget.Request(s.now)
+		s.submit(r, "", false)
+	})
+}
+
+func (s *sim) finish(r *simRequest, outcome string) {
+	if r.finished {
+		return
+	}
+	r.finished = true
+	s.done = append(s.done, simDone{r.class, r.arrived.Sub(simStart), s.now.Sub(r.arrived), outcome})
+}
+
+// execute runs the request on the server and calls end once. A full server
+// lets it wait.
+func (s *sim) execute(r *simRequest, v *simServer, end func(result.Outcome, result.Reason)) {
+	s.tries++
+	ended := false
+	finish := func(o result.Outcome, reason result.Reason) {
+		if !ended {
+			ended = true
+			end(o, reason)
+		}
+	}
+	took := r.service
+	if v == s.servers[0] && s.setup.slow > 0 {
+		took = time.Duration(float64(took) * s.setup.slow)
+	}
+	fails := s.rng.Float64() < s.setup.failing
+	run := func() {
+		if ended {
+			return
+		}
+		v.running++
+		s.at(minTime(s.now.Add(took), r.ends), func() {
+			v.running--
+			switch {
+			case s.now.Equal(r.ends):
+				finish(result.Unknown, result.ReasonDeadline)
+			case fails:
+				finish(result.Unknown, result.ReasonUpstream)
+			default:
+				finish(result.Done, "")
+			}
+			if len(v.waiting) > 0 && v.running < simSlots {
+				next := v.waiting[0]
+				v.waiting = v.waiting[1:]
+				next()
+			}
+		})
+	}
+	v.peak = max(v.peak, v.running+len(v.waiting)+1)
+	if v.running < simSlots {
+		run()
+		return
+	}
+	v.waiting = append(v.waiting, func() {
+		if run(); ended && len(v.waiting) > 0 {
+			next := v.waiting[0]
+			v.waiting = v.waiting[1:]
+			next()
+		}
+	})
+	s.at(r.ends, func() { finish(result.Unknown, result.ReasonDeadline) })
+}
+
+func minTime(a, b time.Time) time.Time {
+	if a.Before(b) {
+		return a
+	}
+	return b
+}
+
+// spread is the baseline: a random host takes a random one of the servers that
+// it has the fewest requests on.
+func (s *sim) spread(r *simRequest) {
+	counts := &s.counts[s.rng.IntN(simHosts)]
+	least := slices.Min(counts[:])
+	var among []int
+	for i, n := range counts {
+		if n == least {
+			among = append(among, i)
+		}
+	}
+	i := among[s.rng.IntN(len(among))]
+	counts[i]++
+	s.execute(r, s.servers[i], func(o result.Outcome, _ result.Reason) {
+		counts[i]--
+		s.finish(r, map[result.Outcome]string{result.Done: "done", result.Unknown: "late"}[o])
+	})
+}
+
+func (s *sim) submit(r *simRequest, avoid string, hedge bool) bool {
+	s.nextID++
+	id := s.nextID
+	class := [classes]config.Class{config.ClassInteractive, config.ClassBooking, config.ClassBulk}[r.class]
+	d := s.cell.Submit(s.now, Request{ID: id, Class: class, Deadline: r.ends, Avoid: avoid, Hedge: hedge})
+	switch {
+	case d.Started:
+		s.run(r, d.Start)
+	case d.Queued:
+		s.queued[id] = r
+		s.at(r.ends, func() {
+			if s.cell.Cancel(s.now, id) {
+				s.finish(r, "late")
+			}
+		})
+	case r.alive == 0:
+		s.finish(r, "refused")
+	}
+	s.wake(d.Wake)
+	return d.Started
+}
+
+func (s *sim) wake(w Wake) {
+	for _, st := range w.Starts {
+		s.run(s.queued[st.ID], st)
+		delete(s.queued, st.ID)
+	}
+	for _, f := range w.Refusals {
+		s.finish(s.queued[f.ID], "refused")
+		delete(s.queued, f.ID)
+	}
+	at, ok := s.cell.Next(s.now)
+	if !ok || s.tick.After(s.now) && !at.Before(s.tick) {
+		return
+	}
+	s.tick = at
+	s.at(at, func() {
+		if s.now.Equal(s.tick) {
+			s.wake(s.cell.Tick(s.now))
+		}
+	})
+}
+
+func (s *sim) run(r *simRequest, st Start) {
+	since := s.now
+	r.attempts++
+	r.alive++
+	i := slices.IndexFunc(s.servers, func(v *simServer) bool { return v.conf.Name == st.Server.Name })
+	if after, ok := s.latency.HedgeAfter(s.setup.profile.HedgeQuantile); ok && r.attempts == 1 {
+		s.at(s.now.Add(after), func() {
+			if !r.finished && r.attempts == 1 && s.budget.Left(s.now) > 0 && s.submit(r, st.Server.Name, true) {
+				s.budget.Take(s.now)
+			}
+		})
+	}
+	s.execute(r, s.servers[i], func(o result.Outcome, reason result.Reason) {
+		r.alive--
+		if o == result.Done {
+			s.latency.Observe(s.now.Sub(since))
+			s.finish(r, "done")
+		}
+		s.wake(s.cell.Finish(s.now, End{ID: st.ID, Outcome: o, Reason: reason}))
+		switch {
+		case r.finished || r.alive > 0:
+		case reason == result.ReasonUpstream && r.attempts == 1 && s.budget.Take(s.now):
+			s.submit(r, st.Server.Name, false)
+		default:
+			s.finish(r, "late")
+		}
+	})
+}
+
+// share returns the share of the class's requests in the span with the outcome.
+func (s *sim) share(class int, outcome string, from, to time.Duration) float64 {
+	all, with := 0, 0
+	for _, d := range s.done {
+		if (class < 0 || d.class == class) && d.at >= from && d.at < to {
+			all++
+			if d.outcome == outcome {
+				with++
+			}
+		}
+	}
+	return float64(with) / float64(max(1, all))
+}
+
+// quantile returns the latency of done requests of the class in the span.
+func (s *sim) quantile(q float64, class int, from, to time.Duration) time.Duration {
+	var list []time.Duration
+	for _, d := range s.done {
+		if (class < 0 || d.class == class) && d.outcome == "done" && d.at >= from && d.at < to {
+			list = append(list, d.latency)
+		}
+	}
+	if len(list) == 0 {
+		return 0
+	}
+	slices.Sort(list)
+	return list[min(len(list)-1, int(q*float64(len(list))))]
+}
+
+func (s *sim) peak() int {
+	p := 0
+	for _, v := range s.servers {
+		p = max(p, v.peak)
+	}
+	return p
+}
--- a/steer/slots/types.go
+++ b/steer/slots/types.go
@@ -37,7 +37,8 @@
 	RetryAfter time.Duration
 }
 
-// Wake lists the queued requests whose wait is over.
+// Wake lists the queued requests whose wait is over. It holds until the next
+// call of the cell's methods.
 type Wake struct {
 	Starts   []Start
 	Refusals []Refusal
