--- a/Makefile
+++ b/Makefile
@@ -3,8 +3,13 @@
 REVIVE := github.com/mgechev/revive@v1.17.0
 MODULES := steer links hitchd hitchctl standin
 BIN := $(CURDIR)/bin
+# Recorded trace and deployment (pall or lens) of the demo.
+TRACE := traces/demo.jsonl
+DEPLOYMENT := pall
 # First port of the demo on loopback.
 PORT := 17000
+# What --version prints.
+VERSION := $(shell git describe --tags --always --dirty 2>/dev/null || echo development)
 export GOFLAGS :=
 
 .PHONY: all build tools test fmt lint unit bench demo clean
@@ -13,7 +18,7 @@
 
 build:
 	@mkdir -p $(BIN)
-	go build -o $(BIN)/ ./hitchd ./hitchctl ./standin
+	go build -ldflags '-X main.version=$(VERSION)' -o $(BIN)/ ./hitchd ./hitchctl ./standin
 
 tools: $(BIN)/gofumpt $(BIN)/revive
 
@@ -39,7 +44,7 @@
 	@set -e; for m in $(MODULES); do (cd $$m && go test -run '^$$' -bench . -benchmem ./...); done
 
 demo: build
-	$(BIN)/standin demo --bin $(BIN) --port $(PORT)
+	$(BIN)/standin demo --bin $(BIN) --port $(PORT) --trace $(TRACE) --deployment $(DEPLOYMENT)
 
 clean:
 	rm -rf $(BIN) demo-run
--- a/hitchd/internal/keep/cell.go
+++ b/hitchd/internal/keep/cell.go
@@ -12,6 +12,7 @@
 	"magnoliahitch/steer/place"
 	"magnoliahitch/steer/result"
 	"magnoliahitch/steer/retry"
+	"magnoliahitch/steer/shift"
 	"magnoliahitch/steer/slots"
 )
 
@@ -47,10 +48,7 @@
 func (c *cell) configure(now time.Time, p place.Cell, conf *config.Config) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	draining := func(s config.Server) bool {
-		_, ok := conf.Draining(s)
-		return ok
-	}
+	draining := func(s config.Server) bool { return shift.Leaves(conf, s) }
 	c.profile = conf.Profiles[conf.Services[p.Service].Profile]
 	c.budget.SetShare(c.profile.RetryShare)
 	c.wake(now, c.slots.Configure(now, conf.ServersOf(p.Service, p.Region), draining, c.profile))
--- a/hitchd/serve.go
+++ b/hitchd/serve.go
@@ -11,40 +11,36 @@
 	"github.com/oklog/run"
 
 	"magnoliahitch/hitchd/internal/admin"
+	"magnoliahitch/hitchd/internal/blocks"
+	"magnoliahitch/hitchd/internal/claims"
 	"magnoliahitch/hitchd/internal/front"
 	"magnoliahitch/hitchd/internal/hosts"
 	"magnoliahitch/hitchd/internal/keep"
 	"magnoliahitch/hitchd/internal/peer"
-	"magnoliahitch/hitchd/internal/route"
 	"magnoliahitch/hitchd/internal/setup"
 	"magnoliahitch/hitchd/internal/spread"
 	"magnoliahitch/hitchd/internal/view"
-	"magnoliahitch/links/certs"
 	"magnoliahitch/links/clock"
 	"magnoliahitch/links/plat"
 	"magnoliahitch/steer/config"
 	"magnoliahitch/steer/member"
+	"magnoliahitch/steer/shift"
 )
 
-// Intervals of the daemon's loops.
+// Times of the tables of caller blocks.
 const (
-	hostsInterval  = time.Second
-	configInterval = 500 * time.Millisecond
-	// stopTimeout bounds a graceful stop.
-	stopTimeout = 30 * time.Second
+	tableInterval = 2 * time.Second
+	// tableTimeout bounds the load of a table of some 10 MB.
+	tableTimeout = time.Minute
 )
 
 // serve runs the daemon until the context ends, then stops gracefully.
 func serve(ctx context.Context, s setup.Settings, log hclog.Logger) error {
-	keys, err := certs.Load(s.Keys.Files())
+	keys, err := openKeys(s, log.Named("keys"))
 	if err != nil {
 		return err
 	}
-	token, err := s.Keys.Token()
-	if err != nil {
-		return err
-	}
-	ports, err := listen(s.Listen)
+	ports, err := s.Bind()
 	if err != nil {
 		return err
 	}
@@ -57,26 +53,38 @@
 		OperatorAddr: s.Listen.Operator,
 		Incarnation:  uint64(time.Now().UnixNano()),
 	}
-	table := plat.NewClient(s.Platform.Table)
+	table := plat.NewClient(s.Platform.Table, plat.WithTimeout(s.Platform.Timeout))
 	conf := view.New()
 	known := hosts.New(self, table, log.Named("hosts"))
-	client := peer.NewClient(keys)
+	client := peer.NewClient(keys.certs)
 	keeper := keep.New(self.Name, known, log.Named("keep"), keep.WithPeers(client, known))
 	conf.Watch(func(c *config.Config) { keeper.Configure(clock.Now(), c) })
-	router := route.New(known, keeper, client, log.Named("route"))
-	changes := spread.New(table, conf, log.Named("spread"))
-	peers := peer.NewServer(keys)
-	peers.HandleCalls(keeper)
+	objects := plat.NewClient(s.Platform.Objects, plat.WithTimeout(tableTimeout))
+	tables := blocks.New(objects, conf, log.Named("blocks"))
+	operations := claims.New(table, known, client, keeper, log.Named("claims"))
+	steering := newSteering(known, operations, client, conf, log)
+	changes := spread.New(table, conf, log.Named("spread"), spread.WithPeers(known, client), spread.WithObjects(objects))
+	peers := peer.NewServer(keys.certs)
 	peers.Handle("POST /suspects", keeper.Suspects())
+	operations.Handle(peers)
+	changes.Register(peers)
 
 	var g run.Group
 	g.Add(run.ContextHandler(ctx))
-	addLoop(&g, func(ctx context.Context) error { return known.Run(ctx, hostsInterval) })
-	addLoop(&g, func(ctx context.Context) error { return changes.Run(ctx, configInterval) })
+	addLoop(&g, func(ctx context.Context) error { return known.Run(ctx, s.Daemon.HostsInterval) })
 	addLoop(&g, keeper.Run)
-	addLoop(&g, func(ctx context.Context) error { return peers.Serve(ctx, ports.peer) })
-	addServer(&g, front.New(conf, known, router, log.Named("front")).Server(), ports.caller)
-	addServer(&g, admin.New(token, conf, known, changes, log.Named("admin")).Server(), ports.operator)
+	addLoop(&g, operations.Run)
+	addLoop(&g, func(ctx context.Context) error { return changes.Run(ctx, s.Daemon.ConfigInterval) })
+	addLoop(&g, func(ctx context.Context) error { return tables.Run(ctx, tableInterval) })
+	addLoop(&g, func(ctx context.Context) error { return runLevel(ctx, log) })
+	addLoop(&g, func(ctx context.Context) error { return keys.run(ctx, s.Keys.Reload) })
+	addLoop(&g, func(ctx context.Context) error { return peers.Serve(ctx, ports.Peer) })
+	steering.serve(&g, peers)
+	reports := newReporter(known, client, conf, keeper, steering.lenders)
+	peers.Handle("POST "+reportPath, reports.handler())
+	addServer(&g, front.New(conf, known, steering.router, log.Named("front"), front.WithLimits(s.Caller), front.WithBlocks(tables)).Server(), ports.Caller, s.Daemon.StopTimeout)
+	addServer(&g, admin.New(keys.Token, conf, known, changes, log.Named("admin"),
+		admin.WithChecks(shift.Faults), admin.WithReporter(reports)).Server(), ports.Operator, s.Daemon.StopTimeout)
 	log.Info("started", "caller", s.Listen.Caller, "peer", s.Listen.Peer, "operator", s.Listen.Operator)
 	err = g.Run()
 	_ = client.Close()
@@ -86,39 +94,21 @@
 	return err
 }
 
-type ports struct {
-	caller, operator net.Listener
-	peer             net.PacketConn
-}
-
-func listen(l setup.Listen) (ports, error) {
-	var p ports
-	var err error
-	if p.caller, err = net.Listen("tcp", l.Caller); err != nil {
-		return p, errors.Wrap(err, "[listen] caller")
-	}
-	if p.operator, err = net.Listen("tcp", l.Operator); err != nil {
-		return p, errors.Wrap(err, "[listen] operator")
-	}
-	if p.peer, err = net.ListenPacket("udp", l.Peer); err != nil {
-		return p, errors.Wrap(err, "[listen] peer")
-	}
-	return p, nil
-}
-
 func addLoop(g *run.Group, f func(context.Context) error) {
 	ctx, cancel := context.WithCancel(context.Background())
 	g.Add(func() error { return f(ctx) }, func(error) { cancel() })
 }
 
-func addServer(g *run.Group, s *http.Server, l net.Listener) {
+// addServer serves until the group ends, then finishes requests in flight
+// within the timeout.
+func addServer(g *run.Group, s *http.Server, l net.Listener, timeout time.Duration) {
 	g.Add(func() error {
 		if err := s.Serve(l); !errors.Is(err, http.ErrServerClosed) {
 			return err
 		}
 		return nil
 	}, func(error) {
-		ctx, cancel := context.WithTimeout(context.Background(), stopTimeout)
+		ctx, cancel := context.WithTimeout(context.Background(), timeout)
 		defer cancel()
 		_ = s.Shutdown(ctx)
 	})
--- a/steer/result/result.go
+++ b/steer/result/result.go
@@ -66,6 +66,8 @@
 	ReasonNoOperation Reason = "noOperationId"
 	ReasonMismatch    Reason = "operationMismatch"
 	ReasonInProgress  Reason = "operationInProgress"
+	ReasonLost        Reason = "operationUnknown"
+	ReasonGone        Reason = "operationDone"
 	ReasonSuspect     Reason = "suspectRequest"
 	ReasonUpstream    Reason = "upstreamFailed"
 	ReasonShed        Reason = "upstreamShed"
@@ -76,6 +78,9 @@
 	ReasonNoService   Reason = "noService"
 	ReasonBadRequest  Reason = "badRequest"
 	ReasonTooLarge    Reason = "tooLarge"
+	ReasonSlowCaller  Reason = "slowCaller"
+	ReasonInternal    Reason = "internal"
+	ReasonCut         Reason = "answerCut"
 )
 
 // Error is a request that got no answer from an upstream.
