--- a/steer/slots/sim_test.go
+++ b/steer/slots/sim_test.go
@@ -26,7 +26,10 @@
 
 // sim replays a seeded open-loop trace on explicit time.
 type sim struct {
-	now     time.Time
+	now time.Time
+	// trace draws arrivals and service times, one source for each class, so that
+	// each policy gets the same trace; rng draws the rest.
+	trace   [classes]*rand.Rand
 	rng     *rand.Rand
 	events  events
 	servers []*simServer
@@ -128,6 +131,7 @@
 	}
 	s.cell.Configure(s.now, servers, func(config.Server) bool { return false }, setup.profile)
 	for class := range classes {
+		s.trace[class] = rand.New(rand.NewPCG(setup.seed, uint64(2+class)))
 		s.schedule(class)
 	}
 	for s.events.Len() > 0 {
@@ -145,10 +149,10 @@
 	if elapsed >= s.setup.length || rate <= 0 {
 		return
 	}
-	gap := time.Duration(s.rng.ExpFloat64() / rate * float64(time.Second))
+	gap := time.Duration(s.trace[class].ExpFloat64() / rate * float64(time.Second))
+	service := math.Exp(s.trace[class].NormFloat64()*simSigma-simSigma*simSigma/2) * float64(simService)
 	s.at(s.now.Add(gap), func() {
 		s.schedule(class)
-		service := math.Exp(s.rng.NormFloat64()*simSigma-simSigma*simSigma/2) * float64(simService)
 		r := &simRequest{class: class, arrived: s.now, ends: s.now.Add(s.setup.deadline[class]), service: time.Duration(service)}
 		if s.setup.baseline {
 			s.spread(r)
