--- a/hitchd/serve.go
+++ b/hitchd/serve.go
@@ -24,6 +24,7 @@
 	"magnoliahitch/links/plat"
 	"magnoliahitch/steer/config"
 	"magnoliahitch/steer/member"
+	"magnoliahitch/steer/shift"
 )
 
 // Times of the tables of caller blocks.
@@ -79,8 +80,11 @@
 	addLoop(&g, func(ctx context.Context) error { return keys.run(ctx, s.Keys.Reload) })
 	addLoop(&g, func(ctx context.Context) error { return peers.Serve(ctx, ports.Peer) })
 	steering.serve(&g, peers)
+	reports := newReporter(known, client, conf, keeper, steering.lenders)
+	peers.Handle("POST "+reportPath, reports.handler())
 	addServer(&g, front.New(conf, known, steering.router, log.Named("front"), front.WithLimits(s.Caller), front.WithBlocks(tables)).Server(), ports.Caller, s.Daemon.StopTimeout)
-	addServer(&g, admin.New(keys.Token, conf, known, changes, log.Named("admin")).Server(), ports.Operator, s.Daemon.StopTimeout)
+	addServer(&g, admin.New(keys.Token, conf, known, changes, log.Named("admin"),
+		admin.WithChecks(shift.Faults), admin.WithReporter(reports)).Server(), ports.Operator, s.Daemon.StopTimeout)
 	log.Info("started", "caller", s.Listen.Caller, "peer", s.Listen.Peer, "operator", s.Listen.Operator)
 	err = g.Run()
 	_ = client.Close()
