lend: start a budget that comes back anew

Cause: a cap whose record was deleted and declared again kept its share moved, and hosts that had spent the old cap could spend the new one in the same second. The bucket of a budget that appears later is silent for a window, and the keeper's cell ends with its record, also for an ask under way. The test failed without either. The gauge of a lease falls to 0 when the lease ends.

--- a/hitchd/internal/lend/account.go
+++ b/hitchd/internal/lend/account.go
@@ -53,6 +53,9 @@
 func (a *account) due(now time.Time, watched bool) bool {
 	a.mu.Lock()
 	defer a.mu.Unlock()
+	if !now.Before(a.bucket.Expires()) {
+		a.lease.Set(0)
+	}
 	if now.Sub(a.asked) < budget.Renew {
 		return false
 	}
--- a/hitchd/internal/lend/cell.go
+++ b/hitchd/internal/lend/cell.go
@@ -70,6 +70,15 @@
 	return msgpack.Marshal(h)
 }
 
+// close ends the lending, also for an ask that is under way.
+func (c *cell) close() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, l := range c.lenders {
+		l.Close()
+	}
+}
+
 // known reports whether the present share is known: a keeper that took over
 // without a handover learns it from the hosts before it lends.
 func (c *cell) known(now time.Time) bool { return !c.learns || !now.Before(c.opens()) }
--- a/hitchd/internal/lend/lend_test.go
+++ b/hitchd/internal/lend/lend_test.go
@@ -195,6 +195,31 @@
 	}
 }
 
+func TestBudgetThatComesBackStartsAnew(t *testing.T) {
+	c := testConfig(t, 1)
+	_, lenders, spenders, _ := newPair(t, c)
+	lenders.Acquire(clock.Now(), moveKey, opened(t, 0.5))
+	one := Charge{Account: shift.Account{Key: moveKey, Unit: shift.Requests}, Units: 100}
+	if _, ok := spenders.Spend(clock.Now(), time.Second, one); !ok {
+		t.Fatal("got the first spend refused, want it taken")
+	}
+	without, err := c.WithChange(config.Change{Revision: 2, Deletes: []config.Ref{{Kind: config.KindMove, Name: "m"}}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, next := range []*config.Config{without, c} {
+		lenders.Configure(clock.Now(), next)
+		spenders.Configure(clock.Now(), next)
+	}
+	if _, ok := spenders.Spend(clock.Now(), time.Second, one); ok {
+		t.Error("got the whole cap spent twice, want the second refused for a window")
+	}
+	q := askEntry{Kind: moveKey.Kind, Region: moveKey.Region, Name: moveKey.Name, Unit: shift.Requests, Sequence: 1, Want: 1}
+	if g := lenders.grant("p", q); g.Share > 0 || g.Moved > 0 {
+		t.Errorf("got %+v from the keeper, want no share lent or moved yet", g)
+	}
+}
+
 func TestSpendTakesAllChargesOrNone(t *testing.T) {
 	_, _, spenders, _ := newPair(t, testConfig(t, 1))
 	requests := shift.Account{Key: moveKey, Unit: shift.Requests}
--- a/hitchd/internal/lend/lenders.go
+++ b/hitchd/internal/lend/lenders.go
@@ -39,12 +39,17 @@
 	return &Lenders{holder: holder, loads: loads, log: log, cells: make(map[place.Key]*cell)}
 }
 
-// Configure brings every cell to the configuration.
+// Configure brings every cell to the configuration. A cell without a record
+// ends: if it comes back, it waits for what was lent and starts from no share.
 func (l *Lenders) Configure(now time.Time, c *config.Config) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.amounts, l.paces = shift.Amounts(c), shift.Paces(c)
 	for k, e := range l.cells {
+		if _, ok := l.amounts[shift.Account{Key: k, Unit: shift.Bytes}]; !ok {
+			l.drop(k)
+			continue
+		}
 		l.configure(now, k, e)
 	}
 }
@@ -209,6 +214,9 @@
 
 // drop takes the cell out and clears what its keeper shows.
 func (l *Lenders) drop(k place.Key) {
+	if e := l.cells[k]; e != nil {
+		e.close()
+	}
 	delete(l.cells, k)
 	for _, u := range units {
 		lentGauge(k, u).Set(0)
--- a/hitchd/internal/lend/spenders.go
+++ b/hitchd/internal/lend/spenders.go
@@ -40,6 +40,8 @@
 	mu       sync.RWMutex
 	accounts map[shift.Account]*account
 	moved    map[place.Key]*moved
+	// configured is set once there was a configuration.
+	configured bool
 
 	busyMu sync.Mutex
 	busy   map[string]bool
@@ -70,13 +72,20 @@
 	region := s.hosts.Self().Region
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	// A budget that appears later may have had another name before, under
+	// which this process spent.
+	born := s.born
+	if s.configured {
+		born = now
+	}
 	for a, m := range amounts {
 		if old := s.accounts[a]; old != nil {
 			old.configure(now, m)
 			continue
 		}
-		s.accounts[a] = newAccount(s.born, a, m)
+		s.accounts[a] = newAccount(born, a, m)
 	}
+	s.configured = true
 	maps.DeleteFunc(s.accounts, func(a shift.Account, _ *account) bool { _, ok := amounts[a]; return !ok })
 	for k, p := range paces {
 		if s.moved[k] == nil {
--- a/steer/budget/handover.go
+++ b/steer/budget/handover.go
@@ -28,9 +28,12 @@
 	Left     time.Duration `msgpack:"left"`
 }
 
+// Close ends the lending: the lender grants nothing afterwards.
+func (l *Lender[U]) Close() { l.released = true }
+
 // Release returns what is outstanding. The lender grants nothing afterwards.
 func (l *Lender[U]) Release(now time.Time) Handover[U] {
-	l.released = true
+	l.Close()
 	out := Handover[U]{Wait: max(0, l.opens.Sub(now)), Lendable: l.lendable.get(now)}
 	for n, s := range l.spenders {
 		o := Outstanding[U]{Process: n, Sequence: s.sequence, Want: s.want}
