--- a/hitchd/bench_test.go
+++ b/hitchd/bench_test.go
@@ -145,7 +145,9 @@
 // BenchmarkAddedLatency compares calls through the daemon's stages with calls
 // straight to an upstream, at 2,000 requests/s. The two alternate.
 func BenchmarkAddedLatency(b *testing.B) {
-	tuneMemory()
+	ctx, cancel := context.WithCancel(context.Background())
+	b.Cleanup(cancel)
+	go runMemory(ctx)
 	conf := startUpstreams(b)
 	log := hclog.New(&hclog.LoggerOptions{Level: hclog.Info, Output: io.Discard, JSONFormat: true})
 	self := oneHost{member.Host{Name: "norte-a-1", Region: "norte", Domain: "norte-a"}}
@@ -217,31 +219,3 @@
 	kib := must[int](b)(strconv.Atoi(strings.Fields(rest)[0]))
 	return float64(kib) * 1024 / 1e6
 }
-
-func freePort(b *testing.B) string {
-	l := must[net.Listener](b)(net.Listen("tcp", "127.0.0.1:0"))
-	defer l.Close()
-	return l.Addr().String()
-}
-
-// writeSettings writes the settings and keys of a host without a platform.
-func writeSettings(b *testing.B, dir string) string {
-	if err := certs.MakeCA(time.Now(), dir, time.Hour); err != nil {
-		b.Fatal(err)
-	}
-	if err := certs.MakeHost(time.Now(), dir, "norte-a-1", nil, time.Hour); err != nil {
-		b.Fatal(err)
-	}
-	if err := os.WriteFile(dir+"/token", []byte("a-token-of-sixteen-bytes"), 0o600); err != nil {
-		b.Fatal(err)
-	}
-	text := fmt.Sprintf("[host]\nname = norte-a-1\nregion = norte\ndomain = norte-a\n"+
-		"[listen]\ncaller = %s\npeer = %s\noperator = %s\n[platform]\ntable = http://%[4]s\nobjects = http://%[4]s\n"+
-		"[keys]\nca = %[5]s/ca.pem\ncert = %[5]s/norte-a-1.pem\nkey = %[5]s/norte-a-1.key\noperatorToken = %[5]s/token\n",
-		freePort(b), freePort(b), freePort(b), freePort(b), dir)
-	path := filepath.Join(dir, "host.ini")
-	if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
-		b.Fatal(err)
-	}
-	return path
-}
--- a/hitchd/main.go
+++ b/hitchd/main.go
@@ -87,7 +87,6 @@
 		Level:      hclog.LevelFromString(s.Log.Level),
 		JSONFormat: s.Log.JSON,
 	})
-	tuneMemory()
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
 	err = serve(ctx, s, log)
--- a/hitchd/serve.go
+++ b/hitchd/serve.go
@@ -76,6 +76,7 @@
 	addLoop(&g, func(ctx context.Context) error { return changes.Run(ctx, s.Daemon.ConfigInterval) })
 	addLoop(&g, func(ctx context.Context) error { return tables.Run(ctx, tableInterval) })
 	addLoop(&g, func(ctx context.Context) error { return runLevel(ctx, log) })
+	addLoop(&g, runMemory)
 	addLoop(&g, func(ctx context.Context) error { return keys.run(ctx, s.Keys.Reload) })
 	addLoop(&g, func(ctx context.Context) error { return peers.Serve(ctx, ports.Peer) })
 	steering.serve(&g, peers)
