--- a/hitchctl/keys.go
+++ b/hitchctl/keys.go
@@ -58,7 +58,7 @@
 	if err != nil {
 		return err
 	}
-	file := filepath.Join(c.Dir, name+".pem")
+	file := certs.HostFiles(c.Dir, name).Cert
 	if _, err := os.Stat(file); err == nil && !c.Renew {
 		return errors.Errorf("--host %s: %s exists already; use --renew to replace it", text, file)
 	}
--- a/hitchd/bench_test.go
+++ b/hitchd/bench_test.go
@@ -98,7 +98,7 @@
 		if err := certs.MakeHost(time.Now(), dir, name, nil, time.Hour); err != nil {
 			b.Fatal(err)
 		}
-		return must[*certs.Keys](b)(certs.Open(certs.Files{CA: dir + "/ca.pem", Cert: dir + "/" + name + ".pem", Key: dir + "/" + name + ".key"}))
+		return must[*certs.Keys](b)(certs.Open(certs.HostFiles(dir, name)))
 	}
 	conn := must[net.PacketConn](b)(net.ListenPacket("udp", "127.0.0.1:0"))
 	s := peer.NewServer(open("norte-a-1"))
--- a/hitchd/internal/peer/bench_test.go
+++ b/hitchd/internal/peer/bench_test.go
@@ -28,7 +28,7 @@
 			b.Fatal(err)
 		}
 		var err error
-		if keys[i], err = certs.Open(certs.Files{CA: dir + "/ca.pem", Cert: dir + "/" + n + ".pem", Key: dir + "/" + n + ".key"}); err != nil {
+		if keys[i], err = certs.Open(certs.HostFiles(dir, n)); err != nil {
 			b.Fatal(err)
 		}
 	}
--- a/hitchd/internal/peer/keys_test.go
+++ b/hitchd/internal/peer/keys_test.go
@@ -5,7 +5,6 @@
 	"net"
 	"net/http"
 	"os"
-	"path/filepath"
 	"strings"
 	"testing"
 	"time"
@@ -35,11 +34,7 @@
 	if err := certs.MakeHost(time.Now(), dir, name, nil, time.Hour); err != nil {
 		t.Fatal(err)
 	}
-	return certs.Files{
-		CA:   filepath.Join(dir, certs.CAFile),
-		Cert: filepath.Join(dir, name+".pem"),
-		Key:  filepath.Join(dir, name+".key"),
-	}
+	return certs.HostFiles(dir, name)
 }
 
 func open(t *testing.T, f certs.Files, options ...certs.Option) *certs.Keys {
@@ -150,7 +145,7 @@
 		shift <- d
 		return time.Now().Add(d)
 	}
-	files := certs.Files{CA: dir + "/ca.pem", Cert: dir + "/norte-a-1.pem", Key: dir + "/norte-a-1.key"}
+	files := certs.HostFiles(dir, "norte-a-1")
 	addr := serveNames(t, open(t, files, certs.WithTime(now)))
 	c := NewClient(open(t, makeHost(t, dir, "litoral-a-1")))
 	defer c.Close()
--- a/hitchd/keys_test.go
+++ b/hitchd/keys_test.go
@@ -32,9 +32,10 @@
 	}
 	makeHost(time.Hour)
 	write("token", "the-first-token-in-use")
+	f := certs.HostFiles(dir, "norte-a-1")
 	c, err := openKeys(setup.Settings{
 		Host: setup.Host{Name: "norte-a-1"},
-		Keys: setup.Keys{CA: path("ca.pem"), Cert: path("norte-a-1.pem"), Key: path("norte-a-1.key"), OperatorToken: path("token")},
+		Keys: setup.Keys{CA: f.CA, Cert: f.Cert, Key: f.Key, OperatorToken: path("token")},
 	}, hclog.NewNullLogger())
 	if err != nil {
 		t.Fatal(err)
--- a/links/certs/make.go
+++ b/links/certs/make.go
@@ -52,6 +52,16 @@
 	return writePair(path, filepath.Join(dir, CAKeyFile), der, key)
 }
 
+// HostFiles names the files of the host's keys in a directory of development
+// keys.
+func HostFiles(dir, name string) Files {
+	return Files{
+		CA:   filepath.Join(dir, CAFile),
+		Cert: filepath.Join(dir, name+".pem"),
+		Key:  filepath.Join(dir, name+".key"),
+	}
+}
+
 // MakeHost writes a key pair for the named host, signed by the directory's
 // authority, to NAME.pem and NAME.key. It replaces a pair of that name.
 func MakeHost(now time.Time, dir, name string, ips []net.IP, lifetime time.Duration) error {
@@ -80,7 +90,8 @@
 	if err != nil {
 		return errors.Wrapf(err, "sign key of host %s", name)
 	}
-	return writePair(filepath.Join(dir, name+".pem"), filepath.Join(dir, name+".key"), der, key)
+	f := HostFiles(dir, name)
+	return writePair(f.Cert, f.Key, der, key)
 }
 
 func readCA(dir string) (*x509.Certificate, *ecdsa.PrivateKey, error) {
