--- a/standin/demo.go
+++ b/standin/demo.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"fmt"
 	"os"
 	"path/filepath"
@@ -81,7 +82,7 @@
 				far = append(far, h.Caller)
 			}
 		}
-		out[r] = play.NewCaller(r, append(near, far...))
+		out[r] = play.NewCaller(r, d.CallerIP(r), append(near, far...))
 	}
 	return out
 }
@@ -92,6 +93,9 @@
 	if err != nil {
 		return err
 	}
+	if err := writeRecords(filepath.Join(s.Dir, "records.jsonl"), result.Records); err != nil {
+		return err
+	}
 	verdicts, err := judge.Check(lines, e)
 	if err != nil {
 		return err
@@ -124,6 +128,22 @@
 	return nil
 }
 
+// writeRecords keeps what the callers saw, for a look at a failed outcome.
+func writeRecords(path string, records []play.Record) error {
+	f, err := os.Create(path)
+	if err != nil {
+		return errors.Wrap(err, "write records")
+	}
+	defer f.Close()
+	e := json.NewEncoder(f)
+	for _, r := range records {
+		if err := e.Encode(r); err != nil {
+			return errors.Wrap(err, "write records")
+		}
+	}
+	return f.Close()
+}
+
 func micros(v int64) time.Duration { return time.Duration(v) * time.Microsecond }
 
 func want(o trace.Outcome) string {
@@ -170,6 +190,9 @@
 	ctx, cancel := context.WithTimeout(ctx, startTimeout)
 	defer cancel()
 	hosts := d.Hosts()
+	if err := until(ctx, func() error { return d.StoreBlocks(ctx) }); err != nil {
+		return err
+	}
 	if err := until(ctx, func() error {
 		_, err := s.Operate(hosts[0], "apply", "--file", s.RecordsFile(), "--reason", "first configuration")
 		return err
