--- a/hitchd/serve.go
+++ b/hitchd/serve.go
@@ -77,6 +77,7 @@
 	addLoop(&g, func(ctx context.Context) error { return changes.Run(ctx, s.Daemon.ConfigInterval) })
 	addLoop(&g, func(ctx context.Context) error { return tables.Run(ctx, tableInterval) })
 	addLoop(&g, func(ctx context.Context) error { return runLevel(ctx, log) })
+	addLoop(&g, runMemory)
 	addLoop(&g, func(ctx context.Context) error { return keys.run(ctx, s.Keys.Reload) })
 	addLoop(&g, func(ctx context.Context) error { return peers.Serve(ctx, ports.Peer) })
 	steering.serve(&g, peers)
@@ -84,7 +85,7 @@
 	peers.Handle("POST "+reportPath, reports.handler())
 	addServer(&g, front.New(conf, known, steering.router, log.Named("front"), front.WithLimits(s.Caller), front.WithBlocks(tables)).Server(), ports.Caller, s.Daemon.StopTimeout)
 	addServer(&g, admin.New(keys.Token, conf, known, changes, log.Named("admin"),
-		admin.WithChecks(shift.Faults), admin.WithReporter(reports)).Server(), ports.Operator, s.Daemon.StopTimeout)
+		admin.WithChecks(shift.Faults), admin.WithReporter(reports), admin.WithExplainer(steering.router)).Server(), ports.Operator, s.Daemon.StopTimeout)
 	log.Info("started", "caller", s.Listen.Caller, "peer", s.Listen.Peer, "operator", s.Listen.Operator)
 	err = g.Run()
 	_ = client.Close()
--- a/standin/internal/play/caller.go
+++ b/standin/internal/play/caller.go
@@ -7,6 +7,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"strconv"
 	"strings"
@@ -56,13 +57,14 @@
 // failedPause is how long a host that failed is avoided.
 const failedPause = 2 * time.Second
 
-// NewCaller returns the callers of a region, which know the caller addresses
-// of entry hosts, nearest first.
-func NewCaller(region string, entries []string) *Caller {
+// NewCaller returns the callers of a region, which call from the IP address
+// and know the caller addresses of entry hosts, nearest first.
+func NewCaller(region, ip string, entries []string) *Caller {
+	dialer := &net.Dialer{LocalAddr: &net.TCPAddr{IP: net.ParseIP(ip)}}
 	return &Caller{
 		region:  region,
 		entries: entries,
-		client:  &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 64}},
+		client:  &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 64, DialContext: dialer.DialContext}},
 		cache:   make(map[string]lookup),
 		failed:  make(map[string]time.Time),
 	}
@@ -148,10 +150,11 @@
 }
 
 func (c *Caller) request(ctx context.Context, id, host string, left time.Duration, r *trace.Request) (*http.Request, error) {
-	url := fmt.Sprintf("http://%s/service/%s%s?costMs=%d&size=%d&origin=%s", host, r.Service, r.Path, r.CostMs, r.Size, c.region)
-	var body io.Reader
+	url := fmt.Sprintf("http://%s/service/%s%s?costMs=%d&size=%d", host, r.Service, r.Path, r.CostMs, r.Size)
+	// A reader without GetBody keeps net/http from sending a request again by
+	// itself, under the same id.
+	body := io.MultiReader()
 	if r.Operation != "" {
-		// A reader without GetBody keeps net/http from sending it again.
 		body = io.MultiReader(strings.NewReader("operation " + r.Operation))
 	}
 	req, err := http.NewRequestWithContext(ctx, r.Method, url, body)
@@ -159,6 +162,7 @@
 		return nil, err
 	}
 	req.Header.Set("X-Request-Id", id)
+	req.Header.Set(serve.HeaderOrigin, c.region)
 	req.Header.Set("Hitch-Deadline-Ms", strconv.FormatInt(max(1, left.Milliseconds()), 10))
 	if r.Operation != "" {
 		req.Header.Set("Idempotency-Key", r.Operation)
