hitchctl: show the history of all changes

Races of two drains that leave a service no server together, and the progress of a waited drain, have tests now; seen failing with the checks left out, and with the wait returning at any state.

--- a/hitchctl/client/profile.go
+++ b/hitchctl/client/profile.go
@@ -1,10 +1,8 @@
 package client
 
 import (
-	"fmt"
 	"slices"
 	"strconv"
-	"time"
 
 	"github.com/go-faster/errors"
 
@@ -126,31 +124,14 @@
 	} `positional-args:"true"`
 }
 
-type historyAnswer struct {
-	Changes []config.Change `json:"changes"`
-}
-
-// historyLimit is the number of changes that are looked through.
-const historyLimit = 1000
-
 // Execute shows the changes of profiles, newest first.
 func (c *profileHistory) Execute([]string) error {
-	var a historyAnswer
-	if err := c.session.get(fmt.Sprint("/v1/history?limit=", historyLimit), &a); err != nil {
+	changes, err := c.session.history(maxHistory)
+	if err != nil {
 		return err
 	}
-	a.Changes = slices.DeleteFunc(a.Changes, func(ch config.Change) bool { return !touches(ch, c.Args.Name) })
-	return c.session.print(a.Changes, func() {
-		rows := [][]string{{"REVISION", "AT", "WHO", "WHY", "PROFILES"}}
-		for _, ch := range a.Changes {
-			names := ""
-			for _, p := range ch.Puts.Profiles {
-				names += p.Name + " "
-			}
-			rows = append(rows, []string{fmt.Sprint(ch.Revision), ch.At.Format(time.RFC3339), ch.Author, ch.Reason, names})
-		}
-		c.session.table(rows...)
-	})
+	changes = slices.DeleteFunc(changes, func(ch config.Change) bool { return !touches(ch, c.Args.Name) })
+	return c.session.print(changes, func() { c.session.printHistory(changes) })
 }
 
 // touches reports whether the change concerns the profile, or any one when
--- a/hitchctl/client/run.go
+++ b/hitchctl/client/run.go
@@ -118,6 +118,7 @@
 		{"lookup", "ask a host which entry hosts serve a service", &lookupCommand{session: s}},
 		{"apply", "apply a file of records", &applyCommand{submit: submit{session: s}}},
 		{"status", "show what is draining, shifted, without keeper, lagging or down", &statusCommand{session: s}},
+		{"history", "show who changed what, when and why", &historyCommand{session: s}},
 		{"explain", "show where a request for a service would go and why", &explainCommand{session: s}},
 		{"override", "after a restore of the store: write the asked host's configuration over the table's", &overrideCommand{session: s}},
 		{"log-level", "change the log level of the host while it runs", &levelCommand{session: s}},
--- a/hitchd/internal/admin/admin_test.go
+++ b/hitchd/internal/admin/admin_test.go
@@ -222,3 +222,52 @@
 		t.Error("got the old level on the root logger, want debug")
 	}
 }
+
+func TestDrainIsWaitedForWithProgress(t *testing.T) {
+	s := newSite(t)
+	if code, out := hitchctl("apply", "--file", "records.ini", "--reason", "r"); code != client.ExitOK {
+		t.Fatalf("apply: got code %d and %s", code, out)
+	}
+	s.busy = []int{2, 1, 0}
+	code, out := hitchctl("drain", "declare", "d", "--server", "care-1", "--reason", "r", "--wait")
+	for _, want := range []string{"2 in flight", "1 in flight", "drain d: drained"} {
+		if code != client.ExitOK || !strings.Contains(out, want) {
+			t.Errorf("got code %d and %s, want %q", code, out, want)
+		}
+	}
+	s.busy = []int{1}
+	if code, out := hitchctl("drain", "declare", "e", "--server", "care-1", "--reason", "r", "--wait", "--timeout", "300ms"); code != client.ExitTimeout {
+		t.Errorf("got code %d and %s, want %d", code, out, client.ExitTimeout)
+	}
+}
+
+// TestRacingDrainsOfTheLastPlaces races two drains that are fine alone and
+// would leave the service no server together.
+func TestRacingDrainsOfTheLastPlaces(t *testing.T) {
+	for range 10 {
+		newSite(t)
+		if code, out := hitchctl("apply", "--file", "records.ini", "--reason", "r"); code != client.ExitOK {
+			t.Fatalf("apply: got code %d and %s", code, out)
+		}
+		codes := make([]int, 2)
+		var g sync.WaitGroup
+		for i := range codes {
+			g.Go(func() { codes[i], _ = hitchctl(drainOf(i)...) })
+		}
+		g.Wait()
+		if (codes[0] == client.ExitOK) == (codes[1] == client.ExitOK) {
+			t.Fatalf("got codes %v, want one winner", codes)
+		}
+		loser := 0
+		if codes[0] == client.ExitOK {
+			loser = 1
+		}
+		if code, out := hitchctl(drainOf(loser)...); code != client.ExitRefused || !strings.Contains(out, "the last one") {
+			t.Errorf("repeated: got code %d and %s, want the drain refused", code, out)
+		}
+	}
+}
+
+func drainOf(i int) []string {
+	return []string{"drain", "declare", fmt.Sprint("d", i), "--domain", []string{"norte-a", "litoral-a"}[i], "--reason", "r"}
+}
--- a/hitchd/internal/admin/pages_test.go
+++ b/hitchd/internal/admin/pages_test.go
@@ -69,6 +69,8 @@
 	dir    string
 	// silent adds a host that never answers.
 	silent bool
+	// busy are the requests on care-1 at each report, the last one staying.
+	busy []int
 }
 
 // Self returns the host.
@@ -87,9 +89,14 @@
 	return errors.New("no answer")
 }
 
-// Report tells that no request runs.
+// Report tells the next number of requests on care-1.
 func (s *site) Report(context.Context) Report {
-	return Report{Busy: map[string]int{"care-1": 0, "care-2": 0}}
+	r := Report{Busy: map[string]int{"care-1": 0, "care-2": 0}}
+	if len(s.busy) > 0 {
+		r.Busy["care-1"] = s.busy[0]
+		s.busy = s.busy[min(1, len(s.busy)-1):]
+	}
+	return r
 }
 
 func (s *site) now() time.Time { return clock.Now() }
