--- a/hitchd/internal/spread/figures_test.go
+++ b/hitchd/internal/spread/figures_test.go
@@ -38,6 +38,12 @@
 		t.Logf("%d hosts idle: %.2f messages/s and %.0f bytes/s per host, %.1f table reads/s in all",
 			len(c.nodes), messages/hosts/idle.Seconds(), bytes/hosts/idle.Seconds(), reads/idle.Seconds())
 
+		for _, n := range c.nodes {
+			if ok, at := n.spread.Current(time.Now()); !ok {
+				t.Errorf("host %s: got not current since %v with the store up, want current", n.self.Name, time.Since(at))
+			}
+		}
+
 		var times []time.Duration
 		const pause = 2 * time.Second
 		begin := time.Now()
