--- a/standin/internal/play/caller.go
+++ b/standin/internal/play/caller.go
@@ -45,7 +45,8 @@
 
 	mu    sync.Mutex
 	cache map[string]lookup
-	// failed holds hosts that failed lately, and until when they are avoided.
+	// failed holds hosts, or hosts and services, that failed lately, and until
+	// when they are avoided.
 	failed map[string]time.Time
 }
 
@@ -125,7 +126,7 @@
 	}
 	res, err := c.client.Do(req)
 	if err != nil {
-		c.fail(host)
+		c.fail(failure(host, r.Service, err))
 		a.Failed = err.Error()
 		a.Cut = !strings.Contains(a.Failed, "connection refused")
 		return a, 0
@@ -170,6 +171,15 @@
 	return req, nil
 }
 
+// failure returns what is avoided for a while: the host, or when it was only
+// slow the host for this service.
+func failure(host, service string, err error) string {
+	if errors.Is(err, context.DeadlineExceeded) {
+		return host + "/" + service
+	}
+	return host
+}
+
 func (c *Caller) fail(host string) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -194,7 +204,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	for _, h := range l.hosts {
-		if now.After(c.failed[h]) {
+		if now.After(c.failed[h]) && now.After(c.failed[h+"/"+service]) {
 			return h, nil
 		}
 	}
@@ -224,6 +234,9 @@
 		if err == nil {
 			return l, nil
 		}
+		if ctx.Err() != nil {
+			return lookup{}, err
+		}
 		c.fail(e)
 		last = err
 	}
