peer: report a request that waited for a connection as not run

A request whose caller gave up while the connection to a host was being made was unknown, though no byte of it had left: a trace hook of the transport now tells. A dead host's connections end after 6 s of silence in place of 15 s, with a ping each 2 s, so that idempotent requests on them can go elsewhere.

Seen failing: without the look at the hook the new test gets unknown.

--- a/hitchd/internal/peer/client.go
+++ b/hitchd/internal/peer/client.go
@@ -20,8 +20,8 @@
 
 // Times of the connections between hosts.
 const (
-	idleTimeout      = 15 * time.Second
-	keepAlive        = 5 * time.Second
+	idleTimeout      = 6 * time.Second
+	keepAlive        = 2 * time.Second
 	handshakeTimeout = 2 * time.Second
 )
 
--- a/hitchd/internal/peer/forward.go
+++ b/hitchd/internal/peer/forward.go
@@ -5,8 +5,10 @@
 	"context"
 	"io"
 	"net/http"
+	"net/http/httptrace"
 	"strconv"
 	"strings"
+	"sync/atomic"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -50,6 +52,10 @@
 	if err != nil {
 		return nil, result.Refuse(result.ReasonBadRequest, "read request body", to.Name)
 	}
+	var connected atomic.Bool
+	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
+		GotConn: func(httptrace.GotConnInfo) { connected.Store(true) },
+	})
 	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "https://"+to.PeerAddr+callPath, bytes.NewReader(body))
 	if err != nil {
 		return nil, result.Refuse(result.ReasonBadRequest, "build forwarded request", to.Name)
@@ -61,7 +67,7 @@
 	req.Header.Set(headerDigest, sum.String())
 	res, err := c.roundTrip(to, req)
 	if err != nil {
-		return nil, lost(err, to)
+		return nil, lost(err, to, connected.Load())
 	}
 	if id := res.Header.Get(headerAnswerTo); id != r.ID {
 		defer res.Body.Close()
@@ -84,10 +90,10 @@
 
 // lost returns the error of a request without an answer. It did not run when
 // no connection to the host came about.
-func lost(err error, to member.Host) error {
+func lost(err error, to member.Host, connected bool) error {
 	e := result.Lose(result.ReasonPeer, "forward request", to.Name, err)
 	var dial *dialError
-	if errors.As(err, &dial) {
+	if !connected || errors.As(err, &dial) {
 		e.Outcome = result.NotRun
 	}
 	return e
--- a/hitchd/internal/peer/keys_test.go
+++ b/hitchd/internal/peer/keys_test.go
@@ -9,8 +9,12 @@
 	"testing"
 	"time"
 
+	"magnoliahitch/hitchd/internal/call"
 	"magnoliahitch/links/certs"
+	"magnoliahitch/links/clock"
 	"magnoliahitch/steer/member"
+	"magnoliahitch/steer/place"
+	"magnoliahitch/steer/result"
 )
 
 // refusal is a peer that a server refused.
@@ -200,3 +204,24 @@
 		t.Fatal(err)
 	}
 }
+
+func TestRequestThatWaitsForAConnectionDidNotRun(t *testing.T) {
+	silent, err := net.ListenPacket("udp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer silent.Close()
+	c := NewClient(open(t, makeHost(t, authority(t), "litoral-a-1")))
+	defer c.Close()
+	ctx, cancel := context.WithCancel(t.Context())
+	go func() {
+		// The first packet shows that the connection is under way.
+		_, _, _ = silent.ReadFrom(make([]byte, 2048))
+		cancel()
+	}()
+	r := &call.Request{ID: "r", Cell: place.Cell{Region: "norte", Service: "stock"}, Method: http.MethodGet, Path: "/", Header: http.Header{}, Deadline: clock.Now().Add(time.Minute)}
+	_, err = c.Forward(ctx, member.Host{Name: "norte-a-1", PeerAddr: silent.LocalAddr().String()}, r)
+	if got, want := result.OutcomeOf(err), result.NotRun; got != want {
+		t.Errorf("got %v (%v), want %v", got, err, want)
+	}
+}
