--- a/hitchd/internal/peer/client.go
+++ b/hitchd/internal/peer/client.go
@@ -15,6 +15,7 @@
 	"github.com/quic-go/quic-go/http3"
 	"github.com/vmihailenco/msgpack/v5"
 
+	"magnoliahitch/links/clock"
 	"magnoliahitch/steer/member"
 )
 
@@ -65,9 +66,14 @@
 // its packets one after another.
 const linkWidth = 2
 
+// linkIdle is how long a host may go unused before its connections are
+// dropped: longer than any request lasts.
+const linkIdle = 2 * maxDeadline
+
 // link is the connections to a host at one address.
 type link struct {
 	addr       string
+	used       time.Time
 	next       atomic.Uint32
 	transports [linkWidth]*http3.Transport
 }
@@ -104,22 +110,24 @@
 
 // roundTrip sends the request over the connection to the host.
 func (c *Client) roundTrip(to member.Host, req *http.Request) (*http.Response, error) {
-	return c.link(to).pick().RoundTrip(req)
+	return c.link(clock.Now(), to).pick().RoundTrip(req)
 }
 
 // link returns the connections to the host. A host that comes back at another
 // address gets new ones.
-func (c *Client) link(to member.Host) *link {
+func (c *Client) link(now time.Time, to member.Host) *link {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	l := c.links[to.Name]
 	if l != nil && l.addr == to.PeerAddr {
+		l.used = now
 		return l
 	}
 	if l != nil {
 		go l.close()
 	}
-	l = &link{addr: to.PeerAddr}
+	c.sweep(now)
+	l = &link{addr: to.PeerAddr, used: now}
 	for i := range l.transports {
 		l.transports[i] = c.transport(to)
 	}
@@ -127,6 +135,17 @@
 	return l
 }
 
+// sweep ends connections that no request can be on any more, as those to hosts
+// that were replaced.
+func (c *Client) sweep(now time.Time) {
+	for n, l := range c.links {
+		if now.Sub(l.used) > linkIdle {
+			delete(c.links, n)
+			go l.close()
+		}
+	}
+}
+
 func (c *Client) transport(to member.Host) *http3.Transport {
 	return &http3.Transport{
 		QUICConfig:         quicConfig(),
--- a/hitchd/internal/peer/streams_test.go
+++ b/hitchd/internal/peer/streams_test.go
@@ -6,7 +6,9 @@
 	"net/http"
 	"sync"
 	"testing"
+	"time"
 
+	"magnoliahitch/links/clock"
 	"magnoliahitch/steer/member"
 )
 
@@ -43,3 +45,28 @@
 	}
 	g.Wait()
 }
+
+func TestConnectionsToReplacedHostsAreDropped(t *testing.T) {
+	c := NewClient(open(t, makeHost(t, authority(t), "litoral-a-1")))
+	defer c.Close()
+	now := clock.Now()
+	old := member.Host{Name: "norte-a-1", PeerAddr: "127.0.0.1:1"}
+	busy := member.Host{Name: "norte-a-2", PeerAddr: "127.0.0.1:2"}
+	c.link(now, old)
+	first := c.link(now, busy)
+	now = now.Add(linkIdle)
+	c.link(now, busy)
+	now = now.Add(time.Second)
+	c.link(now, member.Host{Name: "norte-a-3", PeerAddr: "127.0.0.1:3"})
+	if _, ok := c.links[old.Name]; ok {
+		t.Error("got the replaced host still, want it dropped")
+	}
+	if got, want := c.link(now, busy), first; got != want {
+		t.Error("got a new connection to a host in use, want the old one")
+	}
+	moved := busy
+	moved.PeerAddr = "127.0.0.1:4"
+	if got := c.link(now, moved); got == first {
+		t.Error("got the connection to the old address, want a new one")
+	}
+}
