--- a/hitchd/internal/lend/gate.go
+++ b/hitchd/internal/lend/gate.go
@@ -24,7 +24,7 @@
 	region   string
 	next     call.Doer
 	spenders *Spenders
-	rules    atomic.Pointer[shift.Rules]
+	links    atomic.Pointer[shift.Links]
 	sizes    Sizes
 }
 
@@ -36,14 +36,17 @@
 }
 
 // Configure brings the gate to the configuration.
-func (g *Gate) Configure(c *config.Config) { g.rules.Store(shift.NewRules(c)) }
+func (g *Gate) Configure(c *config.Config) {
+	links := shift.NewLinks(c)
+	g.links.Store(&links)
+}
 
 // Do passes the request on. It refuses one whose answer the link can't carry.
 func (g *Gate) Do(ctx context.Context, r *call.Request) (*call.Answer, error) {
 	if r.Entry == "" || r.Entry == g.region {
 		return g.next.Do(ctx, r)
 	}
-	back, ok := g.rules.Load().Link(g.region, r.Entry)
+	back, ok := g.links.Load().Key(g.region, r.Entry)
 	if !ok {
 		return nil, result.Refuse(result.ReasonLinkBudget, "find link to "+r.Entry, g.spenders.hosts.Self().Name)
 	}
--- a/steer/shift/decide.go
+++ b/steer/shift/decide.go
@@ -194,8 +194,8 @@
 	}
 	o := Option{Cell: c, Cause: cause, Shifts: caps}
 	if c.Region != d.req.At {
-		out, ok := d.Link(d.req.At, c.Region)
-		_, back := d.Link(c.Region, d.req.At)
+		out, ok := d.links.Key(d.req.At, c.Region)
+		_, back := d.links.Key(c.Region, d.req.At)
 		if !ok || !back {
 			d.refuse(c, cause, result.ReasonLinkBudget)
 			return
--- a/steer/shift/rules.go
+++ b/steer/shift/rules.go
@@ -16,7 +16,7 @@
 	serving map[place.Cell]bool
 	// drains are the caps of regions that are being drained.
 	drains map[string]place.Key
-	links  map[direction]place.Key
+	links  Links
 	// failure are the caps of leaving a region unplanned.
 	failure map[leaving][]place.Key
 }
@@ -45,7 +45,7 @@
 		services: make(map[string]service, len(c.Services)),
 		serving:  make(map[place.Cell]bool),
 		drains:   make(map[string]place.Key),
-		links:    make(map[direction]place.Key, len(c.Links)),
+		links:    NewLinks(c),
 		failure:  make(map[leaving][]place.Key, len(c.Regions)*len(c.Profiles)),
 	}
 	for _, s := range c.Servers {
@@ -58,9 +58,6 @@
 			r.drains[d.Target] = k
 		}
 	}
-	for _, l := range c.Links {
-		r.links[direction{l.From, l.To}] = linkKey(l)
-	}
 	for n, v := range c.Services {
 		r.services[n] = service{limits: limitsOf(c, n), profile: v.Profile, moves: make(map[string][]move)}
 	}
@@ -110,8 +107,20 @@
 	}
 }
 
-// Link returns the cell of the link direction between two regions.
-func (r *Rules) Link(from, to string) (place.Key, bool) {
-	k, ok := r.links[direction{from, to}]
+// Links are the cells of the link directions. They are immutable.
+type Links map[direction]place.Key
+
+// NewLinks returns the links of the configuration.
+func NewLinks(c *config.Config) Links {
+	out := make(Links, len(c.Links))
+	for _, l := range c.Links {
+		out[direction{l.From, l.To}] = linkKey(l)
+	}
+	return out
+}
+
+// Key returns the cell of the link direction between two regions.
+func (l Links) Key(from, to string) (place.Key, bool) {
+	k, ok := l[direction{from, to}]
 	return k, ok
 }
--- a/steer/shift/world_test.go
+++ b/steer/shift/world_test.go
@@ -389,7 +389,7 @@
 		caps = append(caps, Account{k, Bytes})
 	}
 	deliver := func() { h.queue = append(h.queue, outgoing{left: answerSize, accounts: caps}) }
-	back, crosses := w.rules.Link(region, h.region)
+	back, crosses := w.rules.links.Key(region, h.region)
 	if hosts := w.hostsIn(region); crosses && len(hosts) > 0 {
 		s := hosts[w.rand.IntN(len(hosts))]
 		s.queue = append(s.queue, outgoing{left: answerSize, accounts: []Account{{back, Bytes}}, then: deliver})
