--- a/hitchd/internal/spread/table.go
+++ b/hitchd/internal/spread/table.go
@@ -124,13 +124,15 @@
 	defer cancel()
 	sent := s.now()
 	s.meters.polls.Inc()
+	// Looked at before the table, so that a change accepted in between isn't
+	// taken for one that the table has lost.
+	held := s.held()
 	h, version, err := s.head(ctx)
 	s.storeAnswered(sent, err)
 	if err != nil {
 		s.meters.pollFailures.Inc()
 		return errors.Wrap(err, "read head")
 	}
-	held := s.held()
 	switch config.Decide(held, h.Mark, 0) {
 	case config.StepChanges:
 		err = s.pullRows(ctx, h.Mark)
