keep: look only at the servers of this host's cells

Each second Run walked all servers and drains of the configuration, and each change set the connection limits of all of them; at 1,500 sites that is work for servers that other hosts keep. A cell now keeps its servers and those that no drain covers, and the pool forgets replaced addresses. Seen failing: a pool that doesn't forget has 101 servers in TestReplacedServersAreForgotten.

--- a/hitchd/internal/keep/attempt_test.go
+++ b/hitchd/internal/keep/attempt_test.go
@@ -200,7 +200,7 @@
 	if got, want := opened.Load(), int64(4); got != want {
 		t.Fatalf("got %d connections after a request, want %d", got, want)
 	}
-	k.sender.pool.setLimits(map[string]int{addr: 5})
+	k.sender.pool.setLimit(addr, 5)
 	var g sync.WaitGroup
 	for range 50 {
 		g.Go(func() {
@@ -338,3 +338,14 @@
 	clear(p)
 	return len(p), nil
 }
+
+func TestReplacedServersAreForgotten(t *testing.T) {
+	k := newKeeper(always(), testProfile, "127.0.0.1:1")
+	k.cell(clock.Now(), testCell)
+	for i := range 100 {
+		k.Configure(clock.Now(), testConfig(testProfile, fmt.Sprint("127.0.0.1:", 2+i)))
+	}
+	if got, want := len(k.sender.pool.servers), 1; got != want {
+		t.Fatalf("got %d servers in the pool after 100 replacements, want %d", got, want)
+	}
+}
--- a/hitchd/internal/keep/cell.go
+++ b/hitchd/internal/keep/cell.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -30,6 +31,8 @@
 	timer   *time.Timer
 	// released is set when the keeper gave the cell up.
 	released bool
+	// servers are those of the configuration, warm those that no drain covers.
+	servers, warm []config.Server
 }
 
 // wakening ends the wait of a queued request.
@@ -45,13 +48,27 @@
 	others []slots.Alternative
 }
 
-func (c *cell) configure(now time.Time, p place.Cell, conf *config.Config) {
+// configure brings the cell to the configuration and returns the servers that
+// it has no more.
+func (c *cell) configure(now time.Time, p place.Cell, conf *config.Config, servers []config.Server) []config.Server {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	draining := func(s config.Server) bool { return shift.Leaves(conf, s) }
+	c.warm = c.warm[:0]
+	draining := func(s config.Server) bool {
+		leaves := shift.Leaves(conf, s)
+		if !leaves {
+			c.warm = append(c.warm, s)
+		}
+		return leaves
+	}
 	c.profile = conf.Profiles[conf.Services[p.Service].Profile]
 	c.budget.SetShare(c.profile.RetryShare)
-	c.wake(now, c.slots.Configure(now, conf.ServersOf(p.Service, p.Region), draining, c.profile))
+	c.wake(now, c.slots.Configure(now, servers, draining, c.profile))
+	gone := slices.DeleteFunc(c.servers, func(old config.Server) bool {
+		return slices.ContainsFunc(servers, func(s config.Server) bool { return s.Addr == old.Addr })
+	})
+	c.servers = servers
+	return gone
 }
 
 // acquire waits until the request may start. It sets the request's id.
@@ -150,8 +167,10 @@
 }
 
 func (c *cell) end(id uint64, w wakening) {
-	c.waiting[id] <- w
-	delete(c.waiting, id)
+	if ready := c.waiting[id]; ready != nil {
+		ready <- w
+		delete(c.waiting, id)
+	}
 }
 
 // arm sets the timer to the next event that no call brings. The lock is held.
--- a/hitchd/internal/keep/keep.go
+++ b/hitchd/internal/keep/keep.go
@@ -80,17 +80,26 @@
 	defer k.mu.Unlock()
 	k.config = c
 	k.deaths.setConfig(c)
-	limits := make(map[string]int, len(c.Servers))
-	for _, s := range c.Servers {
-		limits[s.Addr] = connectionLimit(s)
-	}
-	k.sender.pool.setLimits(limits)
 	for p, l := range k.cells {
-		l.configure(now, p, c)
+		k.configureCell(now, p, l)
 	}
 	k.wakeRun()
 }
 
+// configureCell brings the cell and the connection budgets of its servers to
+// the configuration. The keeper's lock is held.
+func (k *Keeper) configureCell(now time.Time, p place.Cell, c *cell) {
+	servers := k.config.ServersOf(p.Service, p.Region)
+	for _, s := range servers {
+		k.sender.pool.setLimit(s.Addr, connectionLimit(s))
+	}
+	gone := c.configure(now, p, k.config, servers)
+	for _, s := range gone {
+		k.sender.pool.setLimit(s.Addr, 0)
+		k.sender.pool.cool(s.Addr)
+	}
+}
+
 // connectionLimit is the part of a server's connections that one keeper opens.
 // The other part is left to a predecessor whose connections still stand.
 func connectionLimit(s config.Server) int { return max(1, s.Connections/2) }
@@ -195,7 +204,7 @@
 	c := k.cells[p]
 	if c == nil {
 		c = newCell(p)
-		c.configure(now, p, k.config)
+		k.configureCell(now, p, c)
 		k.cells[p] = c
 		k.gauges(p)
 		k.wakeRun()
--- a/hitchd/internal/keep/pool.go
+++ b/hitchd/internal/keep/pool.go
@@ -37,19 +37,18 @@
 	return &pool{dialer: net.Dialer{Timeout: dialTimeout}, servers: make(map[string]*spares)}
 }
 
-// setLimits sets how many connections may be open to each address, and forgets
-// other addresses once nothing is open to them.
-func (p *pool) setLimits(limits map[string]int) {
+// setLimit sets how many connections may be open to the address. An address
+// with a limit of 0 is forgotten once nothing is open to it.
+func (p *pool) setLimit(addr string, limit int) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	for a, s := range p.servers {
-		s.limit = 0
-		if _, ok := limits[a]; !ok && s.open == 0 {
-			delete(p.servers, a)
-		}
-	}
-	for a, n := range limits {
-		p.server(a).limit = n
+	p.server(addr).limit = limit
+	p.forget(addr)
+}
+
+func (p *pool) forget(addr string) {
+	if s := p.servers[addr]; s != nil && s.limit == 0 && s.open == 0 {
+		delete(p.servers, addr)
 	}
 }
 
@@ -79,8 +78,8 @@
 func (p *pool) take(addr string) *conn {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	s := p.server(addr)
-	if len(s.idle) == 0 {
+	s := p.servers[addr]
+	if s == nil || len(s.idle) == 0 {
 		return nil
 	}
 	c := s.idle[len(s.idle)-1]
@@ -110,6 +109,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.server(addr).open--
+	p.forget(addr)
 }
 
 // warm opens connections until the number is open, and drops dead spares.
--- a/hitchd/internal/keep/tenant.go
+++ b/hitchd/internal/keep/tenant.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/vmihailenco/msgpack/v5"
@@ -11,7 +12,6 @@
 	"magnoliahitch/steer/member"
 	"magnoliahitch/steer/place"
 	"magnoliahitch/steer/result"
-	"magnoliahitch/steer/shift"
 	"magnoliahitch/steer/slots"
 )
 
@@ -66,6 +66,9 @@
 	if err != nil {
 		k.log.Error("encode handover", "cell", p, "error", err)
 	}
+	for _, s := range c.servers {
+		k.sender.pool.cool(s.Addr)
+	}
 	for _, id := range c.slots.Close() {
 		c.end(id, wakening{refusal: slots.Refusal{ID: id, Reason: result.ReasonNotKeeper}})
 	}
@@ -131,24 +134,34 @@
 // warm opens connections to the servers of the cells that this host keeps and
 // closes spare ones to the others.
 func (k *Keeper) warm(ctx context.Context) {
-	k.mu.RLock()
-	conf := k.config
-	k.mu.RUnlock()
-	kept := make(map[place.Cell]bool)
-	for _, c := range k.Cells(clock.Now()) {
-		kept[c.Cell] = true
-	}
-	for _, s := range conf.Servers {
-		if shift.Leaves(conf, s) || !kept[place.Cell{Region: s.Region, Service: s.Service}] {
-			k.sender.pool.cool(s.Addr)
+	for _, w := range k.wanted(clock.Now()) {
+		if !w.keep {
+			k.sender.pool.cool(w.server.Addr)
 			continue
 		}
-		k.warmServer(ctx, s)
+		if err := k.sender.pool.warm(ctx, w.server.Addr, w.server.Slots+spareConnections); err != nil {
+			k.log.Debug("open connections ahead", "server", w.server.Name, "error", err)
+		}
 	}
 }
 
-func (k *Keeper) warmServer(ctx context.Context, s config.Server) {
-	if err := k.sender.pool.warm(ctx, s.Addr, s.Slots+spareConnections); err != nil {
-		k.log.Debug("open connections ahead", "server", s.Name, "error", err)
+// wanted is a server and whether connections to it are wanted.
+type wanted struct {
+	server config.Server
+	keep   bool
+}
+
+func (k *Keeper) wanted(now time.Time) []wanted {
+	k.mu.RLock()
+	defer k.mu.RUnlock()
+	var out []wanted
+	for p, c := range k.cells {
+		holds := k.holder.Holds(now, p.Key())
+		c.mu.Lock()
+		for _, s := range c.servers {
+			out = append(out, wanted{s, holds && slices.Contains(c.warm, s)})
+		}
+		c.mu.Unlock()
 	}
+	return out
 }
