keep: take a server's own count of running requests from its answers

A server that runs work of others, such as that of a host which still thinks it is keeper, can say so in Hitch-Running. A count made before own requests ended would take slots away at high load, so it is compared with the most that ran since the report before the last. Seen failing: compared with the present count, TestLateReportOfOwnWorkTakesNothingAway gets limit 1 instead of 3.

--- a/hitchd/internal/keep/cell.go
+++ b/hitchd/internal/keep/cell.go
@@ -155,6 +155,13 @@
 	c.wake(now, c.slots.Finish(now, e))
 }
 
+// report takes a server's own count of running requests.
+func (c *cell) report(now time.Time, server string, running int) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.wake(now, c.slots.Report(now, server, running))
+}
+
 // wake ends the waits and sets the timer for the next. The lock is held.
 func (c *cell) wake(now time.Time, w slots.Wake) {
 	for _, s := range w.Starts {
--- a/hitchd/internal/keep/keep_test.go
+++ b/hitchd/internal/keep/keep_test.go
@@ -356,3 +356,25 @@
 		t.Fatalf("got %d slots in use after Close, want 0", got)
 	}
 }
+
+func TestReportOfTheServerTakesSlotsAway(t *testing.T) {
+	running := "2"
+	u := newUpstream(t, func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set(headerRunning, running)
+		echoID(w, r)
+	})
+	k := newKeeper(always(), testProfile, u.URL)
+	limit := func() int {
+		if _, err := do(t.Context(), k, request("a", http.MethodGet)); err != nil {
+			t.Fatal(err)
+		}
+		return k.Cells(clock.Now())[0].Servers[0].Limit
+	}
+	if got, want := limit(), 2; got != want {
+		t.Fatalf("got limit %d beside one foreign request, want %d", got, want)
+	}
+	running = "1"
+	if got, want := limit(), 3; got != want {
+		t.Fatalf("got limit %d without foreign requests, want %d", got, want)
+	}
+}
--- a/hitchd/internal/keep/send.go
+++ b/hitchd/internal/keep/send.go
@@ -23,6 +23,10 @@
 	idleTime      = time.Minute
 )
 
+// headerRunning is the header in which a server reports the number of requests
+// that it runs, the answered one included.
+const headerRunning = "Hitch-Running"
+
 // maxHeldBody is the largest request body that is held for a second attempt,
 // in bytes.
 const maxHeldBody = 64 << 10
--- a/hitchd/internal/keep/try.go
+++ b/hitchd/internal/keep/try.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"strconv"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -46,6 +47,9 @@
 		return ran{err: e, server: name}
 	}
 	t.cell.observe(clock.Now().Sub(t.since))
+	if n, err := strconv.Atoi(res.Header.Get(headerRunning)); err == nil {
+		t.cell.report(clock.Now(), name, n)
+	}
 	body := newEndingBody(t.ctx, res.Body, func(err error) { t.endBody(res, err) })
 	return ran{server: name, answer: &call.Answer{
 		Status: res.StatusCode,
--- a/steer/slots/cell.go
+++ b/steer/slots/cell.go
@@ -246,6 +246,7 @@
 func (c *Cell) start(now time.Time, r Request, s *server) Start {
 	class := classOf(r.Class)
 	s.busy++
+	s.peak = max(s.peak, s.busy)
 	c.busy[class]++
 	if r.Suspect {
 		s.suspects++
--- a/steer/slots/cell_test.go
+++ b/steer/slots/cell_test.go
@@ -169,6 +169,20 @@
 	}
 }
 
+func TestLateReportOfOwnWorkTakesNothingAway(t *testing.T) {
+	w := newWorld(1)
+	w.fill(3)
+	_ = w.apply(w.cell.Report(w.now, "server-0", 3))
+	for id := range w.works {
+		_ = w.finish(id, result.Done, "")
+	}
+	// Made before the requests ended.
+	_ = w.apply(w.cell.Report(w.now, "server-0", 3))
+	if got, want := w.state("server-0").Limit, 3; got != want {
+		t.Fatalf("got limit %d, want %d", got, want)
+	}
+}
+
 func TestEarlyRefusalAndOrderOfClasses(t *testing.T) {
 	w := newWorld(1)
 	w.fill(3)
--- a/steer/slots/health.go
+++ b/steer/slots/health.go
@@ -66,7 +66,9 @@
 		return Wake{}
 	}
 	s.reported = now
-	s.foreign = max(0, running-s.busy-s.heldSlots(now))
+	own := max(s.peak, s.lastPeak)
+	s.peak, s.lastPeak = s.busy, s.peak
+	s.foreign = max(0, running-own-s.heldSlots(now))
 	return c.Tick(now)
 }
 
--- a/steer/slots/server.go
+++ b/steer/slots/server.go
@@ -47,6 +47,9 @@
 	// foreign is work of others by the server's last report.
 	foreign  int
 	reported time.Time
+	// peak and lastPeak are the most requests of this cell that ran at once since
+	// the last report, and between the two before. A report may be as old.
+	peak, lastPeak int
 }
 
 // hold is a number of slots held until a time.
