--- a/hitchd/internal/keep/pool.go
+++ b/hitchd/internal/keep/pool.go
@@ -78,8 +78,8 @@
 func (p *pool) take(addr string) *conn {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	s := p.server(addr)
-	if len(s.idle) == 0 {
+	s := p.servers[addr]
+	if s == nil || len(s.idle) == 0 {
 		return nil
 	}
 	c := s.idle[len(s.idle)-1]
