spread: compare again when another host repaired the table first

Hosts that write lost changes back at the same time beat each other, and the loser told its operator that the platform was down. It compares again, up to five times; seen failing with one.

--- a/hitchd/internal/spread/spread_test.go
+++ b/hitchd/internal/spread/spread_test.go
@@ -177,6 +177,29 @@
 	})
 }
 
+func TestHostsThatRepairTogetherAcceptChanges(t *testing.T) {
+	onVirtualTime(t, todaysHosts, func(c *cluster) {
+		old := c.store.Copy()
+		var last uint64
+		for i := range 5 {
+			last = c.nodes[i].commit("ann")
+			c.within(inForceLimit, last)
+		}
+		c.store.SetFault(mem.Fault{Delay: 50 * time.Millisecond})
+		c.store.Restore(old)
+		var g sync.WaitGroup
+		for _, n := range c.nodes[:6] {
+			g.Go(func() {
+				if _, err := n.tryCommit("by " + n.self.Name); err != nil && !errors.Is(err, ErrConflict) {
+					t.Errorf("got %v, want the change accepted or beaten by another one", err)
+				}
+			})
+		}
+		g.Wait()
+		c.within(inForceLimit, last+1)
+	})
+}
+
 func TestForkedStoreIsRefused(t *testing.T) {
 	onVirtualTime(t, todaysHosts, func(c *cluster) {
 		old := c.store.Copy()
--- a/hitchd/internal/spread/table.go
+++ b/hitchd/internal/spread/table.go
@@ -20,6 +20,9 @@
 	logPrefix = "config/log/"
 )
 
+// maxPulls bounds the comparisons with a table that others change meanwhile.
+const maxPulls = 5
+
 // changesLimit bounds the changes read or written at once.
 const changesLimit = 200
 
@@ -122,6 +125,17 @@
 func (s *Spread) Pull(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, tableTimeout)
 	defer cancel()
+	err := s.pullOnce(ctx)
+	for tries := 1; tries < maxPulls && errors.Is(err, plat.ErrConflict); tries++ {
+		// Another host changed the head row while this one repaired it.
+		err = s.pullOnce(ctx)
+	}
+	return err
+}
+
+// pullOnce compares this host with the table once. It returns
+// [plat.ErrConflict] when the table changed meanwhile.
+func (s *Spread) pullOnce(ctx context.Context) error {
 	sent := s.now()
 	s.meters.polls.Inc()
 	// Looked at before the table, so that a change accepted in between isn't
