--- a/hitchctl/client/drain.go
+++ b/hitchctl/client/drain.go
@@ -20,18 +20,20 @@
 
 type drainDeclare struct {
 	submit
-	Server  string        `long:"server" description:"server to drain" value-name:"NAME"`
-	Domain  string        `long:"domain" description:"failure domain to drain" value-name:"NAME"`
-	Region  string        `long:"region" description:"region to drain" value-name:"NAME"`
-	CapRate float64       `long:"cap-rate" description:"cap of the shifted traffic in requests/s" value-name:"N"`
-	CapMbps float64       `long:"cap-mbps" description:"cap of the shifted traffic in Mbit/s" value-name:"N"`
-	For     time.Duration `long:"for" description:"planned length; the drain itself ends when it is cancelled" value-name:"TIME"`
-	Args    nameArgument  `positional-args:"true"`
+	Server    string        `long:"server" description:"server to drain" value-name:"NAME"`
+	Domain    string        `long:"domain" description:"failure domain to drain" value-name:"NAME"`
+	Region    string        `long:"region" description:"region to drain" value-name:"NAME"`
+	CapRate   float64       `long:"cap-rate" description:"cap of the shifted traffic in requests/s" value-name:"N"`
+	CapMbps   float64       `long:"cap-mbps" description:"cap of the shifted traffic in Mbit/s" value-name:"N"`
+	StepShare float64       `long:"step-share" description:"part of a region's traffic that each step sends away; the default is 0.25" value-name:"N"`
+	Step      time.Duration `long:"step" description:"least time between two steps; the default is 1s" value-name:"TIME"`
+	For       time.Duration `long:"for" description:"planned length; the drain itself ends when it is cancelled" value-name:"TIME"`
+	Args      nameArgument  `positional-args:"true"`
 }
 
 // record returns the drain that the options declare.
 func (c *drainDeclare) record() (config.Drain, error) {
-	d := config.Drain{Name: c.Args.Name, CapRate: c.CapRate, CapMbps: c.CapMbps}
+	d := config.Drain{Name: c.Args.Name, CapRate: c.CapRate, CapMbps: c.CapMbps, StepShare: c.StepShare, StepMs: int(c.Step.Milliseconds())}
 	given := 0
 	for kind, target := range map[config.TargetKind]string{config.TargetServer: c.Server, config.TargetDomain: c.Domain, config.TargetRegion: c.Region} {
 		if target != "" {
--- a/steer/config/check.go
+++ b/steer/config/check.go
@@ -92,6 +92,7 @@
 		}
 		// A floor of more than the whole would stand above the link's cap.
 		r.share("floorShare", v.FloorShare)
+		r.count("maxHosts", v.MaxHosts, 0)
 	}
 }
 
@@ -116,6 +117,9 @@
 		if greatest > 0 && v.ShiftMbps > greatest {
 			r.add("shiftMbps", v.ShiftMbps, fmt.Sprintf("at most %g, what the links out of one region carry", greatest))
 		}
+		r.share("shiftFloorShare", v.ShiftFloorShare)
+		r.count("maxHosts", v.MaxHosts, 0)
+		r.share("refusedShare", v.RefusedShare)
 		r.ms("slowStartMs", v.SlowStartMs, 0)
 		r.ms("lookupTtlMs", v.LookupTTLMs, 0)
 		if v.BlockTable != "" && !digestForm.MatchString(v.BlockTable) {
@@ -145,6 +149,8 @@
 		if out := f.outMbps(region); out > 0 && v.CapMbps > out {
 			r.add("capMbps", v.CapMbps, fmt.Sprintf("at most %g, what the links out of region %s carry", out, region))
 		}
+		r.share("stepShare", v.StepShare)
+		r.ms("stepMs", v.StepMs, 0)
 		if v.Until != "" {
 			if _, err := time.Parse(time.RFC3339, v.Until); err != nil {
 				r.add("until", v.Until, "a time like 2006-01-02T15:04:05Z")
