slots: hold a predecessor's slots on servers that join or come back later

A new keeper with an older configuration didn't count its predecessor's work on a server that joined after the take-over, and a server that left the configuration and came back lost its holds. Both are kept now. Seen failing: without them TestPredecessorsServersThatJoinLaterAreHeld starts work on a full server, and the random run, which takes servers out and back, finds 4 requests on a server of 3 slots.

--- a/steer/slots/cell.go
+++ b/steer/slots/cell.go
@@ -44,6 +44,10 @@
 	// urgent is when a request above bulk came last.
 	urgent time.Time
 	recent recent
+	// takenUntil is the end of a take-over's holds, unknown are holds of a
+	// handover on servers that joined later.
+	takenUntil time.Time
+	unknown    []unknownHold
 	// starts is the memory of the last Wake.
 	starts []Start
 }
@@ -142,7 +146,7 @@
 		r.server.held = append(r.server.held, hold{now.Add(cancelGrace), 1})
 	}
 	c.learn(now, r, e)
-	if r.server.removed && r.server.busy == 0 {
+	if r.server.removed && r.server.busy+r.server.heldSlots(now) == 0 {
 		delete(c.servers, r.server.config.Name)
 	}
 	return c.Tick(now)
--- a/steer/slots/cell_test.go
+++ b/steer/slots/cell_test.go
@@ -119,6 +119,25 @@
 	}
 }
 
+func TestPredecessorsServersThatJoinLaterAreHeld(t *testing.T) {
+	for _, handover := range []bool{false, true} {
+		w := newWorld(2)
+		w.fill(6)
+		servers := w.servers
+		w.servers = servers[:1] // The new keeper's configuration is older.
+		_ = w.replace(handover)
+		w.servers = servers
+		_ = w.apply(w.cell.Configure(w.now, w.servers, w.drains, w.profile))
+		if got := w.fill(2); got != 0 {
+			t.Fatalf("handover %v: got %d started on a server that the predecessor filled, want 0", handover, got)
+		}
+		_ = w.advance(maxDeadline + cancelGrace)
+		if got := w.fill(4); got < 4 {
+			t.Fatalf("handover %v: got %d started after the holds, want 4", handover, got)
+		}
+	}
+}
+
 func TestEjectionNeverExceedsItsShare(t *testing.T) {
 	w := newWorld(12)
 	w.profile.EjectShare = 0.3
--- a/steer/slots/hold.go
+++ b/steer/slots/hold.go
@@ -4,6 +4,8 @@
 	"cmp"
 	"slices"
 	"time"
+
+	"magnoliahitch/steer/config"
 )
 
 // Handover tells a successor what the cell's work still occupies.
@@ -25,6 +27,7 @@
 // TakeOver counts every slot that the cell doesn't use itself as in use by a
 // predecessor until the time.
 func (c *Cell) TakeOver(now, until time.Time) {
+	c.takenUntil = until
 	for _, s := range c.order {
 		s.release(now)
 		if n := s.config.Slots - s.busy - s.heldSlots(now); n > 0 {
@@ -33,6 +36,26 @@
 	}
 }
 
+// unknownHold is a hold on a server that the configuration doesn't have yet.
+type unknownHold struct {
+	server string
+	hold   hold
+}
+
+// inherited returns the holds of a server that joins.
+func (c *Cell) inherited(now time.Time, conf config.Server) []hold {
+	if now.Before(c.takenUntil) {
+		return []hold{{c.takenUntil, conf.Slots}}
+	}
+	var out []hold
+	for _, u := range c.unknown {
+		if u.server == conf.Name && now.Before(u.hold.until) {
+			out = append(out, u.hold)
+		}
+	}
+	return out
+}
+
 // Adopt counts the slots of the handover as in use.
 func (c *Cell) Adopt(now time.Time, h Handover) {
 	if h.Service > 0 {
@@ -41,6 +64,8 @@
 	for _, o := range h.Servers {
 		s := c.servers[o.Server]
 		if s == nil {
+			// The predecessor knew a newer configuration.
+			c.unknown = append(c.unknown, unknownHold{o.Server, hold{now.Add(o.Left), o.Slots}})
 			continue
 		}
 		if o.Slots > 0 {
--- a/steer/slots/model_test.go
+++ b/steer/slots/model_test.go
@@ -267,6 +267,11 @@
 				w.draining[s] = !w.draining[s]
 				check(w.apply(w.cell.Configure(w.now, w.servers, w.drains, w.profile)))
 			}),
+			rarely(10, func() {
+				// A server leaves the configuration and comes back.
+				check(w.apply(w.cell.Configure(w.now, w.servers[1:], w.drains, w.profile)))
+				check(w.apply(w.cell.Configure(w.now, w.servers, w.drains, w.profile)))
+			}),
 			rarely(10, func() { check(w.apply(w.cell.Report(w.now, server(), even(6, "running")))) }),
 			rarely(20, func() { check(w.crash(server())) }),
 			rarely(50, func() { check(w.replace(false)) }),
--- a/steer/slots/state.go
+++ b/steer/slots/state.go
@@ -70,7 +70,7 @@
 			continue
 		}
 		s.leaves = true
-		if s.busy == 0 {
+		if s.busy+s.heldSlots(now) == 0 {
 			delete(c.servers, n)
 		}
 	}
@@ -80,7 +80,7 @@
 func (c *Cell) configure(now time.Time, conf config.Server, leaves, running bool) {
 	s := c.servers[conf.Name]
 	if s == nil {
-		s = &server{}
+		s = &server{held: c.inherited(now, conf)}
 		if running {
 			s.ramp = now
 		}
@@ -101,7 +101,7 @@
 		out = append(out, c.state(now, s))
 	}
 	for _, s := range c.servers {
-		if s.removed {
+		if s.removed && s.busy+s.heldSlots(now) > 0 {
 			out = append(out, c.state(now, s))
 		}
 	}
