keep: free the slots of a planned stop as soon as their work ended

After a handover the successor counted the predecessor's requests in flight until their deadlines, seconds after most of them had ended, so a planned stop under load cost the cell its slots. The former keeper now tells the hosts that may keep the cell of each request that ends, by an id that the handover names. A message that comes before the handover is remembered, a doubled one frees nothing more, a lost one leaves the slot held. Waiting in Release was ruled out: it would hold up the release of the other cells. Seen failing: without the memory or the message TestSlotsOfAPlannedStopAreFreeOnceTheirWorkEnded waits in vain; freeing any hold instead of the named one, the random run finds 4 requests on 3 slots.

--- a/hitchd/internal/keep/attempt_test.go
+++ b/hitchd/internal/keep/attempt_test.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"github.com/go-faster/errors"
+	"github.com/hashicorp/go-hclog"
 
 	"magnoliahitch/links/clock"
 	"magnoliahitch/steer/result"
@@ -349,3 +350,42 @@
 		t.Fatalf("got %d servers in the pool after 100 replacements, want %d", got, want)
 	}
 }
+
+func TestSlotsOfAPlannedStopAreFreeOnceTheirWorkEnded(t *testing.T) {
+	for _, early := range []bool{true, false} {
+		release := make(chan struct{})
+		u := newUpstream(t, func(w http.ResponseWriter, r *http.Request) {
+			<-release
+			echoID(w, r)
+		})
+		n := network{{name: "old", region: "norte"}, {name: "next", region: "norte"}}
+		for _, r := range n {
+			r.keeper = New(r.name, always(), hclog.NewNullLogger(), WithPeers(n, n))
+			r.keeper.Configure(clock.Now(), testConfig(testProfile, u.URL))
+		}
+		old, next := n[0].keeper, n[1].keeper
+		var g sync.WaitGroup
+		for i := range 3 {
+			g.Go(func() { _, _ = do(t.Context(), old, request(fmt.Sprint(i), http.MethodGet)) })
+		}
+		until(t, "full cell", func() bool { return busy(old) == 3 })
+		handover := old.Release(clock.Now(), testCell.Key())
+		if early {
+			next.Acquire(clock.Now(), testCell.Key(), handover)
+			if got := next.Loads(clock.Now())[0].Free; got != 0 {
+				t.Fatalf("got %d slots free while the work runs, want 0", got)
+			}
+		}
+		close(release)
+		g.Wait()
+		until(t, "message of each end", func() bool {
+			next.mu.RLock()
+			defer next.mu.RUnlock()
+			return len(next.ended) == 3
+		})
+		if !early {
+			next.Acquire(clock.Now(), testCell.Key(), handover)
+		}
+		until(t, "free slots", func() bool { return next.Loads(clock.Now())[0].Free == 3 })
+	}
+}
--- a/hitchd/internal/keep/cell.go
+++ b/hitchd/internal/keep/cell.go
@@ -31,6 +31,8 @@
 	timer   *time.Timer
 	// released is set when the keeper gave the cell up.
 	released bool
+	// ended is told of each request that ends after the release.
+	ended func(id uint64)
 	// servers are those of the configuration, warm those that no drain covers.
 	servers, warm []config.Server
 }
@@ -151,8 +153,13 @@
 
 func (c *cell) finish(now time.Time, e slots.End) {
 	c.mu.Lock()
-	defer c.mu.Unlock()
 	c.wake(now, c.slots.Finish(now, e))
+	ended := c.ended
+	c.mu.Unlock()
+	// The server may go on with a request that this side gave up.
+	if ended != nil && (e.Outcome != result.Unknown || e.Reason == result.ReasonUpstream) {
+		ended(e.ID)
+	}
 }
 
 // report takes a server's own count of running requests.
--- a/hitchd/internal/keep/deaths.go
+++ b/hitchd/internal/keep/deaths.go
@@ -167,7 +167,7 @@
 	ctx, cancel := context.WithTimeout(ctx, tellTimeout)
 	defer cancel()
 	var g sync.WaitGroup
-	for _, h := range d.audience(service) {
+	for _, h := range d.audience(service, d.regions()) {
 		g.Go(func() {
 			if err := d.peers.Tell(ctx, h, suspectsPath, suspectsMessage{service, reports}, nil); err != nil {
 				d.log.Warn("tell of suspects", "host", h.Name, "error", err)
@@ -177,10 +177,14 @@
 	g.Wait()
 }
 
-func (d *deaths) audience(service string) []member.Host {
+func (d *deaths) regions() []string {
 	d.mu.RLock()
-	conf := d.config
-	d.mu.RUnlock()
+	defer d.mu.RUnlock()
+	return d.config.Regions.Names()
+}
+
+// audience returns the hosts that keep or may keep the service's cells in the regions.
+func (d *deaths) audience(service string, regions []string) []member.Host {
 	live := d.members.Live()
 	seen := map[string]bool{d.self: true}
 	var out []member.Host
@@ -192,7 +196,7 @@
 			}
 		}
 	}
-	for _, region := range conf.Regions.Names() {
+	for _, region := range regions {
 		key := place.Cell{Region: region, Service: service}.Key()
 		if h, ok := d.members.Keeper(clock.Now(), key); ok {
 			add(h)
--- a/hitchd/internal/keep/deaths_test.go
+++ b/hitchd/internal/keep/deaths_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"context"
 	"fmt"
 	"math/rand/v2"
@@ -24,7 +25,9 @@
 
 // region is a keeper with its servers; regions tell each other of suspects.
 type region struct {
+	// name is the host's name, and its region's unless that is set.
 	name   string
+	region string
 	keeper *Keeper
 }
 
@@ -34,7 +37,7 @@
 func (n network) Live() []member.Host {
 	var out []member.Host
 	for _, r := range n {
-		out = append(out, member.Host{Name: r.name, Region: r.name, Domain: r.name})
+		out = append(out, member.Host{Name: r.name, Region: cmp.Or(r.region, r.name), Domain: r.name})
 	}
 	return out
 }
@@ -43,7 +46,7 @@
 	return member.Host{Name: k.Region, Region: k.Region, Domain: k.Region}, true
 }
 
-func (n network) Tell(_ context.Context, to member.Host, _ string, in, _ any) error {
+func (n network) Tell(_ context.Context, to member.Host, path string, in, _ any) error {
 	body, err := msgpack.Marshal(in)
 	if err != nil {
 		return err
@@ -51,7 +54,8 @@
 	for _, r := range n {
 		if r.name == to.Name {
 			w := httptest.NewRecorder()
-			r.keeper.Suspects().ServeHTTP(w, httptest.NewRequest(http.MethodPost, suspectsPath, bytes.NewReader(body)))
+			handler := map[string]http.Handler{suspectsPath: r.keeper.Suspects(), endedPath: r.keeper.Ended()}[path]
+			handler.ServeHTTP(w, httptest.NewRequest(http.MethodPost, path, bytes.NewReader(body)))
 			if w.Code == http.StatusOK {
 				return nil
 			}
--- a/hitchd/internal/keep/keep.go
+++ b/hitchd/internal/keep/keep.go
@@ -9,6 +9,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"sync"
 	"time"
 
@@ -41,6 +42,8 @@
 	mu     sync.RWMutex
 	config *config.Config
 	cells  map[place.Cell]*cell
+	// ended holds requests of other keepers that ended, until when it matters.
+	ended map[uint64]time.Time
 }
 
 // Option changes a new keeper.
@@ -67,6 +70,7 @@
 		changed: make(chan struct{}, 1),
 		config:  &config.Config{},
 		cells:   make(map[place.Cell]*cell),
+		ended:   make(map[uint64]time.Time),
 	}
 	for _, o := range options {
 		o(k)
@@ -218,6 +222,8 @@
 		waiting: make(map[uint64]chan wakening),
 		budget:  retry.NewBudget(0),
 		meter:   newMeter(p),
+		// Requests are told apart among successive keepers too.
+		lastID: rand.Uint64(),
 	}
 }
 
--- a/hitchd/internal/keep/tenant.go
+++ b/hitchd/internal/keep/tenant.go
@@ -43,6 +43,10 @@
 		c.slots.TakeOver(now, now.Add(greatest))
 		k.log.Info("cell taken over", "cell", p, "held", greatest)
 	default:
+		h.Servers = slices.DeleteFunc(h.Servers, func(o slots.Occupied) bool {
+			_, ok := k.ended[o.ID]
+			return ok
+		})
 		c.slots.Adopt(now, h)
 		k.log.Info("cell handed over", "cell", p, "servers", len(h.Servers))
 	}
@@ -62,6 +66,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.released = true
+	c.ended = func(id uint64) { go k.tellEnded(p, id) }
 	handover, err := msgpack.Marshal(c.slots.Handover(now))
 	if err != nil {
 		k.log.Error("encode handover", "cell", p, "error", err)
--- a/hitchd/serve.go
+++ b/hitchd/serve.go
@@ -66,6 +66,7 @@
 	changes := spread.New(table, conf, log.Named("spread"), spread.WithPeers(known, client), spread.WithObjects(objects))
 	peers := peer.NewServer(keys.certs)
 	peers.Handle("POST /suspects", keeper.Suspects())
+	peers.Handle("POST /ended", keeper.Ended())
 	operations.Handle(peers)
 	changes.Register(peers)
 
--- a/steer/slots/cell.go
+++ b/steer/slots/cell.go
@@ -143,7 +143,7 @@
 	}
 	if e.Outcome == result.Unknown && e.Reason != result.ReasonUpstream {
 		// Given up by this side: the server may still be busy with it.
-		r.server.held = append(r.server.held, hold{now.Add(cancelGrace), 1})
+		r.server.held = append(r.server.held, hold{until: now.Add(cancelGrace), slots: 1})
 	}
 	c.learn(now, r, e)
 	if r.server.removed && r.server.busy+r.server.heldSlots(now) == 0 {
--- a/steer/slots/hold.go
+++ b/steer/slots/hold.go
@@ -17,9 +17,11 @@
 
 // Occupied is a number of slots of a server that are in use for a time at most.
 type Occupied struct {
-	Server string        `msgpack:"server"`
-	Slots  int           `msgpack:"slots"`
-	Left   time.Duration `msgpack:"left"`
+	Server string `msgpack:"server"`
+	// ID is the request that uses the slots; 0 when it isn't known.
+	ID    uint64        `msgpack:"id"`
+	Slots int           `msgpack:"slots"`
+	Left  time.Duration `msgpack:"left"`
 	// Ramp is the age of the server's slow start, zero when it has none.
 	Ramp time.Duration `msgpack:"ramp"`
 }
@@ -31,7 +33,7 @@
 	for _, s := range c.order {
 		s.release(now)
 		if n := s.config.Slots - s.busy - s.heldSlots(now); n > 0 {
-			s.held = append(s.held, hold{until, n})
+			s.held = append(s.held, hold{until: until, slots: n})
 		}
 	}
 }
@@ -45,7 +47,7 @@
 // inherited returns the holds of a server that joins.
 func (c *Cell) inherited(now time.Time, conf config.Server) []hold {
 	if now.Before(c.takenUntil) {
-		return []hold{{c.takenUntil, conf.Slots}}
+		return []hold{{until: c.takenUntil, slots: conf.Slots}}
 	}
 	var out []hold
 	for _, u := range c.unknown {
@@ -65,11 +67,11 @@
 		s := c.servers[o.Server]
 		if s == nil {
 			// The predecessor knew a newer configuration.
-			c.unknown = append(c.unknown, unknownHold{o.Server, hold{now.Add(o.Left), o.Slots}})
+			c.unknown = append(c.unknown, unknownHold{o.Server, hold{now.Add(o.Left), o.Slots, o.ID}})
 			continue
 		}
 		if o.Slots > 0 {
-			s.held = append(s.held, hold{now.Add(o.Left), o.Slots})
+			s.held = append(s.held, hold{now.Add(o.Left), o.Slots, o.ID})
 		}
 		if o.Ramp > 0 {
 			s.ramp = now.Add(-o.Ramp)
@@ -77,6 +79,18 @@
 	}
 }
 
+// Ended tells that a predecessor's request, which a handover named, has ended.
+func (c *Cell) Ended(now time.Time, id uint64) Wake {
+	if id == 0 {
+		return Wake{}
+	}
+	for _, s := range c.servers {
+		s.held = slices.DeleteFunc(s.held, func(h hold) bool { return h.id == id })
+	}
+	c.unknown = slices.DeleteFunc(c.unknown, func(u unknownHold) bool { return u.hold.id == id })
+	return c.Tick(now)
+}
+
 // Handover describes the work that still runs. Times are durations from now,
 // so that the successor's clock needn't agree.
 func (c *Cell) Handover(now time.Time) Handover {
@@ -87,12 +101,12 @@
 			h.Servers = append(h.Servers, Occupied{Server: s.config.Name, Ramp: max(1, now.Sub(s.ramp))})
 		}
 		for _, d := range s.held {
-			h.Servers = append(h.Servers, Occupied{Server: s.config.Name, Slots: d.slots, Left: d.until.Sub(now)})
+			h.Servers = append(h.Servers, Occupied{Server: s.config.Name, ID: d.id, Slots: d.slots, Left: d.until.Sub(now)})
 		}
 	}
-	for _, r := range c.running {
+	for id, r := range c.running {
 		left := r.deadline.Sub(now) + cancelGrace
-		h.Servers = append(h.Servers, Occupied{Server: r.server.config.Name, Slots: 1, Left: left})
+		h.Servers = append(h.Servers, Occupied{Server: r.server.config.Name, ID: id, Slots: 1, Left: left})
 	}
 	slices.SortFunc(h.Servers, func(a, b Occupied) int {
 		return cmp.Or(cmp.Compare(a.Server, b.Server), cmp.Compare(a.Left, b.Left))
--- a/steer/slots/model_test.go
+++ b/steer/slots/model_test.go
@@ -145,7 +145,14 @@
 	if k.cell == w.cell {
 		return w.apply(wake)
 	}
-	return nil
+	if o == result.Unknown && reason != result.ReasonUpstream {
+		return nil
+	}
+	// The former keeper tells its successor, twice.
+	if err := w.apply(w.cell.Ended(w.now, id)); err != nil {
+		return err
+	}
+	return w.apply(w.cell.Ended(w.now, id))
 }
 
 // replace lets a new keeper take the cell over, with a handover or without.
--- a/steer/slots/server.go
+++ b/steer/slots/server.go
@@ -56,6 +56,8 @@
 type hold struct {
 	until time.Time
 	slots int
+	// id is the request that a predecessor runs; 0 when it isn't known.
+	id uint64
 }
 
 func (s *server) heldSlots(now time.Time) int {
