--- a/steer/slots/cell.go
+++ b/steer/slots/cell.go
@@ -44,6 +44,10 @@
 	// urgent is when a request above bulk came last.
 	urgent time.Time
 	recent recent
+	// takenUntil is the end of a take-over's holds, unknown are holds of a
+	// handover on servers that joined later.
+	takenUntil time.Time
+	unknown    []unknownHold
 	// starts is the memory of the last Wake.
 	starts []Start
 }
@@ -139,10 +143,10 @@
 	}
 	if e.Outcome == result.Unknown && e.Reason != result.ReasonUpstream {
 		// Given up by this side: the server may still be busy with it.
-		r.server.held = append(r.server.held, hold{now.Add(cancelGrace), 1})
+		r.server.held = append(r.server.held, hold{until: now.Add(cancelGrace), slots: 1})
 	}
 	c.learn(now, r, e)
-	if r.server.removed && r.server.busy == 0 {
+	if r.server.removed && r.server.busy+r.server.heldSlots(now) == 0 {
 		delete(c.servers, r.server.config.Name)
 	}
 	return c.Tick(now)
--- a/steer/slots/model_test.go
+++ b/steer/slots/model_test.go
@@ -145,7 +145,14 @@
 	if k.cell == w.cell {
 		return w.apply(wake)
 	}
-	return nil
+	if o == result.Unknown && reason != result.ReasonUpstream {
+		return nil
+	}
+	// The former keeper tells its successor, twice.
+	if err := w.apply(w.cell.Ended(w.now, id)); err != nil {
+		return err
+	}
+	return w.apply(w.cell.Ended(w.now, id))
 }
 
 // replace lets a new keeper take the cell over, with a handover or without.
@@ -267,6 +274,11 @@
 				w.draining[s] = !w.draining[s]
 				check(w.apply(w.cell.Configure(w.now, w.servers, w.drains, w.profile)))
 			}),
+			rarely(10, func() {
+				// A server leaves the configuration and comes back.
+				check(w.apply(w.cell.Configure(w.now, w.servers[1:], w.drains, w.profile)))
+				check(w.apply(w.cell.Configure(w.now, w.servers, w.drains, w.profile)))
+			}),
 			rarely(10, func() { check(w.apply(w.cell.Report(w.now, server(), even(6, "running")))) }),
 			rarely(20, func() { check(w.crash(server())) }),
 			rarely(50, func() { check(w.replace(false)) }),
