steer/lease: hold and take over host leases by table and pledge

A keeper must be one host at a time, also while the table is down and while holders are paused. Holder and Watch are the two sides of one lease; Node joins a host's own lease with its watches of its region and decides on claims, renewals, evictions, adoptions and messages.

Ruled out: a lease for each cell (writes grow with cells); a pledge by a host whose own lease has lapsed with a 30 minute wait of everybody else (two dead hosts cost half an hour). A successor acts only while its own lease is valid, so its role can pass on: at the table by adoption, without it to the host that took it over.

--- /dev/null
+++ b/steer/lease/exchange.go
@@ -0,0 +1,115 @@
+package lease
+
+import (
+	"slices"
+	"time"
+)
+
+// askParts is the share of the lease's length that must be left before its
+// holder turns to the successor.
+const askParts = 3
+
+// Message is what goes from a holder to its successor.
+type Message struct {
+	From ID  `msgpack:"from"`
+	To   ID  `msgpack:"to"`
+	Ask  Ask `msgpack:"ask"`
+	// Leave asks to end the regime instead.
+	Leave bool `msgpack:"leave"`
+}
+
+// Reply answers a message.
+type Reply struct {
+	From ID `msgpack:"from"`
+	// Granted tells whether the pledge was made or the regime ended.
+	Granted bool `msgpack:"granted"`
+	Leave   bool `msgpack:"leave"`
+	Ask     Ask  `msgpack:"ask"`
+}
+
+// Message returns the message that is due to the successor at now. Tabled
+// tells whether the table answers in good time.
+func (n *Node) Message(now time.Time, tabled bool) (Message, bool) {
+	m := Message{From: n.self.ID}
+	if n.holder.Mode() == Regime {
+		m.To = n.asked[len(n.asked)-1]
+		if l, ok := n.holder.Leave(); ok && tabled {
+			m.Leave, m.Ask.Regime = true, l.Regime
+			return m, true
+		}
+	} else {
+		m.To = n.self.Successor
+		left := n.holder.Until().Sub(now)
+		if m.To.Term == 0 || left > n.terms.Length/askParts || n.evicting() {
+			return Message{}, false
+		}
+	}
+	h, a, ok := n.holder.WithAsk(now)
+	if !ok {
+		return Message{}, false
+	}
+	if n.holder.Mode() == Table {
+		n.asked = []ID{m.To}
+		n.counts.Regimes++
+	}
+	n.holder, m.Ask = h, a
+	return m, true
+}
+
+// Answer answers another holder's message, or refuses it.
+func (n *Node) Answer(now time.Time, m Message) Reply {
+	r := Reply{From: n.self.ID, Leave: m.Leave, Ask: m.Ask}
+	w, ok := n.watches[m.From]
+	if !ok || m.To != n.self.ID {
+		return r
+	}
+	if m.Leave {
+		w, _, r.Granted = w.WithLeave(Leave{Regime: m.Ask.Regime})
+	} else if n.holder.Valid(now) && n.entitled(now, m.From) {
+		w, _, r.Granted = w.WithAsk(now, m.Ask)
+		if r.Granted {
+			n.counts.Pledged++
+		}
+	}
+	n.watches[m.From] = w
+	return r
+}
+
+// entitled reports whether this host has the role of the lease's successor, by
+// name or by having taken over the one that is named.
+func (n *Node) entitled(now time.Time, id ID) bool {
+	r, ok := n.rows[id.Host]
+	return ok && r.ID == id && (r.Successor == n.self.ID || n.watches[r.Successor].Taken(now))
+}
+
+// Receive counts the answer to a message.
+func (n *Node) Receive(r Reply) {
+	if !r.Granted || !slices.Contains(n.asked, r.From) {
+		return
+	}
+	if !r.Leave {
+		n.holder = n.holder.WithPledge(Pledge(r.Ask))
+		return
+	}
+	n.holder = n.holder.WithLeft(Left{Regime: r.Ask.Regime})
+	if n.holder.Mode() == Table {
+		n.asked = nil
+	}
+}
+
+// Take takes over, without the table, the leases whose pledges lapsed.
+func (n *Node) Take(now time.Time) []ID {
+	var out []ID
+	if !n.holder.Valid(now) {
+		return nil
+	}
+	for id, w := range n.watches {
+		next, ok := w.WithTakeover(now)
+		if ok && n.entitled(now, id) {
+			n.watches[id] = next
+			n.counts.Takeovers++
+			out = append(out, id)
+		}
+	}
+	return out
+}
