steer/lease: pass takeovers on to the successor of a successor

When the store is down and a host dies, its successor takes it over, but the host whose pledges came from the dead one lost its lease, refused pledges itself, and so the region's leases ended one after another (TestKeeperKilledWhileTheStoreIsDown: 0 of 4 cells held).

A holder now tells its successor what it took over, and acts for it only once the successor has answered; whoever takes its lease inherits the list and pledges to those who are not on it. A row that is missing or older no longer counts as a lease that is over.

--- a/steer/lease/check_test.go
+++ b/steer/lease/check_test.go
@@ -313,7 +313,7 @@
 		v.promised = time.Time{}
 	}
 	v, ok := v.WithTakeover(at(w.now))
-	w.watch[i] = v
+	w.watch[i] = v.WithConfirmed()
 	return w, ok
 }
 
--- a/steer/lease/exchange.go
+++ b/steer/lease/exchange.go
@@ -16,6 +16,9 @@
 	Ask  Ask `msgpack:"ask"`
 	// Leave asks to end the regime instead.
 	Leave bool `msgpack:"leave"`
+	// Taken are the leases that the holder took over without the table. They
+	// pass to whoever takes its own.
+	Taken []ID `msgpack:"taken"`
 }
 
 // Reply answers a message.
@@ -25,6 +28,7 @@
 	Granted bool `msgpack:"granted"`
 	Leave   bool `msgpack:"leave"`
 	Ask     Ask  `msgpack:"ask"`
+	Taken   []ID `msgpack:"taken"`
 }
 
 // Message returns the message that is due to the successor at now. Tabled
@@ -44,6 +48,7 @@
 			return Message{}, false
 		}
 	}
+	m.Taken = n.takes()
 	h, a, ok := n.holder.WithAsk(now)
 	if !ok {
 		return Message{}, false
@@ -58,7 +63,7 @@
 
 // Answer answers another holder's message, or refuses it.
 func (n *Node) Answer(now time.Time, m Message) Reply {
-	r := Reply{From: n.self.ID, Leave: m.Leave, Ask: m.Ask}
+	r := Reply{From: n.self.ID, Leave: m.Leave, Ask: m.Ask, Taken: m.Taken}
 	w, ok := n.watches[m.From]
 	if !ok || m.To != n.self.ID {
 		return r
@@ -69,6 +74,9 @@
 		w, _, r.Granted = w.WithAsk(now, m.Ask)
 		if r.Granted {
 			n.counts.Pledged++
+			if l := n.lists[m.From]; m.Ask.Sent.After(l.sent) {
+				n.lists[m.From] = list{m.Ask.Sent, m.Taken}
+			}
 		}
 	}
 	n.watches[m.From] = w
@@ -89,6 +97,9 @@
 	}
 	if !r.Leave {
 		n.holder = n.holder.WithPledge(Pledge(r.Ask))
+		if n.holder.mode == Regime && n.holder.regime == r.Ask.Regime {
+			n.confirm(r.Taken)
+		}
 		return
 	}
 	n.holder = n.holder.WithLeft(Left{Regime: r.Ask.Regime})
@@ -97,18 +108,50 @@
 	}
 }
 
-// Take takes over, without the table, the leases whose pledges lapsed.
+// list is what a holder took over, as it told with a message.
+type list struct {
+	sent  time.Time
+	taken []ID
+}
+
+// takes returns the leases taken over without the table, confirmed or not.
+func (n *Node) takes() []ID {
+	var out []ID
+	for id, w := range n.watches {
+		if w.taken && !w.over {
+			out = append(out, id)
+		}
+	}
+	return out
+}
+
+func (n *Node) confirm(taken []ID) {
+	for _, id := range taken {
+		if w, ok := n.watches[id]; ok {
+			n.watches[id] = w.WithConfirmed()
+		}
+	}
+}
+
+// Take takes over, without the table, the leases whose pledges lapsed, and
+// what they had taken over. It acts for them once its own successor knows of it.
 func (n *Node) Take(now time.Time) []ID {
 	var out []ID
-	if !n.holder.Valid(now) {
+	if !n.holder.Valid(now) || n.holder.Mode() != Regime {
 		return nil
 	}
 	for id, w := range n.watches {
 		next, ok := w.WithTakeover(now)
-		if ok && n.entitled(now, id) {
-			n.watches[id] = next
-			n.counts.Takeovers++
-			out = append(out, id)
+		if !ok || !n.entitled(now, id) {
+			continue
+		}
+		n.watches[id] = next
+		n.counts.Takeovers++
+		out = append(out, id)
+		for _, t := range n.lists[id].taken {
+			if v, ok := n.watches[t]; ok {
+				n.watches[t] = v.WithInherited()
+			}
 		}
 	}
 	return out
--- a/steer/lease/node.go
+++ b/steer/lease/node.go
@@ -20,6 +20,8 @@
 	version int64
 	rows    map[string]Stored
 	watches map[ID]Watch
+	// lists are what holders told of their own takeovers.
+	lists map[ID]list
 	// asked are the successors that may have pledged in the present regime;
 	// the last one is asked now.
 	asked []ID
@@ -52,6 +54,7 @@
 		holder:  NewHolder(t),
 		rows:    make(map[string]Stored),
 		watches: make(map[ID]Watch),
+		lists:   make(map[ID]list),
 	}
 }
 
@@ -83,10 +86,14 @@
 	return out
 }
 
-// Over reports whether a lease is known to be over in the table.
+// Over reports whether a lease is known to be over in the table. A row that is
+// missing or older says nothing: the read may be old.
 func (n *Node) Over(id ID) bool {
 	r, ok := n.rows[id.Host]
-	return !ok || r.Term != id.Term || r.Over
+	if id == n.self.ID && id.Term != 0 {
+		return false
+	}
+	return id.Term == 0 || ok && (r.Term > id.Term || r.Term == id.Term && r.Over)
 }
 
 // Acts reports whether this node may act at now for the lease: its own, or
@@ -110,8 +117,11 @@
 	return out
 }
 
-// Leave makes the next renewal say that the host is leaving.
-func (n *Node) Leave() { n.self.Leaving = true }
+// Leave makes the next renewal, due at once, say that the host is leaving.
+func (n *Node) Leave() {
+	n.self.Leaving = true
+	n.tried = time.Time{}
+}
 
 // Observe counts a read of all rows of the region, which began at a time and
 // ended at now.
@@ -134,7 +144,7 @@
 		n.watches[r.ID] = w.WithRow(began, now, r.Version, r.Regime)
 	}
 	maps.DeleteFunc(n.watches, func(id ID, _ Watch) bool { return !seen[id] })
-	if !began.Before(n.settled) {
+	if began.After(n.settled) {
 		n.observeOwn(n.rows[n.self.Host])
 	}
 }
@@ -167,6 +177,7 @@
 	n.self.Term, n.asked, n.doubted = 0, nil, false
 	// Roles and takeovers went with the lease.
 	clear(n.watches)
+	clear(n.lists)
 }
 
 // follow goes on to the regime of a successor that took the present one's role.
@@ -178,16 +189,16 @@
 		return
 	}
 	n.turn(to)
+	n.renounce()
 }
 
 // turn goes on to the regime of another successor.
 func (n *Node) turn(to ID) {
 	n.holder = n.holder.WithNextRegime()
 	n.asked = append(n.asked, to)
-	n.renounce()
 }
 
-// renounce gives up the rights over other leases. The former successor may
+// renounce gives up the rights over other leases: the former successor may
 // have taken this host's lease, and its rights with it.
 func (n *Node) renounce() {
 	for id, w := range n.watches {
@@ -201,7 +212,11 @@
 	if n.holder.Mode() != Regime || slices.Contains(n.asked, from) || from == n.self.ID {
 		return
 	}
-	if slices.Contains(taken, n.asked[len(n.asked)-1]) {
+	// A host that took this one's lease over has its rights too.
+	if slices.Contains(taken, n.asked[len(n.asked)-1]) && !slices.Contains(taken, n.self.ID) {
 		n.turn(from)
 	}
 }
+
+// Stood reports whether a lease's row stood still for longer than a lease.
+func (n *Node) Stood(now time.Time, id ID) bool { return n.watches[id].MayReplace(now) }
--- a/steer/lease/watch.go
+++ b/steer/lease/watch.go
@@ -22,7 +22,10 @@
 	over     bool
 	void     bool
 	taken    bool
-	until    time.Time
+	// confirmed is set once the observer's own successor knows of the
+	// takeover.
+	confirmed bool
+	until     time.Time
 }
 
 // NewWatch returns a watch that has seen nothing.
@@ -88,10 +91,22 @@
 	return w, true
 }
 
+// WithInherited takes over what a lease that the observer took over had taken.
+func (w Watch) WithInherited() Watch {
+	w.taken, w.open, w.until = true, false, w.changed.Add(w.terms.Extent)
+	return w
+}
+
+// WithConfirmed says that the observer's own successor knows of the takeover.
+func (w Watch) WithConfirmed() Watch {
+	w.confirmed = w.taken
+	return w
+}
+
 // Taken reports whether the observer took over without the table and may
 // still act at now, provided that its own lease is valid.
 func (w Watch) Taken(now time.Time) bool {
-	return w.taken && !w.evicting && !w.over && now.Before(w.until)
+	return w.taken && w.confirmed && !w.evicting && !w.over && now.Before(w.until)
 }
 
 // MayEvict reports whether the lease may be ended in the table by a
@@ -127,7 +142,7 @@
 // WithVoid gives up all rights as a successor until the holder writes its row
 // again: another host may have them.
 func (w Watch) WithVoid() Watch {
-	w.void, w.open, w.taken = true, false, false
+	w.void, w.open, w.taken, w.confirmed = true, false, false, false
 	return w
 }
 
