hosts: keep cells by host leases in the table and by pledges

Until now the keeper of a cell was the first host in a list that lags, so two hosts could both think that they keep it. Now each host renews one lease row, one row for each region says which lease holds which cell, and Holds is fenced at the moment of use. Only the holder moves a cell while its lease isn't over; the first live host gives vacant cells away. Tenants acquire and release cells, with a handover at a planned move. Statuses go to the own failure domain, digests to the delegates of the others.

Ruled out: a row for each cell (writes grow with cells).

--- a/hitchd/serve.go
+++ b/hitchd/serve.go
@@ -24,6 +24,7 @@
 	"magnoliahitch/links/plat"
 	"magnoliahitch/steer/config"
 	"magnoliahitch/steer/member"
+	"magnoliahitch/steer/place"
 )
 
 // serve runs the daemon until the context ends, then stops gracefully.
@@ -47,16 +48,18 @@
 	}
 	table := plat.NewClient(s.Platform.Table, plat.WithTimeout(s.Platform.Timeout))
 	conf := view.New()
-	known := hosts.New(self, table, log.Named("hosts"))
+	client := peer.NewClient(keys.certs)
+	known := hosts.New(self, table, client, log.Named("hosts"),
+		hosts.WithKeys(func() []place.Key { return place.Keys(conf.Config()) }))
 	keeper := keep.New(self.Name, known, log.Named("keep"))
 	conf.Watch(func(c *config.Config) { keeper.Configure(clock.Now(), c) })
-	client := peer.NewClient(keys.certs)
 	operations := claims.New(table, known, client, keeper, log.Named("claims"))
 	router := route.New(known, operations, client, log.Named("route"))
 	changes := spread.New(table, conf, log.Named("spread"))
 	peers := peer.NewServer(keys.certs)
 	peers.HandleCalls(operations)
 	operations.Handle(peers)
+	known.Handle(peers)
 
 	var g run.Group
 	g.Add(run.ContextHandler(ctx))
