hitchd: stop as planned without cutting a request

On SIGTERM the host leaves the look-up answers, waits out their time to live, hands its cells over and finishes what is in flight; every other part goes on until then. Before, the loops and the peer port ended first.

hosts: one loop drives reads, writes and messages, so that a slow table holds nothing up.

--- a/hitchctl/keys.go
+++ b/hitchctl/keys.go
@@ -13,6 +13,7 @@
 
 	"github.com/go-faster/errors"
 
+	"magnoliahitch/hitchctl/client"
 	"magnoliahitch/links/certs"
 )
 
@@ -20,7 +21,7 @@
 const dirMode = 0o700
 
 type keysCommand struct {
-	client   *client
+	client   *client.Global
 	Dir      string        `long:"dir" description:"directory of the keys" required:"true" value-name:"DIR"`
 	Hosts    []string      `long:"host" description:"host to make a key for, with its IP addresses if other programs check them; may be repeated" value-name:"NAME[=IP,...]"`
 	Renew    bool          `long:"renew" description:"replace the keys of the named hosts, or of every host in the directory"`
--- a/hitchd/internal/hosts/gossip.go
+++ b/hitchd/internal/hosts/gossip.go
@@ -99,8 +99,18 @@
 // delegates, the domain's digest to the delegates of the others.
 func (h *Hosts) gossip(ctx context.Context) {
 	now := h.clock()
+	h.mu.RLock()
+	source := h.source
+	h.mu.RUnlock()
+	var loads []member.Load
+	var revision uint64
+	if source != nil {
+		// The source may ask what this host holds.
+		loads, revision = source(now)
+	}
 	h.mu.Lock()
 	m, near, far := h.message(now)
+	m.Status.Loads, m.Status.Revision = loads, revision
 	urgent := len(m.Taken) != h.told || m.Status.Host.Leaving != h.toldLeaving
 	if now.Before(h.nextTell) && !urgent {
 		h.mu.Unlock()
@@ -140,9 +150,6 @@
 // domain and in others.
 func (h *Hosts) message(now time.Time) (m statusMessage, near, far []member.Host) {
 	m.Status.Host = h.self
-	if h.source != nil {
-		m.Status.Loads, m.Status.Revision = h.source(now)
-	}
 	m.Lease, m.Taken = h.node.ID(), h.node.Taken(now)
 	m.Digests = h.digests.Fresh(now, loadLapse)
 	domains := make(map[string][]member.Host)
--- a/hitchd/internal/hosts/loop.go
+++ b/hitchd/internal/hosts/loop.go
@@ -14,12 +14,9 @@
 
 // Intervals of the loops.
 const (
-	writeInterval = 250 * time.Millisecond
-	tellInterval  = 250 * time.Millisecond
+	stepInterval = 250 * time.Millisecond
 	// wideParts is how many reads of the own region go to one of all regions.
 	wideParts = 5
-	// readSpacing is the least time between two reads.
-	readSpacing = 100 * time.Millisecond
 	// callTimeout bounds a call of the table.
 	callTimeout = 2800 * time.Millisecond
 	// askTimeout bounds a message to the successor.
@@ -32,53 +29,59 @@
 const pageLimit = 1000
 
 // Run takes this host's part among the others until the context ends. It reads
-// the table at each interval.
+// the table at each interval. Slow calls of the table hold nothing else up.
 func (h *Hosts) Run(ctx context.Context, interval time.Duration) error {
-	var loops sync.WaitGroup
-	loops.Go(func() { h.readLoop(ctx, interval) })
-	loops.Go(func() { every(ctx, writeInterval, h.change, h.write) })
-	loops.Go(func() { every(ctx, tellInterval, nil, h.tell) })
-	loops.Go(func() { every(ctx, interval, nil, h.gossip) })
-	loops.Wait()
-	return nil
-}
-
-// every calls f at each interval and when it is woken.
-func every(ctx context.Context, interval time.Duration, wake <-chan struct{}, f func(context.Context)) {
-	t := time.NewTicker(interval)
+	t := time.NewTicker(stepInterval)
 	defer t.Stop()
-	for {
-		f(ctx)
+	var calls sync.WaitGroup
+	defer calls.Wait()
+	reading, writing := make(chan struct{}, 1), make(chan struct{}, 1)
+	woken := true
+	var last time.Time
+	for n := 0; ctx.Err() == nil; {
+		h.tell(ctx)
+		h.gossip(ctx)
+		if now := h.clock(); woken || now.Sub(last) >= interval {
+			wide := n%wideParts == 0
+			if start(&calls, reading, func() { h.readNext(ctx, wide) }) {
+				n++
+				last, woken = now, false
+			}
+		}
+		start(&calls, writing, func() { h.write(ctx) })
 		select {
 		case <-ctx.Done():
-			return
-		case <-wake:
+		case <-h.wake:
+			woken = true
+		case <-h.change:
 		case <-t.C:
 		}
 	}
+	return nil
 }
 
-func (h *Hosts) readLoop(ctx context.Context, interval time.Duration) {
-	n := 0
-	every(ctx, interval, h.wake, func(ctx context.Context) {
-		p := regionPrefix(h.self.Region)
-		if n%wideParts == 0 {
-			p = prefix
-		}
-		n++
-		if err := h.read(ctx, p); err != nil && ctx.Err() == nil {
-			h.log.Warn("read hosts", "error", err)
-		}
-		sleep(ctx, readSpacing)
+// start calls f unless the call before, which holds the same slot, still runs.
+func start(calls *sync.WaitGroup, slot chan struct{}, f func()) bool {
+	select {
+	case slot <- struct{}{}:
+	default:
+		return false
+	}
+	calls.Go(func() {
+		defer func() { <-slot }()
+		f()
 	})
+	return true
 }
 
-func sleep(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-	case <-t.C:
+// readNext reads the own region, or all regions when wide is set.
+func (h *Hosts) readNext(ctx context.Context, wide bool) {
+	p := regionPrefix(h.self.Region)
+	if wide {
+		p = prefix
+	}
+	if err := h.read(ctx, p); err != nil && ctx.Err() == nil {
+		h.log.Warn("read hosts", "error", err)
 	}
 }
 
--- a/hitchd/internal/hosts/rows.go
+++ b/hitchd/internal/hosts/rows.go
@@ -40,7 +40,7 @@
 }
 
 func newRegion() *region {
-	return &region{hosts: make(map[string]member.Host), cells: make(place.Assignment)}
+	return &region{hosts: make(map[string]member.Host)}
 }
 
 // live returns the hosts whose lease is neither over nor about to end.
--- a/hitchd/internal/hosts/tell.go
+++ b/hitchd/internal/hosts/tell.go
@@ -106,9 +106,10 @@
 	h.mu.Unlock()
 	for h.keeps() {
 		signal(h.change)
-		sleep(ctx, tellInterval)
-		if err := ctx.Err(); err != nil {
-			return err
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-time.After(stepInterval):
 		}
 	}
 	h.mu.Lock()
--- a/hitchd/internal/hosts/world_test.go
+++ b/hitchd/internal/hosts/world_test.go
@@ -112,6 +112,15 @@
 	}
 	p.Hosts = New(self, p, p, hclog.NewNullLogger(), WithClock(now), WithKeys(func() []place.Key { return w.keys }))
 	p.Register(place.Capacity, p.ledger)
+	p.Source(func(now time.Time) ([]member.Load, uint64) {
+		var out []member.Load
+		for _, k := range w.keys {
+			if p.Holds(now, k) {
+				out = append(out, member.Load{Region: k.Region, Service: k.Name, Slots: 36})
+			}
+		}
+		return out, 1
+	})
 	p.Handle(p.mux)
 	ctx, stop := context.WithCancel(w.ctx)
 	p.stop = stop
--- a/hitchd/internal/peer/server.go
+++ b/hitchd/internal/peer/server.go
@@ -22,8 +22,9 @@
 func NewServer(keys Keys) *Server {
 	mux := http.NewServeMux()
 	return &Server{mux: mux, server: &http3.Server{
-		Handler:   identify(keys, mux),
-		TLSConfig: http3.ConfigureTLSConfig(keys.Server()),
+		Handler:    identify(keys, mux),
+		TLSConfig:  http3.ConfigureTLSConfig(keys.Server()),
+		QUICConfig: quicConfig(),
 	}}
 }
 
@@ -58,8 +59,16 @@
 	stop := context.AfterFunc(ctx, func() { _ = s.server.Close() })
 	defer stop()
 	err := s.server.Serve(conn)
+	if errors.Is(err, http.ErrServerClosed) {
+		// Requests in flight go on after a shutdown.
+		<-ctx.Done()
+	}
 	if err == nil || ctx.Err() != nil || errors.Is(err, http.ErrServerClosed) {
 		return nil
 	}
 	return errors.Wrap(err, "serve peers")
 }
+
+// Shutdown takes no new requests and waits for those in flight until the
+// context ends.
+func (s *Server) Shutdown(ctx context.Context) error { return s.server.Shutdown(ctx) }
--- a/hitchd/keys.go
+++ b/hitchd/keys.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"net"
 	"os"
 	"os/signal"
 	"sync"
@@ -41,13 +40,14 @@
 		return nil, err
 	}
 	keys, err := certs.Open(s.Keys.Files(), certs.WithName(s.Host.Name), certs.WithRefused(
-		func(addr net.Addr, name string, err error) {
+		func(addr, name string, err error) {
 			peersRefused.Inc()
-			log.Warn("peer refused", "addr", addr.String(), "name", name, "error", err)
+			log.Warn("peer refused", "addr", addr, "name", name, "error", err)
 		}))
 	if err != nil {
 		return nil, err
 	}
+	keyExpiry.Set(float64(keys.Expires().Unix()))
 	return &credentials{certs: keys, files: s.Keys, log: log, token: token}, nil
 }
 
@@ -83,6 +83,7 @@
 		c.log.Error("keys in use stay", "error", err)
 	}
 	if changed {
+		keyExpiry.Set(float64(c.certs.Expires().Unix()))
 		c.log.Info("keys reloaded", "expires", c.certs.Expires())
 	}
 	if left := c.certs.Expires().Sub(now); left < expiryWarning && now.Sub(c.warned) >= warnInterval {
--- a/hitchd/serve.go
+++ b/hitchd/serve.go
@@ -11,12 +11,12 @@
 	"github.com/oklog/run"
 
 	"magnoliahitch/hitchd/internal/admin"
+	"magnoliahitch/hitchd/internal/blocks"
 	"magnoliahitch/hitchd/internal/claims"
 	"magnoliahitch/hitchd/internal/front"
 	"magnoliahitch/hitchd/internal/hosts"
 	"magnoliahitch/hitchd/internal/keep"
 	"magnoliahitch/hitchd/internal/peer"
-	"magnoliahitch/hitchd/internal/route"
 	"magnoliahitch/hitchd/internal/setup"
 	"magnoliahitch/hitchd/internal/spread"
 	"magnoliahitch/hitchd/internal/view"
@@ -25,6 +25,14 @@
 	"magnoliahitch/steer/config"
 	"magnoliahitch/steer/member"
 	"magnoliahitch/steer/place"
+	"magnoliahitch/steer/shift"
+)
+
+// Times of the tables of caller blocks.
+const (
+	tableInterval = 2 * time.Second
+	// tableTimeout bounds the load of a table of some 10 MB.
+	tableTimeout = time.Minute
 )
 
 // serve runs the daemon until the context ends, then stops gracefully.
@@ -51,25 +59,40 @@
 	client := peer.NewClient(keys.certs)
 	known := hosts.New(self, table, client, log.Named("hosts"),
 		hosts.WithKeys(func() []place.Key { return place.Keys(conf.Config()) }))
-	keeper := keep.New(self.Name, known, log.Named("keep"))
+	keeper := keep.New(self.Name, known, log.Named("keep"), keep.WithPeers(client, known), keep.WithLeases())
 	conf.Watch(func(c *config.Config) { keeper.Configure(clock.Now(), c) })
+	objects := plat.NewClient(s.Platform.Objects, plat.WithTimeout(tableTimeout))
+	tables := blocks.New(objects, conf, log.Named("blocks"))
 	operations := claims.New(table, known, client, keeper, log.Named("claims"))
-	router := route.New(known, operations, client, log.Named("route"))
-	changes := spread.New(table, conf, log.Named("spread"))
+	steering := newSteering(known, operations, client, conf, log)
+	changes := spread.New(table, conf, log.Named("spread"), spread.WithPeers(known, client), spread.WithObjects(objects))
 	peers := peer.NewServer(keys.certs)
-	peers.HandleCalls(operations)
+	peers.Handle("POST /suspects", keeper.Suspects())
 	operations.Handle(peers)
 	known.Handle(peers)
+	changes.Register(peers)
 
 	var g run.Group
-	g.Add(run.ContextHandler(ctx))
 	addLoop(&g, func(ctx context.Context) error { return known.Run(ctx, s.Daemon.HostsInterval) })
+	addLoop(&g, keeper.Run)
 	addLoop(&g, operations.Run)
 	addLoop(&g, func(ctx context.Context) error { return changes.Run(ctx, s.Daemon.ConfigInterval) })
+	addLoop(&g, func(ctx context.Context) error { return tables.Run(ctx, tableInterval) })
+	addLoop(&g, func(ctx context.Context) error { return runLevel(ctx, log) })
 	addLoop(&g, func(ctx context.Context) error { return keys.run(ctx, s.Keys.Reload) })
 	addLoop(&g, func(ctx context.Context) error { return peers.Serve(ctx, ports.Peer) })
-	addServer(&g, front.New(conf, known, router, log.Named("front")).Server(), ports.Caller, s.Daemon.StopTimeout)
-	addServer(&g, admin.New(keys.Token, conf, known, changes, log.Named("admin")).Server(), ports.Operator, s.Daemon.StopTimeout)
+	steering.serve(&g, peers)
+	known.Register(place.Capacity, keeper)
+	known.Register(place.Link, steering.lenders)
+	known.Register(place.Shift, steering.lenders)
+	known.Source(func(now time.Time) ([]member.Load, uint64) { return keeper.Loads(now), conf.Config().Revision })
+	reports := newReporter(known, client, conf, keeper, steering.lenders)
+	peers.Handle("POST "+reportPath, reports.handler())
+	callers := front.New(conf, known, steering.router, log.Named("front"), front.WithLimits(s.Caller), front.WithBlocks(tables)).Server()
+	addServer(&g, callers, ports.Caller, s.Daemon.StopTimeout)
+	addStop(ctx, &g, &stopper{hosts: known, view: conf, callers: callers, peers: peers, settings: s, log: log.Named("stop")})
+	addServer(&g, admin.New(keys.Token, conf, known, changes, log.Named("admin"),
+		admin.WithChecks(shift.Faults), admin.WithReporter(reports)).Server(), ports.Operator, s.Daemon.StopTimeout)
 	log.Info("started", "caller", s.Listen.Caller, "peer", s.Listen.Peer, "operator", s.Listen.Operator)
 	err = g.Run()
 	_ = client.Close()
@@ -87,12 +110,16 @@
 // addServer serves until the group ends, then finishes requests in flight
 // within the timeout.
 func addServer(g *run.Group, s *http.Server, l net.Listener, timeout time.Duration) {
+	ended := make(chan struct{})
 	g.Add(func() error {
 		if err := s.Serve(l); !errors.Is(err, http.ErrServerClosed) {
 			return err
 		}
+		// A planned stop shuts the server down while other parts go on.
+		<-ended
 		return nil
 	}, func(error) {
+		close(ended)
 		ctx, cancel := context.WithTimeout(context.Background(), timeout)
 		defer cancel()
 		_ = s.Shutdown(ctx)
--- a/steer/place/assign.go
+++ b/steer/place/assign.go
@@ -14,13 +14,13 @@
 // Holding says which lease holds a cell.
 type Holding struct {
 	lease.ID
-	// Handover is what the holder before left for this one. It is nil when
-	// the holder before left nothing.
-	Handover []byte `json:"handover,omitempty"`
+	// Handover is what the holder before left for this one: nil when it left
+	// nothing, empty when there was none.
+	Handover []byte `json:"handover"`
 }
 
 // Assignment says who keeps each cell of a region. Only the holder moves a
-// cell while its lease isn't over.
+// cell while its lease isn't over. It is nil before the first one of a region.
 type Assignment map[Key]Holding
 
 // MarshalText writes the form of [Key.String].
@@ -84,11 +84,18 @@
 		out = make(Assignment)
 	}
 	changed := false
+	var none []byte
+	if a == nil {
+		none = []byte{}
+	}
 	wanted := make(map[Key]bool, len(s.Keys))
 	for _, k := range s.Keys {
 		wanted[k] = true
 		h, held := a[k]
 		handover, mine := released[k]
+		if !held {
+			handover = none
+		}
 		mine = mine && h.ID == s.Self
 		if held && !mine && !s.Over(h.ID) {
 			continue
