--- a/hitchd/internal/hosts/gossip.go
+++ b/hitchd/internal/hosts/gossip.go
@@ -21,6 +21,8 @@
 	targetSpacing = 100 * time.Millisecond
 	// delegates is how many hosts of a failure domain speak for it.
 	delegates = 2
+	// maxDigests bounds the digests in a message; further ones take turns.
+	maxDigests = 8
 	// loadLapse is how long a summary of a cell counts as fresh.
 	loadLapse = 10 * time.Second
 )
@@ -142,6 +144,16 @@
 	}
 }
 
+// turn returns the digests whose turn it is in a round.
+func turn(all []member.Digest, round uint64) []member.Digest {
+	if len(all) <= maxDigests {
+		return all
+	}
+	slices.SortFunc(all, func(a, b member.Digest) int { return cmp.Compare(a.Domain, b.Domain) })
+	at := int(round*maxDigests) % len(all)
+	return append(all[at:], all[:at]...)[:maxDigests]
+}
+
 func (h *Hosts) domainStatuses(now time.Time) []member.Status {
 	return slices.DeleteFunc(h.statuses.Fresh(now), func(s member.Status) bool { return s.Host.Domain != h.self.Domain })
 }
@@ -151,7 +163,7 @@
 func (h *Hosts) message(now time.Time) (m statusMessage, near, far []member.Host) {
 	m.Status.Host = h.self
 	m.Lease, m.Taken = h.node.ID(), h.node.Taken(now)
-	m.Digests = h.digests.Fresh(now, loadLapse)
+	m.Digests = turn(h.digests.Fresh(now, loadLapse), h.sequence)
 	domains := make(map[string][]member.Host)
 	for _, r := range h.regions {
 		for _, l := range r.live() {
