--- a/hitchd/internal/hosts/gossip.go
+++ b/hitchd/internal/hosts/gossip.go
@@ -7,6 +7,8 @@
 	"slices"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
+
 	"magnoliahitch/steer/lease"
 	"magnoliahitch/steer/member"
 	"magnoliahitch/steer/place"
@@ -191,6 +193,7 @@
 	if to.Name == h.self.Name {
 		return
 	}
+	metrics.GetOrCreateCounter("hitch_statuses_sent_total").Inc()
 	ctx, cancel := context.WithTimeout(ctx, askTimeout)
 	defer cancel()
 	if err := h.peers.Tell(ctx, to, statusPath, m, nil); err != nil {
@@ -199,11 +202,14 @@
 }
 
 // receive takes over another host's status.
-func (h *Hosts) receive(_ *http.Request, m statusMessage) (struct{}, error) {
+func (h *Hosts) receive(r *http.Request, m statusMessage) (struct{}, error) {
+	if err := prove(r, m.Status.Host.Name); err != nil {
+		return struct{}{}, err
+	}
 	now := h.clock()
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	if m.Status.Host.Region == h.self.Region {
+	if m.Status.Host.Region == h.self.Region && m.Lease.Host == m.Status.Host.Name {
 		h.node.Heard(m.Lease, m.Taken)
 		for id, by := range h.taken {
 			if by.Host == m.Lease.Host {
--- a/hitchd/internal/hosts/tell.go
+++ b/hitchd/internal/hosts/tell.go
@@ -5,6 +5,8 @@
 	"net/http"
 	"time"
 
+	"github.com/go-faster/errors"
+
 	"magnoliahitch/hitchd/internal/peer"
 	"magnoliahitch/steer/lease"
 	"magnoliahitch/steer/member"
@@ -23,7 +25,10 @@
 
 // Handle registers the handlers of messages from other hosts.
 func (h *Hosts) Handle(s Handler) {
-	s.Handle("POST "+leasePath, peer.Message(func(_ *http.Request, m lease.Message) (lease.Reply, error) {
+	s.Handle("POST "+leasePath, peer.Message(func(r *http.Request, m lease.Message) (lease.Reply, error) {
+		if err := prove(r, m.From.Host); err != nil {
+			return lease.Reply{}, err
+		}
 		h.mu.Lock()
 		defer h.mu.Unlock()
 		return h.node.Answer(h.clock(), m), nil
@@ -35,6 +40,15 @@
 	s.Handle("POST "+statusPath, peer.Message(h.receive))
 }
 
+// prove checks that a message comes from the host that it names. Transports
+// without certificates name no one.
+func prove(r *http.Request, host string) error {
+	if name := peer.Name(r.Context()); name != "" && name != host {
+		return errors.Errorf("message of host %s came from host %s", host, name)
+	}
+	return nil
+}
+
 // tell turns to the successor where that is due, and takes over without the
 // table the leases whose pledges lapsed.
 func (h *Hosts) tell(ctx context.Context) {
--- a/steer/lease/ring_test.go
+++ b/steer/lease/ring_test.go
@@ -328,6 +328,7 @@
 		}
 		steps += r.steps * simNodes
 		total.Renewals += r.counts.Renewals
+		total.Pledged += r.counts.Pledged
 		total.Evictions += r.counts.Evictions
 		total.Takeovers += r.counts.Takeovers
 		total.Regimes += r.counts.Regimes
