--- a/hitchd/internal/peer/keys_test.go
+++ b/hitchd/internal/peer/keys_test.go
@@ -5,13 +5,16 @@
 	"net"
 	"net/http"
 	"os"
-	"path/filepath"
 	"strings"
 	"testing"
 	"time"
 
+	"magnoliahitch/hitchd/internal/call"
 	"magnoliahitch/links/certs"
+	"magnoliahitch/links/clock"
 	"magnoliahitch/steer/member"
+	"magnoliahitch/steer/place"
+	"magnoliahitch/steer/result"
 )
 
 // refusal is a peer that a server refused.
@@ -35,11 +38,7 @@
 	if err := certs.MakeHost(time.Now(), dir, name, nil, time.Hour); err != nil {
 		t.Fatal(err)
 	}
-	return certs.Files{
-		CA:   filepath.Join(dir, certs.CAFile),
-		Cert: filepath.Join(dir, name+".pem"),
-		Key:  filepath.Join(dir, name+".key"),
-	}
+	return certs.HostFiles(dir, name)
 }
 
 func open(t *testing.T, f certs.Files, options ...certs.Option) *certs.Keys {
@@ -150,7 +149,7 @@
 		shift <- d
 		return time.Now().Add(d)
 	}
-	files := certs.Files{CA: dir + "/ca.pem", Cert: dir + "/norte-a-1.pem", Key: dir + "/norte-a-1.key"}
+	files := certs.HostFiles(dir, "norte-a-1")
 	addr := serveNames(t, open(t, files, certs.WithTime(now)))
 	c := NewClient(open(t, makeHost(t, dir, "litoral-a-1")))
 	defer c.Close()
@@ -205,3 +204,24 @@
 		t.Fatal(err)
 	}
 }
+
+func TestRequestThatWaitsForAConnectionDidNotRun(t *testing.T) {
+	silent, err := net.ListenPacket("udp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer silent.Close()
+	c := NewClient(open(t, makeHost(t, authority(t), "litoral-a-1")))
+	defer c.Close()
+	ctx, cancel := context.WithCancel(t.Context())
+	go func() {
+		// The first packet shows that the connection is under way.
+		_, _, _ = silent.ReadFrom(make([]byte, 2048))
+		cancel()
+	}()
+	r := &call.Request{ID: "r", Cell: place.Cell{Region: "norte", Service: "stock"}, Method: http.MethodGet, Path: "/", Header: http.Header{}, Deadline: clock.Now().Add(time.Minute)}
+	_, err = c.Forward(ctx, member.Host{Name: "norte-a-1", PeerAddr: silent.LocalAddr().String()}, r)
+	if got, want := result.OutcomeOf(err), result.NotRun; got != want {
+		t.Errorf("got %v (%v), want %v", got, err, want)
+	}
+}
--- a/hitchd/serve.go
+++ b/hitchd/serve.go
@@ -79,6 +79,7 @@
 	addLoop(&g, func(ctx context.Context) error { return changes.Run(ctx, s.Daemon.ConfigInterval) })
 	addLoop(&g, func(ctx context.Context) error { return tables.Run(ctx, tableInterval) })
 	addLoop(&g, func(ctx context.Context) error { return runLevel(ctx, log) })
+	addLoop(&g, runMemory)
 	addLoop(&g, func(ctx context.Context) error { return keys.run(ctx, s.Keys.Reload) })
 	addLoop(&g, func(ctx context.Context) error { return peers.Serve(ctx, ports.Peer) })
 	steering.serve(&g, peers)
@@ -92,7 +93,7 @@
 	addServer(&g, callers, ports.Caller, s.Daemon.StopTimeout)
 	addStop(ctx, &g, &stopper{hosts: known, view: conf, callers: callers, peers: peers, settings: s, log: log.Named("stop")})
 	addServer(&g, admin.New(keys.Token, conf, known, changes, log.Named("admin"),
-		admin.WithChecks(shift.Faults), admin.WithReporter(reports)).Server(), ports.Operator, s.Daemon.StopTimeout)
+		admin.WithChecks(shift.Faults), admin.WithReporter(reports), admin.WithExplainer(steering.router)).Server(), ports.Operator, s.Daemon.StopTimeout)
 	log.Info("started", "caller", s.Listen.Caller, "peer", s.Listen.Peer, "operator", s.Listen.Operator)
 	err = g.Run()
 	_ = client.Close()
--- a/standin/internal/play/caller.go
+++ b/standin/internal/play/caller.go
@@ -7,6 +7,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"strconv"
 	"strings"
@@ -44,7 +45,8 @@
 
 	mu    sync.Mutex
 	cache map[string]lookup
-	// failed holds hosts that failed lately, and until when they are avoided.
+	// failed holds hosts, or hosts and services, that failed lately, and until
+	// when they are avoided.
 	failed map[string]time.Time
 }
 
@@ -56,13 +58,14 @@
 // failedPause is how long a host that failed is avoided.
 const failedPause = 2 * time.Second
 
-// NewCaller returns the callers of a region, which know the caller addresses
-// of entry hosts, nearest first.
-func NewCaller(region string, entries []string) *Caller {
+// NewCaller returns the callers of a region, which call from the IP address
+// and know the caller addresses of entry hosts, nearest first.
+func NewCaller(region, ip string, entries []string) *Caller {
+	dialer := &net.Dialer{LocalAddr: &net.TCPAddr{IP: net.ParseIP(ip)}}
 	return &Caller{
 		region:  region,
 		entries: entries,
-		client:  &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 64}},
+		client:  &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 64, DialContext: dialer.DialContext}},
 		cache:   make(map[string]lookup),
 		failed:  make(map[string]time.Time),
 	}
@@ -123,7 +126,7 @@
 	}
 	res, err := c.client.Do(req)
 	if err != nil {
-		c.fail(host)
+		c.fail(failure(host, r.Service, err))
 		a.Failed = err.Error()
 		a.Cut = !strings.Contains(a.Failed, "connection refused")
 		return a, 0
@@ -168,6 +171,15 @@
 	return req, nil
 }
 
+// failure returns what is avoided for a while: the host, or when it was only
+// slow the host for this service.
+func failure(host, service string, err error) string {
+	if errors.Is(err, context.DeadlineExceeded) {
+		return host + "/" + service
+	}
+	return host
+}
+
 func (c *Caller) fail(host string) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -192,7 +204,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	for _, h := range l.hosts {
-		if now.After(c.failed[h]) {
+		if now.After(c.failed[h]) && now.After(c.failed[h+"/"+service]) {
 			return h, nil
 		}
 	}
@@ -222,6 +234,9 @@
 		if err == nil {
 			return l, nil
 		}
+		if ctx.Err() != nil {
+			return lookup{}, err
+		}
 		c.fail(e)
 		last = err
 	}
