hosts: let the hosts of a region see each other before its first assignment

The first host to claim a lease got every cell of its region and kept them for the 10 s in which others count as new. Now the first assignment waits a second and goes by rank.

--- a/hitchd/internal/hosts/cells.go
+++ b/hitchd/internal/hosts/cells.go
@@ -11,6 +11,10 @@
 // settleTime is how long a host must have been there before cells move to it.
 const settleTime = 10 * time.Second
 
+// firstDelay lets the hosts of a region that start together see each other
+// before its first assignment.
+const firstDelay = time.Second
+
 // maxHandover bounds what a cell leaves to its next keeper, in bytes. More is
 // dropped, which is safe.
 const maxHandover = 8 << 10
@@ -34,7 +38,7 @@
 		released[k] = v
 	}
 	next, changed := own.cells.Next(scene, released)
-	due := changed && (len(released) > 0 || h.assigns(scene))
+	due := changed && (len(released) > 0 || h.assigns(now, scene))
 	h.mu.RUnlock()
 	if !due {
 		return
@@ -75,10 +79,14 @@
 
 // assigns reports whether this host gives vacant cells away: the first live
 // one in the order for the region does.
-func (h *Hosts) assigns(s place.Scene) bool {
+func (h *Hosts) assigns(now time.Time, s place.Scene) bool {
 	if len(s.Candidates) == 0 {
 		return false
 	}
+	seen, ok := h.since[s.Self]
+	if first := h.regions[h.self.Region].version == 0; first && (!ok || now.Sub(seen) < firstDelay) {
+		return false
+	}
 	first := s.Candidates[0].Host.Name
 	for _, c := range s.Candidates {
 		first = min(first, c.Host.Name)
