--- a/hitchd/serve.go
+++ b/hitchd/serve.go
@@ -24,6 +24,7 @@
 	"magnoliahitch/links/plat"
 	"magnoliahitch/steer/config"
 	"magnoliahitch/steer/member"
+	"magnoliahitch/steer/place"
 	"magnoliahitch/steer/shift"
 )
 
@@ -55,9 +56,10 @@
 	}
 	table := plat.NewClient(s.Platform.Table, plat.WithTimeout(s.Platform.Timeout))
 	conf := view.New()
-	known := hosts.New(self, table, log.Named("hosts"))
 	client := peer.NewClient(keys.certs)
-	keeper := keep.New(self.Name, known, log.Named("keep"), keep.WithPeers(client, known))
+	known := hosts.New(self, table, client, log.Named("hosts"),
+		hosts.WithKeys(func() []place.Key { return place.Keys(conf.Config()) }))
+	keeper := keep.New(self.Name, known, log.Named("keep"), keep.WithPeers(client, known), keep.WithLeases())
 	conf.Watch(func(c *config.Config) { keeper.Configure(clock.Now(), c) })
 	objects := plat.NewClient(s.Platform.Objects, plat.WithTimeout(tableTimeout))
 	tables := blocks.New(objects, conf, log.Named("blocks"))
@@ -68,10 +70,10 @@
 	peers.Handle("POST /suspects", keeper.Suspects())
 	peers.Handle("POST /ended", keeper.Ended())
 	operations.Handle(peers)
+	known.Handle(peers)
 	changes.Register(peers)
 
 	var g run.Group
-	g.Add(run.ContextHandler(ctx))
 	addLoop(&g, func(ctx context.Context) error { return known.Run(ctx, s.Daemon.HostsInterval) })
 	addLoop(&g, keeper.Run)
 	addLoop(&g, operations.Run)
@@ -82,9 +84,15 @@
 	addLoop(&g, func(ctx context.Context) error { return keys.run(ctx, s.Keys.Reload) })
 	addLoop(&g, func(ctx context.Context) error { return peers.Serve(ctx, ports.Peer) })
 	steering.serve(&g, peers)
+	known.Register(place.Capacity, keeper)
+	known.Register(place.Link, steering.lenders)
+	known.Register(place.Shift, steering.lenders)
+	known.Source(func(now time.Time) ([]member.Load, uint64) { return keeper.Loads(now), conf.Config().Revision })
 	reports := newReporter(known, client, conf, keeper, steering.lenders)
 	peers.Handle("POST "+reportPath, reports.handler())
-	addServer(&g, front.New(conf, known, steering.router, log.Named("front"), front.WithLimits(s.Caller), front.WithBlocks(tables)).Server(), ports.Caller, s.Daemon.StopTimeout)
+	callers := front.New(conf, known, steering.router, log.Named("front"), front.WithLimits(s.Caller), front.WithBlocks(tables)).Server()
+	addServer(&g, callers, ports.Caller, s.Daemon.StopTimeout)
+	addStop(ctx, &g, &stopper{hosts: known, view: conf, callers: callers, peers: peers, settings: s, log: log.Named("stop")})
 	addServer(&g, admin.New(keys.Token, conf, known, changes, log.Named("admin"),
 		admin.WithChecks(shift.Faults), admin.WithReporter(reports), admin.WithExplainer(steering.router)).Server(), ports.Operator, s.Daemon.StopTimeout)
 	log.Info("started", "caller", s.Listen.Caller, "peer", s.Listen.Peer, "operator", s.Listen.Operator)
@@ -104,12 +112,16 @@
 // addServer serves until the group ends, then finishes requests in flight
 // within the timeout.
 func addServer(g *run.Group, s *http.Server, l net.Listener, timeout time.Duration) {
+	ended := make(chan struct{})
 	g.Add(func() error {
 		if err := s.Serve(l); !errors.Is(err, http.ErrServerClosed) {
 			return err
 		}
+		// A planned stop shuts the server down while other parts go on.
+		<-ended
 		return nil
 	}, func(error) {
+		close(ended)
 		ctx, cancel := context.WithTimeout(context.Background(), timeout)
 		defer cancel()
 		_ = s.Shutdown(ctx)
