front: leave this host out of look-ups while it isn't current

A host that can't learn whether its configuration is current, while others are, no longer names itself. standin measure tells what hosts without callers cost, for CAPACITY.md.

--- a/hitchd/internal/front/front.go
+++ b/hitchd/internal/front/front.go
@@ -41,6 +41,8 @@
 	blocks  Blocks
 	guides  guides
 	meters  meters
+	// servable reports whether callers may be sent to this host.
+	servable func(now time.Time) bool
 }
 
 // Option changes a caller port.
@@ -53,9 +55,14 @@
 // WithBlocks tells the home regions of callers by their addresses.
 func WithBlocks(b Blocks) Option { return func(f *Front) { f.blocks = b } }
 
+// WithServable tells whether callers may be sent to this host. Without it they
+// always may.
+func WithServable(f func(now time.Time) bool) Option { return func(o *Front) { o.servable = f } }
+
 // New returns a caller port that passes requests on to next.
 func New(v Viewer, m Members, next call.Doer, log hclog.Logger, options ...Option) *Front {
 	f := &Front{view: v, members: m, next: next, log: log, limits: setup.Default().Caller, blocks: noBlocks{}}
+	f.servable = func(time.Time) bool { return true }
 	for _, o := range options {
 		o(f)
 	}
--- a/hitchd/internal/front/lookup.go
+++ b/hitchd/internal/front/lookup.go
@@ -3,12 +3,15 @@
 import (
 	"net/http"
 	"net/netip"
+	"slices"
+	"time"
 
 	"github.com/labstack/echo/v4"
 
 	"magnoliahitch/hitchd/internal/call"
 	"magnoliahitch/links/clock"
 	"magnoliahitch/steer/config"
+	"magnoliahitch/steer/member"
 	"magnoliahitch/steer/place"
 	"magnoliahitch/steer/result"
 )
@@ -44,7 +47,7 @@
 	}
 	g := f.guide(clock.Now(), conf)
 	home, known := f.home(g, s, addr)
-	hosts := g.Hosts(home, service)
+	hosts := f.without(clock.Now(), g.Hosts(home, service))
 	if len(hosts) == 0 {
 		return f.refuse(result.ReasonNoHost, "look up hosts for service "+service)
 	}
@@ -62,6 +65,15 @@
 	return c.JSON(http.StatusOK, a)
 }
 
+// without leaves this host out of the list while callers may not be sent to it.
+func (f *Front) without(now time.Time, hosts []member.Host) []member.Host {
+	if f.servable(now) {
+		return hosts
+	}
+	self := f.members.Self().Name
+	return slices.DeleteFunc(slices.Clone(hosts), func(h member.Host) bool { return h.Name == self })
+}
+
 // lookupName stands for the service in the counts of look-ups.
 const lookupName = "(lookup)"
 
--- a/hitchd/internal/front/lookup_test.go
+++ b/hitchd/internal/front/lookup_test.go
@@ -139,6 +139,21 @@
 	}
 }
 
+func TestLookupLeavesOutAHostThatIsNotServable(t *testing.T) {
+	f, m := testTwoRegions(t)
+	self := m.Self().Name
+	for _, servable := range []bool{true, false} {
+		f.servable = func(time.Time) bool { return servable }
+		named := false
+		for _, h := range ask(t, f, "/lookup/stock", "").Hosts {
+			named = named || h.Name == self
+		}
+		if named != servable {
+			t.Errorf("servable %v: got this host named %v", servable, named)
+		}
+	}
+}
+
 func TestLookupWithoutHostsIsRefused(t *testing.T) {
 	f, m := testTwoRegions(t)
 	m.hosts = nil
--- a/hitchd/serve.go
+++ b/hitchd/serve.go
@@ -90,7 +90,7 @@
 	known.Source(func(now time.Time) ([]member.Load, uint64) { return keeper.Loads(now), conf.Config().Revision })
 	reports := newReporter(known, client, conf, keeper, steering.lenders)
 	peers.Handle("POST "+reportPath, reports.handler())
-	callers := front.New(conf, known, steering.router, log.Named("front"), front.WithLimits(s.Caller), front.WithBlocks(tables)).Server()
+	callers := front.New(conf, known, steering.router, log.Named("front"), front.WithLimits(s.Caller), front.WithBlocks(tables), front.WithServable(changes.Servable)).Server()
 	addServer(&g, callers, ports.Caller, s.Daemon.StopTimeout)
 	addStop(ctx, &g, &stopper{hosts: known, view: conf, callers: callers, peers: peers, settings: s, log: log.Named("stop")})
 	addServer(&g, admin.New(keys.Token, conf, known, changes, log.Named("admin"),
--- a/standin/internal/stage/stage.go
+++ b/standin/internal/stage/stage.go
@@ -64,6 +64,17 @@
 	return nil
 }
 
+// PID returns the id of the named process.
+func (s *Stage) PID(name string) (int, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	p := s.processes[name]
+	if p == nil {
+		return 0, errors.Errorf("find %s: no such process", name)
+	}
+	return p.cmd.Process.Pid, nil
+}
+
 // Signal sends a signal to the named process.
 func (s *Stage) Signal(name string, sig syscall.Signal) error {
 	s.mu.Lock()
--- /dev/null
+++ b/standin/measure.go
@@ -0,0 +1,150 @@
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"os"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/go-faster/errors"
+
+	"magnoliahitch/standin/internal/stage"
+)
+
+type measureCommand struct {
+	Bin            string        `long:"bin" description:"directory of the programs" default:"bin"`
+	Dir            string        `long:"dir" description:"directory for keys, settings and logs" default:"measure-run"`
+	Port           int           `long:"port" description:"first port of the deployment" default:"23000"`
+	HostsPerDomain int           `long:"hosts-per-domain" description:"entry hosts in each of the six failure domains" default:"1"`
+	For            time.Duration `long:"for" description:"time over which is measured" default:"20s"`
+	ctx            context.Context
+}
+
+// settleTime lets leases and assignments come to rest before the measurement.
+const settleTime = 10 * time.Second
+
+// Execute measures what hosts without callers cost: their own processor time
+// and memory, and the load of the platform.
+func (c *measureCommand) Execute([]string) error {
+	d := deployments["pall"]
+	d.Port, d.HostsPerDomain = c.Port, c.HostsPerDomain
+	if err := os.MkdirAll(c.Dir, 0o755); err != nil {
+		return errors.Wrap(err, "make directory")
+	}
+	s := stage.New(c.ctx, c.Bin, c.Dir)
+	defer s.Close()
+	if err := s.Write(d); err != nil {
+		return err
+	}
+	if err := s.StartAll(d); err != nil {
+		return err
+	}
+	if err := waitServing(c.ctx, s, d); err != nil {
+		return err
+	}
+	pause(c.ctx, settleTime)
+	before, err := take(c.ctx, s, d)
+	if err != nil {
+		return err
+	}
+	pause(c.ctx, c.For)
+	after, err := take(c.ctx, s, d)
+	if err != nil {
+		return err
+	}
+	seconds := after.at.Sub(before.at).Seconds()
+	var share, memory []float64
+	for n := range after.processor {
+		share = append(share, 100*(after.processor[n]-before.processor[n]).Seconds()/seconds)
+		memory = append(memory, float64(after.resident[n])/(1<<20))
+	}
+	fmt.Printf("hosts %d: processor share median %.2f%% max %.2f%% of a core, resident median %.1f MB max %.1f MB, table %.1f reads/s %.1f writes/s\n",
+		len(share), median(share), slices.Max(share), median(memory), slices.Max(memory),
+		float64(after.reads-before.reads)/seconds, float64(after.writes-before.writes)/seconds)
+	return nil
+}
+
+// usage is what the hosts have used until a time.
+type usage struct {
+	at            time.Time
+	processor     map[string]time.Duration
+	resident      map[string]int64
+	reads, writes int64
+}
+
+func take(ctx context.Context, s *stage.Stage, d stage.Deployment) (usage, error) {
+	u := usage{at: time.Now(), processor: make(map[string]time.Duration), resident: make(map[string]int64)}
+	for _, h := range d.Hosts() {
+		pid, err := s.PID(h.Name)
+		if err != nil {
+			return u, err
+		}
+		if u.processor[h.Name], u.resident[h.Name], err = readProcess(pid); err != nil {
+			return u, err
+		}
+	}
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, d.Platform()+"/standin/counts", nil)
+	if err != nil {
+		return u, err
+	}
+	res, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return u, errors.Wrap(err, "read counts of platform")
+	}
+	defer res.Body.Close()
+	var counts struct {
+		Reads  int64 `json:"reads"`
+		Writes int64 `json:"writes"`
+	}
+	err = json.NewDecoder(res.Body).Decode(&counts)
+	u.reads, u.writes = counts.Reads, counts.Writes
+	return u, err
+}
+
+// Units of /proc.
+const (
+	clockTick = 10 * time.Millisecond
+	pageSize  = 4096
+	// statFields is the number of fields of /proc/PID/stat before utime, after
+	// the name in parentheses.
+	statFields = 11
+)
+
+// readProcess returns the processor time and the resident memory, in bytes, of
+// a process.
+func readProcess(pid int) (time.Duration, int64, error) {
+	stat, err := os.ReadFile(fmt.Sprintf("/proc/%d/stat", pid))
+	if err != nil {
+		return 0, 0, errors.Wrap(err, "read processor time")
+	}
+	_, rest, _ := strings.Cut(string(stat), ") ")
+	fields := strings.Fields(rest)
+	if len(fields) < statFields+2 {
+		return 0, 0, errors.Errorf("read processor time of %d: short line", pid)
+	}
+	user, _ := strconv.Atoi(fields[statFields])
+	system, _ := strconv.Atoi(fields[statFields+1])
+	statm, err := os.ReadFile(fmt.Sprintf("/proc/%d/statm", pid))
+	if err != nil {
+		return 0, 0, errors.Wrap(err, "read memory")
+	}
+	pages, _ := strconv.ParseInt(strings.Fields(string(statm))[1], 10, 64)
+	return time.Duration(user+system) * clockTick, pages * pageSize, nil
+}
+
+func median(v []float64) float64 {
+	slices.Sort(v)
+	return v[len(v)/2]
+}
+
+func pause(ctx context.Context, d time.Duration) {
+	select {
+	case <-ctx.Done():
+	case <-time.After(d):
+	}
+}
