--- /dev/null
+++ b/hitchd/node.go
@@ -0,0 +1,112 @@
+package main
+
+import (
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+
+	"magnoliahitch/hitchd/internal/admin"
+	"magnoliahitch/hitchd/internal/blocks"
+	"magnoliahitch/hitchd/internal/claims"
+	"magnoliahitch/hitchd/internal/front"
+	"magnoliahitch/hitchd/internal/hosts"
+	"magnoliahitch/hitchd/internal/keep"
+	"magnoliahitch/hitchd/internal/peer"
+	"magnoliahitch/hitchd/internal/setup"
+	"magnoliahitch/hitchd/internal/spread"
+	"magnoliahitch/hitchd/internal/view"
+	"magnoliahitch/links/clock"
+	"magnoliahitch/links/plat"
+	"magnoliahitch/steer/config"
+	"magnoliahitch/steer/member"
+	"magnoliahitch/steer/place"
+	"magnoliahitch/steer/shift"
+)
+
+// Times of the tables of caller blocks.
+const (
+	tableInterval = 2 * time.Second
+	// tableTimeout bounds the load of a table of some 10 MB.
+	tableTimeout = time.Minute
+)
+
+// node is the parts of an entry host, in the order in which they depend on
+// each other.
+type node struct {
+	settings setup.Settings
+	log      hclog.Logger
+
+	view     *view.View
+	client   *peer.Client
+	hosts    *hosts.Hosts
+	keeper   *keep.Keeper
+	claims   *claims.Claims
+	steering *steering
+	spread   *spread.Spread
+	blocks   *blocks.Blocks
+	reports  *reporter
+	peers    *peer.Server
+}
+
+// newNode makes the parts and ties them together. Nothing runs yet.
+func newNode(s setup.Settings, keys *credentials, log hclog.Logger) *node {
+	table := plat.NewClient(s.Platform.Table, plat.WithTimeout(s.Platform.Timeout))
+	objects := plat.NewClient(s.Platform.Objects, plat.WithTimeout(tableTimeout))
+	n := &node{settings: s, log: log, view: view.New(), client: peer.NewClient(keys.certs), peers: peer.NewServer(keys.certs)}
+	n.hosts = hosts.New(self(s), table, n.client, log.Named("hosts"),
+		hosts.WithKeys(func() []place.Key { return place.Keys(n.view.Config()) }))
+	n.keeper = keep.New(s.Host.Name, n.hosts, log.Named("keep"), keep.WithPeers(n.client, n.hosts), keep.WithLeases())
+	n.view.Watch(func(c *config.Config) { n.keeper.Configure(clock.Now(), c) })
+	n.blocks = blocks.New(objects, n.view, log.Named("blocks"))
+	n.claims = claims.New(table, n.hosts, n.client, n.keeper, log.Named("claims"))
+	n.steering = newSteering(n.hosts, n.claims, n.client, n.view, log)
+	n.spread = spread.New(table, n.view, log.Named("spread"), spread.WithPeers(n.hosts, n.client), spread.WithObjects(objects))
+	n.reports = newReporter(n.hosts, n.client, n.view, n.keeper, n.steering.lenders)
+	n.takeCells()
+	n.answerPeers()
+	return n
+}
+
+// self describes this host to the others.
+func self(s setup.Settings) member.Host {
+	return member.Host{
+		Name:         s.Host.Name,
+		Region:       s.Host.Region,
+		Domain:       s.Host.Domain,
+		CallerAddr:   s.Listen.Caller,
+		PeerAddr:     s.Listen.Peer,
+		OperatorAddr: s.Listen.Operator,
+		Incarnation:  uint64(time.Now().UnixNano()),
+	}
+}
+
+// takeCells says which part acts for the cells that this host keeps.
+func (n *node) takeCells() {
+	n.hosts.Register(place.Capacity, n.keeper)
+	n.hosts.Register(place.Link, n.steering.lenders)
+	n.hosts.Register(place.Shift, n.steering.lenders)
+	n.hosts.Source(func(now time.Time) ([]member.Load, uint64) {
+		return n.keeper.Loads(now), n.view.Config().Revision
+	})
+}
+
+// answerPeers registers what other hosts may ask of this one.
+func (n *node) answerPeers() {
+	n.hosts.Handle(n.peers)
+	n.spread.Register(n.peers)
+	n.claims.Handle(n.peers)
+	n.steering.handle(n.peers)
+	n.peers.Handle("POST /suspects", n.keeper.Suspects())
+	n.peers.Handle("POST /ended", n.keeper.Ended())
+	n.peers.Handle("POST "+reportPath, n.reports.handler())
+}
+
+func (n *node) front() *front.Front {
+	return front.New(n.view, n.hosts, n.steering.router, n.log.Named("front"),
+		front.WithLimits(n.settings.Caller), front.WithBlocks(n.blocks), front.WithServable(n.spread.Servable))
+}
+
+func (n *node) admin(token func() string) *admin.Admin {
+	return admin.New(token, n.view, n.hosts, n.spread, n.log.Named("admin"),
+		admin.WithChecks(shift.Faults), admin.WithReporter(n.reports), admin.WithExplainer(n.steering.router))
+}
--- a/hitchd/steer.go
+++ b/hitchd/steer.go
@@ -15,10 +15,7 @@
 	"magnoliahitch/hitchd/internal/view"
 	"magnoliahitch/links/clock"
 	"magnoliahitch/steer/config"
-	"magnoliahitch/steer/member"
-	"magnoliahitch/steer/place"
 	"magnoliahitch/steer/retry"
-	"magnoliahitch/steer/shift"
 )
 
 // Intervals of the loops that lend and spend.
@@ -37,14 +34,13 @@
 
 // newSteering wires the parts. Requests of this host's cells go to local.
 func newSteering(known *hosts.Hosts, local call.Doer, client *peer.Client, conf *view.View, log hclog.Logger) *steering {
-	loads := loadsOf(known)
-	lenders := lend.NewLenders(known, loads, log.Named("lend"))
+	lenders := lend.NewLenders(known, known, log.Named("lend"))
 	spenders := lend.NewSpenders(clock.Now(), known, client, lenders, log.Named("spend"))
 	s := &steering{
 		lenders:  lenders,
 		spenders: spenders,
 		gate:     lend.NewGate(known.Self().Region, local, spenders),
-		router:   route.New(known, local, client, spenders, loads, newRetryBudget, log.Named("route")),
+		router:   route.New(known, local, client, spenders, known, newRetryBudget, log.Named("route")),
 	}
 	conf.Watch(func(c *config.Config) {
 		lenders.Configure(clock.Now(), c)
@@ -55,26 +51,16 @@
 	return s
 }
 
-// serve answers other hosts and renews leases in the group.
-func (s *steering) serve(g *run.Group, peers *peer.Server) {
+// handle answers other hosts.
+func (s *steering) handle(peers *peer.Server) {
 	peers.HandleCalls(s.gate)
 	peers.Handle("POST /lend", s.lenders.Handler())
-	addLoop(g, func(ctx context.Context) error { return s.lenders.Run(ctx, holdInterval) })
-	addLoop(g, func(ctx context.Context) error { return s.spenders.Run(ctx, renewInterval) })
 }
 
-// loadsOf returns the loads that the hosts tell each other, if they do.
-func loadsOf(known any) shift.Loads {
-	if l, ok := known.(shift.Loads); ok {
-		return l
-	}
-	return noLoads{}
+// addLoops adds the loops that renew and hold leases of budgets.
+func (s *steering) addLoops(g *run.Group) {
+	addLoop(g, func(ctx context.Context) error { return s.lenders.Run(ctx, holdInterval) })
+	addLoop(g, func(ctx context.Context) error { return s.spenders.Run(ctx, renewInterval) })
 }
 
-// noLoads knows no load: destinations decide alone.
-type noLoads struct{}
-
-// Load returns false.
-func (noLoads) Load(time.Time, place.Cell) (member.Load, bool) { return member.Load{}, false }
-
 func newRetryBudget(share float64) route.RetryBudget { return retry.NewBudget(share) }
