--- a/hitchd/internal/claims/claims.go
+++ b/hitchd/internal/claims/claims.go
@@ -29,8 +29,6 @@
 	Window = 24 * time.Hour
 	// keepLimit is the largest answer that is kept, in bytes.
 	keepLimit = 32 << 10
-	// bodyLimit is the largest body of an operation, in bytes.
-	bodyLimit = 1 << 20
 	// downPause is how long operations are refused at once after the table
 	// failed.
 	downPause = 500 * time.Millisecond
@@ -117,9 +115,9 @@
 	if r.Operation == "" {
 		return nil, result.Refuse(result.ReasonNoOperation, "claim operation", self)
 	}
-	body, err := readBody(r)
+	body, err := r.ReadBody()
 	if err != nil {
-		return nil, result.Refuse(result.ReasonTooLarge, "read operation", self)
+		return nil, result.Refuse(result.ReasonBadRequest, "read operation", self)
 	}
 	o := &operation{
 		key:         keyPrefix + r.Cell.Service + "/" + r.Operation,
@@ -143,21 +141,6 @@
 	}
 }
 
-func readBody(r *call.Request) ([]byte, error) {
-	if r.Body == nil {
-		return nil, nil
-	}
-	body, err := io.ReadAll(io.LimitReader(r.Body, bodyLimit+1))
-	if err != nil {
-		return nil, err
-	}
-	if len(body) > bodyLimit {
-		return nil, errors.New("body too large")
-	}
-	r.Body = bytes.NewReader(body)
-	return body, nil
-}
-
 // run claims the operation and dispatches it.
 func (c *Claims) run(ctx context.Context, r *call.Request, o *operation) (*call.Answer, error) {
 	began := c.now()
--- a/hitchd/internal/peer/forward.go
+++ b/hitchd/internal/peer/forward.go
@@ -48,7 +48,7 @@
 // Forward sends the request to the host and returns its answer. The returned
 // body yields an error when the answer is cut.
 func (c *Client) Forward(ctx context.Context, to member.Host, r *call.Request) (*call.Answer, error) {
-	body, err := wholeBody(r)
+	body, err := r.ReadBody()
 	if err != nil {
 		return nil, result.Refuse(result.ReasonBadRequest, "read request body", to.Name)
 	}
@@ -80,14 +80,6 @@
 	return readAnswer(res), nil
 }
 
-// wholeBody reads the request's body, whose size the caller port bounds.
-func wholeBody(r *call.Request) ([]byte, error) {
-	if r.Body == nil {
-		return nil, nil
-	}
-	return io.ReadAll(r.Body)
-}
-
 // lost returns the error of a request without an answer. It did not run when
 // no connection to the host came about.
 func lost(err error, to member.Host, connected bool) error {
--- a/hitchd/internal/route/journey.go
+++ b/hitchd/internal/route/journey.go
@@ -4,7 +4,6 @@
 	"bytes"
 	"context"
 	"errors"
-	"io"
 	"net/http"
 	"time"
 
@@ -36,10 +35,7 @@
 
 // readBody takes in the whole body, so that it can be sent again when nothing ran.
 func readBody(r *call.Request, self string) ([]byte, error) {
-	if r.Body == nil {
-		return nil, nil
-	}
-	body, err := io.ReadAll(r.Body)
+	body, err := r.ReadBody()
 	var large *http.MaxBytesError
 	if errors.As(err, &large) {
 		return nil, result.Refuse(result.ReasonTooLarge, "read request", self)
