--- a/standin/demo.go
+++ b/standin/demo.go
@@ -44,23 +44,11 @@
 		return errors.Errorf("--deployment %s: want pall or lens", c.Deployment)
 	}
 	d.Port = c.Port
-	if err := os.RemoveAll(c.Dir); err != nil {
-		return errors.Wrap(err, "clear demo directory")
-	}
-	if err := os.MkdirAll(c.Dir, 0o755); err != nil {
-		return errors.Wrap(err, "make demo directory")
-	}
-	s := stage.New(c.ctx, c.Bin, c.Dir)
-	defer s.Close()
-	if err := s.Write(d); err != nil {
-		return err
-	}
-	if err := s.StartAll(d); err != nil {
-		return err
-	}
-	if err := waitServing(c.ctx, s, d); err != nil {
+	s, err := startDeployment(c.ctx, c.Bin, c.Dir, d)
+	if err != nil {
 		return err
 	}
+	defer s.Close()
 	a := &actor{stage: s, deployment: d, keepers: make(map[string]string)}
 	result := play.Run(c.ctx, lines, callers(d), a)
 	if err := c.ctx.Err(); err != nil {
@@ -69,6 +57,29 @@
 	return report(lines, s, a, result)
 }
 
+// startDeployment starts a deployment with its files in a new directory, and
+// waits until every host serves. The caller closes the stage.
+func startDeployment(ctx context.Context, bin, dir string, d stage.Deployment) (*stage.Stage, error) {
+	if err := os.RemoveAll(dir); err != nil {
+		return nil, errors.Wrap(err, "clear directory")
+	}
+	if err := os.MkdirAll(dir, 0o755); err != nil {
+		return nil, errors.Wrap(err, "make directory")
+	}
+	s := stage.New(ctx, bin, dir)
+	for _, step := range []func() error{
+		func() error { return s.Write(d) },
+		func() error { return s.StartAll(d) },
+		func() error { return waitServing(ctx, s, d) },
+	} {
+		if err := step(); err != nil {
+			s.Close()
+			return nil, err
+		}
+	}
+	return s, nil
+}
+
 // callers returns the callers of each region. They know the hosts of their
 // own region first.
 func callers(d stage.Deployment) map[string]*play.Caller {
--- a/standin/measure.go
+++ b/standin/measure.go
@@ -33,20 +33,11 @@
 func (c *measureCommand) Execute([]string) error {
 	d := deployments["pall"]
 	d.Port, d.HostsPerDomain = c.Port, c.HostsPerDomain
-	if err := os.MkdirAll(c.Dir, 0o755); err != nil {
-		return errors.Wrap(err, "make directory")
-	}
-	s := stage.New(c.ctx, c.Bin, c.Dir)
-	defer s.Close()
-	if err := s.Write(d); err != nil {
-		return err
-	}
-	if err := s.StartAll(d); err != nil {
-		return err
-	}
-	if err := waitServing(c.ctx, s, d); err != nil {
+	s, err := startDeployment(c.ctx, c.Bin, c.Dir, d)
+	if err != nil {
 		return err
 	}
+	defer s.Close()
 	pause(c.ctx, settleTime)
 	before, err := take(c.ctx, s, d)
 	if err != nil {
