hosts: read all regions until each one's keepers are known

Now every read is wide until each region with cells has an assignment. TestHostsKnowOtherRegionsSoon fails without it.

--- a/hitchd/internal/hosts/hosts_test.go
+++ b/hitchd/internal/hosts/hosts_test.go
@@ -31,6 +31,24 @@
 	return w.holders(k)[0], k
 }
 
+// TestHostsKnowOtherRegionsSoon takes the store away just after the first
+// assignments: each host must know the keepers of all regions by then.
+func TestHostsKnowOtherRegionsSoon(t *testing.T) {
+	run(t, 3, 2, 2, func(w *world) {
+		w.until(startTarget, "holders", w.all)
+		w.wait(2 * time.Second)
+		w.store.SetFault(mem.Fault{Down: true})
+		w.wait(30 * time.Second)
+		for _, p := range w.list() {
+			for _, k := range w.keys {
+				if _, ok := p.Keeper(p.clock(), k); !ok {
+					t.Errorf("%s: got no keeper of %s, want one", p.name, k)
+				}
+			}
+		}
+	})
+}
+
 func TestKilledKeeperIsReplaced(t *testing.T) {
 	ready(t, 6, func(w *world) {
 		p, _ := w.keeper()
--- a/hitchd/internal/hosts/loop.go
+++ b/hitchd/internal/hosts/loop.go
@@ -42,7 +42,7 @@
 		h.tell(ctx)
 		h.gossip(ctx)
 		if now := h.clock(); woken || now.Sub(last) >= interval {
-			wide := n%wideParts == 0
+			wide := n%wideParts == 0 || h.incomplete()
 			if start(&calls, reading, func() { h.readNext(ctx, wide) }) {
 				n++
 				last, woken = now, false
@@ -85,6 +85,21 @@
 	}
 }
 
+// incomplete reports whether this host knows no assignment yet of a region
+// that has cells. Until it does, it can't tell who keeps them when the table
+// goes away.
+func (h *Hosts) incomplete() bool {
+	keys := h.keys()
+	h.mu.RLock()
+	defer h.mu.RUnlock()
+	for _, k := range keys {
+		if r := h.regions[k.Region]; r == nil || r.cells == nil {
+			return true
+		}
+	}
+	return false
+}
+
 // signal wakes a loop unless it is about to wake.
 func signal(c chan struct{}) {
 	select {
