setup: name seeds that a host asks while the table is down

Cause: only the table named other hosts, so one that started during an outage could not take the greatest revision of its peers.

--- a/hitchd/internal/setup/setup.go
+++ b/hitchd/internal/setup/setup.go
@@ -45,6 +45,9 @@
 	Objects string `ini:"objects" check:"base"`
 	// Timeout bounds each call to the platform.
 	Timeout time.Duration `ini:"timeout" default:"3s"`
+	// Seeds are hosts that are asked for the configuration when the table
+	// can't name any, or [NoSeeds]. See [Platform.SeedHosts].
+	Seeds string `ini:"seeds" check:"seeds" default:"none"`
 }
 
 // Keys names the files of the host's keys and the operators' token.
--- a/hitchd/internal/setup/setup_test.go
+++ b/hitchd/internal/setup/setup_test.go
@@ -98,6 +98,7 @@
 		{"operator = 127.0.0.1:22003", "operator = 127.0.0.1:22001", "[listen] operator = 127.0.0.1:22001: want an address other than that of caller"},
 		{"table = http://", "table = ftp://", "[platform] table = ftp://127.0.0.1:22004: want http://"},
 		{"table = http://127.0.0.1:22004", "table = http://platform:22004", "want http:// or https:// with an IP address"},
+		{"[platform]", "[platform]\nseeds = norte-b-1", "[platform] seeds = norte-b-1: want none, or names of hosts"},
 		{"/ca.pem", "/absent.pem", "[keys] ca = " + dir + "/absent.pem: want the name of a readable file"},
 		{"/norte-a-1.pem", "/other.pem", "want a key pair for host norte-a-1"},
 		{"/token", "/ca.key\n[log]\nlevel = loud", "[log] level = loud: want trace, debug"},
--- a/hitchd/internal/setup/value.go
+++ b/hitchd/internal/setup/value.go
@@ -107,6 +107,10 @@
 		"http:// or https:// with an IP address and a port, as in http://10.0.0.9:7000",
 		isBase,
 	},
+	"seeds": {
+		"none, or names of hosts with their peer addresses, as in norte-a-1=10.0.0.7:8001,norte-b-1=10.0.1.7:8001",
+		func(s string) bool { _, ok := parseSeeds(s); return ok },
+	},
 	"file": {
 		"the name of a readable file",
 		func(s string) bool {
--- a/hitchd/node.go
+++ b/hitchd/node.go
@@ -60,7 +60,8 @@
 	n.blocks = blocks.New(objects, n.view, log.Named("blocks"))
 	n.claims = claims.New(table, n.hosts, n.client, n.keeper, log.Named("claims"))
 	n.steering = newSteering(n.hosts, n.claims, n.client, n.view, log)
-	n.spread = spread.New(table, n.view, log.Named("spread"), spread.WithPeers(n.hosts, n.client), spread.WithObjects(objects))
+	known := seeded{n.hosts, s.Platform.SeedHosts()}
+	n.spread = spread.New(table, n.view, log.Named("spread"), spread.WithPeers(known, n.client), spread.WithObjects(objects))
 	n.reports = newReporter(n.hosts, n.client, n.view, n.keeper, n.steering.lenders)
 	n.takeCells()
 	n.answerPeers()
