--- a/hitchd/internal/claims/running.go
+++ b/hitchd/internal/claims/running.go
@@ -14,6 +14,8 @@
 	shards = 16
 	// endedLimit is the number of ended operations that a shard remembers.
 	endedLimit = 1024
+	// endedBytes bounds the kept answers that a shard holds, in bytes.
+	endedBytes = 1 << 20
 )
 
 // operation is an operation on this host.
@@ -36,6 +38,8 @@
 	// ended holds operations by claim id, oldest first in order.
 	ended map[string]*operation
 	order []string
+	// bytes is the size of the answers that ended operations keep.
+	bytes int
 }
 
 func newRunning() *running {
@@ -74,12 +78,29 @@
 	delete(s.byKey, o.key)
 	s.ended[o.id] = o
 	s.order = append(s.order, o.id)
-	for len(s.order) > endedLimit {
-		delete(s.ended, s.order[0])
-		s.order = s.order[1:]
+	s.bytes += o.size()
+	for len(s.order) > endedLimit || s.bytes > endedBytes {
+		s.forgetOldest()
 	}
 }
 
+// forgetOldest drops the operation that ended first. Its record in the table
+// stays.
+func (s *shard) forgetOldest() {
+	id := s.order[0]
+	s.bytes -= s.ended[id].size()
+	delete(s.ended, id)
+	s.order = s.order[1:]
+}
+
+// size returns the length of the kept answer, in bytes.
+func (o *operation) size() int {
+	if o.answer == nil {
+		return 0
+	}
+	return len(o.answer.Body)
+}
+
 // find returns the operation with the claim id, running or ended lately.
 func (r *running) find(key, id string) *operation {
 	s := r.shard(key)
--- /dev/null
+++ b/hitchd/internal/claims/running_test.go
@@ -0,0 +1,30 @@
+package claims
+
+import (
+	"fmt"
+	"testing"
+
+	"magnoliahitch/steer/claim"
+)
+
+func TestEndedOperationsAreBoundedInBytes(t *testing.T) {
+	r := newRunning()
+	var last *operation
+	for i := range 20_000 {
+		last = &operation{key: fmt.Sprint("op-", i), id: fmt.Sprint(i), done: make(chan struct{})}
+		r.enter(last)
+		r.leave(last, claim.Done, &claim.Answer{Body: make([]byte, keepLimit)})
+	}
+	held := 0
+	for i := range r.shards {
+		for _, o := range r.shards[i].ended {
+			held += len(o.answer.Body)
+		}
+	}
+	if got, want := held, shards*endedBytes; got > want {
+		t.Errorf("got %d bytes of kept answers, want at most %d", got, want)
+	}
+	if r.find(last.key, last.id) == nil {
+		t.Error("got no trace of the last operation, want it kept")
+	}
+}
