hitchd: serve callers on the users' platform

Cause: the daemon knew its own settings, store and headers only. Change: platform/ translates settings, store, records and header names; steer/routes, steer/fleet and steer/pick decide; hitchd/internal/edge, conns, watch, gossip and lines are the loops round them.

--- /dev/null
+++ b/hitchd/edge.go
@@ -0,0 +1,230 @@
+package main
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/go-faster/errors"
+	"github.com/hashicorp/go-hclog"
+	"github.com/oklog/run"
+
+	"magnoliahitch/hitchd/internal/conns"
+	"magnoliahitch/hitchd/internal/edge"
+	"magnoliahitch/hitchd/internal/gossip"
+	"magnoliahitch/hitchd/internal/lines"
+	"magnoliahitch/hitchd/internal/watch"
+	"magnoliahitch/links/clock"
+	"magnoliahitch/platform"
+	"magnoliahitch/steer/fleet"
+	"magnoliahitch/steer/member"
+	"magnoliahitch/steer/pick"
+)
+
+// Times of an edge host.
+const (
+	// tickInterval is the time between two looks at what time has made invalid.
+	tickInterval = 500 * time.Millisecond
+	// callerIdle is how long a caller's connection may be idle; it is longer
+	// than any limit that operators set.
+	callerIdle = 2 * time.Minute
+	// headerTimeout is how long a caller may take for a header.
+	headerTimeout = 10 * time.Second
+	// hostsTable is the table with a row for each running host.
+	hostsTable = "hosts"
+)
+
+// edgeHost is the parts of a host that runs on the platform.
+type edgeHost struct {
+	settings platform.Settings
+	log      hclog.Logger
+	store    *platform.Store
+	watch    *watch.Watch
+	gossip   *gossip.Gossip
+	edge     *edge.Edge
+	listed   chan struct{}
+}
+
+// listeners are the sockets of an edge host.
+type listeners struct {
+	caller, ready, lookup, peer net.Listener
+	gossip                      *net.UDPConn
+}
+
+// startEdge runs the daemon with the platform's settings and returns the exit code.
+func startEdge(path string) int {
+	// SIGHUP announces changed settings; its default would end the process.
+	reload := make(chan os.Signal, 1)
+	signal.Notify(reload, syscall.SIGHUP)
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	defer stop()
+
+	out := lines.New(os.Stdout)
+	log := hclog.New(&hclog.LoggerOptions{Output: out, JSONFormat: true, Level: hclog.Info})
+	writing, written := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() { defer close(done); _ = out.Run(writing) }()
+	defer func() { written(); <-done }()
+
+	s, err := platform.LoadSettings(path)
+	if err != nil {
+		log.Error("settings can't be used", "error", err)
+		return exitSettings
+	}
+	log = log.With("host", s.Host)
+	if err := serveEdge(ctx, s, path, reload, log); err != nil {
+		log.Error("stopped", "error", err)
+		return exitFailed
+	}
+	log.Info("stopped")
+	return exitDone
+}
+
+func serveEdge(ctx context.Context, s platform.Settings, path string, reload <-chan os.Signal, log hclog.Logger) error {
+	l, err := bindEdge(s)
+	if err != nil {
+		return err
+	}
+	h := newEdgeHost(s, l, log)
+	callers := &http.Server{Handler: h.edge, IdleTimeout: callerIdle, ReadHeaderTimeout: headerTimeout, ErrorLog: quiet(log)}
+	var g run.Group
+	addLoop(&g, h.gossip.Receive)
+	addLoop(&g, h.gossip.Send)
+	addLoop(&g, func(ctx context.Context) error { return h.watch.RunOperator(ctx, platform.OperatorTable) })
+	addLoop(&g, func(ctx context.Context) error { return h.watch.RunServers(ctx, platform.ServerTable) })
+	addLoop(&g, func(ctx context.Context) error { return h.watch.RunHosts(ctx, hostsTable) })
+	addLoop(&g, h.register)
+	addLoop(&g, h.tick)
+	addLoop(&g, func(ctx context.Context) error { return h.reload(ctx, path, reload) })
+	addListener(&g, callers, l.caller)
+	addListener(&g, &http.Server{Handler: h.entry()}, l.ready)
+	addListener(&g, &http.Server{Handler: h.entry()}, l.lookup)
+	addListener(&g, &http.Server{Handler: h.peers()}, l.peer)
+	addEdgeStop(ctx, &g, h, callers)
+	log.Info("started", "caller", s.Listen.Caller, "lookup", s.Listen.Lookup, "peer", s.Listen.Peer, "store", s.Store)
+	err = g.Run()
+	if ctx.Err() != nil {
+		return nil
+	}
+	return err
+}
+
+// addListener serves until the group ends. A server that a planned stop shut
+// down doesn't end the group.
+func addListener(g *run.Group, s *http.Server, l net.Listener) {
+	ended := make(chan struct{})
+	g.Add(func() error {
+		if err := s.Serve(l); !errors.Is(err, http.ErrServerClosed) {
+			return err
+		}
+		<-ended
+		return nil
+	}, func(error) {
+		close(ended)
+		_ = s.Close()
+	})
+}
+
+// bindEdge takes the ports of the settings.
+func bindEdge(s platform.Settings) (*listeners, error) {
+	l := &listeners{}
+	for _, p := range []struct {
+		to   *net.Listener
+		addr string
+	}{{&l.caller, s.Listen.Caller}, {&l.ready, s.Listen.Ready}, {&l.lookup, s.Listen.Lookup}, {&l.peer, s.Listen.Peer}} {
+		at, err := net.Listen("tcp4", p.addr)
+		if err != nil {
+			return nil, errors.Wrapf(err, "listen on %s", p.addr)
+		}
+		*p.to = at
+	}
+	addr, err := net.ResolveUDPAddr("udp4", s.Listen.Peer)
+	if err != nil {
+		return nil, errors.Wrapf(err, "peer address %s", s.Listen.Peer)
+	}
+	l.gossip, err = net.ListenUDP("udp4", addr)
+	if err != nil {
+		return nil, errors.Wrapf(err, "listen on %s for datagrams", s.Listen.Peer)
+	}
+	return l, nil
+}
+
+func newEdgeHost(s platform.Settings, l *listeners, log hclog.Logger) *edgeHost {
+	h := &edgeHost{settings: s, log: log, listed: make(chan struct{})}
+	h.store = platform.NewStore(s.Store, conns.Dialer())
+	self := member.Host{Name: s.Host, Region: s.Region, Domain: s.Domain, CallerAddr: s.Listen.Caller, PeerAddr: s.Listen.Peer,
+		Incarnation: uint64(time.Now().UnixNano())}
+	versions := func() gossip.Versions {
+		st := h.watch.State()
+		return gossip.Versions{Operator: st.OperatorVersion, Servers: st.ServersVersion}
+	}
+	h.gossip = gossip.New(self, l.gossip, versions, log.Named("gossip"))
+	h.watch = watch.New(h.store, watch.Codec{
+		Config:    platform.DecodeConfig,
+		ConfigKey: platform.ConfigKey,
+		Evacuated: platform.EvacuatedDomain,
+		Server: func(now time.Time, id string, value []byte) (fleet.Server, error) {
+			return platform.DecodeServer(now, id, value, s.Regions)
+		},
+	}, log.Named("watch"), h.gossip.List)
+	h.edge = edge.New(edge.Dialect{
+		Words: conns.Words{RequestID: platform.HeaderRequestID, Deadline: platform.HeaderDeadline, Expect: platform.HeaderExpect,
+			NotRun: platform.HeaderNotRun, Signature: platform.HeaderSignature, Load: platform.HeaderLoad},
+		Object:     platform.Object,
+		Patience:   platform.Patience,
+		Load:       platform.Load,
+		RetryAfter: platform.RetryAfter,
+	}, pick.Home{Region: s.Region, Domain: s.Domain}, h.watch.State, h.sponsor, log.Named("edge"), edge.WithRetries(retryShare*s.Bounds.RetryRatio))
+	return h
+}
+
+// retryShare is the part of the allowed retries that hosts use. The rest
+// covers the difference between one host's window and the fleet's.
+const retryShare = 0.8
+
+// entry serves the readiness probe, the look-up and the metrics.
+func (h *edgeHost) entry() http.Handler {
+	m := http.NewServeMux()
+	m.Handle("/", platform.Handler(h))
+	m.HandleFunc("GET /metrics", func(w http.ResponseWriter, _ *http.Request) { metrics.WritePrometheus(w, true) })
+	return m
+}
+
+// tick lets time pass for the parts that expire something.
+func (h *edgeHost) tick(ctx context.Context) error {
+	t := time.NewTicker(tickInterval)
+	defer t.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-t.C:
+		}
+		h.watch.Tick(clock.Now())
+		h.edge.Tick()
+		h.catchUp(ctx)
+	}
+}
+
+// reload reads the settings again on each SIGHUP. What a running process can't
+// change stays in force and is logged.
+func (h *edgeHost) reload(ctx context.Context, path string, signals <-chan os.Signal) error {
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-signals:
+		}
+		s, err := platform.LoadSettings(path)
+		if err != nil {
+			h.log.Error("settings can't be used; those in force stay", "error", err)
+			continue
+		}
+		h.log.Info("settings read again", "listenChanged", s.Listen != h.settings.Listen, "storeChanged", s.Store != h.settings.Store)
+	}
+}
--- a/hitchd/main.go
+++ b/hitchd/main.go
@@ -15,6 +15,7 @@
 	"github.com/jessevdk/go-flags"
 
 	"magnoliahitch/hitchd/internal/setup"
+	"magnoliahitch/platform"
 )
 
 // version is set by the linker for a release.
@@ -62,6 +63,8 @@
 	case o.Version:
 		fmt.Println("hitchd", buildVersion())
 		return exitDone
+	case o.Config == "" && os.Getenv(platform.SettingsVar) != "":
+		return startEdge(os.Getenv(platform.SettingsVar))
 	case o.Config == "":
 		fmt.Fprintln(os.Stderr, "hitchd: --config FILE is missing; see hitchd --help")
 		return exitUsage
--- a/steer/result/result.go
+++ b/steer/result/result.go
@@ -75,6 +75,7 @@
 	ReasonCanceled    Reason = "canceled"
 	ReasonStopping    Reason = "stopping"
 	ReasonNoConfig    Reason = "noConfig"
+	ReasonNoRoute     Reason = "noRoute"
 	ReasonNoService   Reason = "noService"
 	ReasonBadRequest  Reason = "badRequest"
 	ReasonTooLarge    Reason = "tooLarge"
--- /dev/null
+++ b/steer/routes/table.go
@@ -0,0 +1,112 @@
+package routes
+
+import (
+	"cmp"
+	"slices"
+	"strings"
+	"time"
+)
+
+// Part is a service that gets a share of a route's requests.
+type Part struct {
+	Service string
+	Weight  float64
+}
+
+// Route says where requests of one host and path prefix go.
+type Route struct {
+	Name   string
+	Host   string
+	Prefix string
+	// Idempotent requests may run more than once.
+	Idempotent bool
+	Parts      []Part
+	// Timeout is the longest time a request may be kept waiting.
+	Timeout time.Duration
+	// Target is the time within which an answer has its full value.
+	Target time.Duration
+	// MaxAttempts is the largest number of servers that one request is sent to.
+	MaxAttempts int
+	// Priority is the rank of the requests, 0 is the highest.
+	Priority int
+	// Regions are the only regions that may serve the requests; empty means all.
+	Regions []string
+	// Sticky requests of one object are faster on a server that handled it lately.
+	Sticky bool
+}
+
+// Allows reports whether a server of the region may run the route's requests.
+func (r *Route) Allows(region string) bool {
+	return len(r.Regions) == 0 || slices.Contains(r.Regions, region)
+}
+
+// Service describes what all servers of a service have in common.
+type Service struct {
+	Name       string
+	HealthPath string
+	// MaxConns is the number of connections a server accepts from all hosts together.
+	MaxConns int
+	// WarmRate is the number of requests a second that a server tolerates while it warms up.
+	WarmRate float64
+}
+
+// Limits bound what a caller may send.
+type Limits struct {
+	HeaderBytes   int
+	BodyBytes     int64
+	HeaderTimeout time.Duration
+	IdleTimeout   time.Duration
+}
+
+// Table is the routing table of one version of the configuration.
+type Table struct {
+	Version  uint64
+	Limits   Limits
+	Services map[string]Service
+	// byHost holds the routes of each host name, the longest prefix first.
+	byHost map[string][]*Route
+}
+
+// NewTable returns the table of the routes and services.
+func NewTable(version uint64, limits Limits, services []Service, list []Route) *Table {
+	t := &Table{Version: version, Limits: limits, Services: make(map[string]Service), byHost: make(map[string][]*Route)}
+	for _, s := range services {
+		t.Services[s.Name] = s
+	}
+	for i := range list {
+		r := &list[i]
+		t.byHost[r.Host] = append(t.byHost[r.Host], r)
+	}
+	for _, rs := range t.byHost {
+		slices.SortStableFunc(rs, func(a, b *Route) int { return cmp.Compare(len(b.Prefix), len(a.Prefix)) })
+	}
+	return t
+}
+
+// Find returns the route with the longest prefix of the path among the routes
+// of the host name, or nil.
+func (t *Table) Find(host, path string) *Route {
+	for _, r := range t.byHost[normalize(host)] {
+		if strings.HasPrefix(path, r.Prefix) {
+			return r
+		}
+	}
+	return nil
+}
+
+// Routes returns the number of routes.
+func (t *Table) Routes() int {
+	n := 0
+	for _, rs := range t.byHost {
+		n += len(rs)
+	}
+	return n
+}
+
+// normalize drops the port of a host name and folds its case.
+func normalize(host string) string {
+	if i := strings.LastIndexByte(host, ':'); i >= 0 {
+		host = host[:i]
+	}
+	return strings.ToLower(host)
+}
