fleet: drop a server at once when its record goes after an outage

Ruled out: late reads (the removal was read 0.46 s after it was written). Change: records are held only until 2 s after an outage of 2.5 s or more has ended; a copy from a host without such an outage is final.

--- a/hitchd/internal/watch/copy.go
+++ b/hitchd/internal/watch/copy.go
@@ -19,6 +19,8 @@
 	// Age is the time since the copy was known to be current.
 	Age  time.Duration `msgpack:"age"`
 	Rows []plat.Change `msgpack:"rows"`
+	// Settled tells that no record is missing because of an outage.
+	Settled bool `msgpack:"settled"`
 }
 
 // Copy returns this host's copy.
@@ -26,7 +28,9 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	now := clock.Now()
-	return Copy{Operator: w.operator.part(now), Servers: w.servers.part(now)}
+	c := Copy{Operator: w.operator.part(now), Servers: w.servers.part(now)}
+	c.Servers.Settled = w.fleet.Settled(now)
+	return c
 }
 
 func (c *copied) part(now time.Time) Part {
@@ -44,6 +48,6 @@
 		w.applyOperator(c.Operator.Rows, true, c.Operator.Version)
 	}
 	if c.Servers.Version > s.ServersVersion {
-		w.applyServers(c.Servers.Rows, true, c.Servers.Version)
+		w.adoptServers(c.Servers)
 	}
 }
--- a/hitchd/internal/watch/watch.go
+++ b/hitchd/internal/watch/watch.go
@@ -143,30 +143,47 @@
 	}
 }
 
-// applyServers takes changes of the servers' table in.
+// applyServers takes changes in that were read from the servers' table.
 func (w *Watch) applyServers(rows []plat.Change, whole bool, version int64) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
+	now := clock.Now()
+	w.fleet.Return(now)
+	w.serverRows(now, rows, whole, version, w.fleet.Remove)
+}
+
+// adoptServers takes another host's copy of the servers' table in. A record
+// that is missing there is gone when the other host is settled.
+func (w *Watch) adoptServers(p Part) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	remove := w.fleet.Remove
+	if p.Settled {
+		remove = func(_ time.Time, id string) { w.fleet.Drop(id) }
+	}
+	w.serverRows(clock.Now(), p.Rows, true, p.Version, remove)
+}
+
+func (w *Watch) serverRows(now time.Time, rows []plat.Change, whole bool, version int64, remove func(time.Time, string)) {
 	if version < w.servers.version {
 		return
 	}
-	now := clock.Now()
 	if whole {
 		rows = append(missing(w.servers.rows, rows), rows...)
 	}
 	for _, r := range rows {
-		w.serverRow(now, r)
+		w.serverRow(now, r, remove)
 	}
 	w.fleet.Expire(now)
 	w.servers.version, w.servers.read = version, now
 	w.publish()
 }
 
-func (w *Watch) serverRow(now time.Time, r plat.Change) {
+func (w *Watch) serverRow(now time.Time, r plat.Change, remove func(time.Time, string)) {
 	held, known := w.servers.rows[r.Key]
 	if r.Removed {
 		if known {
-			w.fleet.Remove(now, r.Key)
+			remove(now, r.Key)
 			delete(w.servers.rows, r.Key)
 			w.log.Info("server record is gone", "server", r.Key, "version", r.Version)
 		}
--- a/steer/fleet/fleet.go
+++ b/steer/fleet/fleet.go
@@ -9,9 +9,9 @@
 
 // Times around an outage of the store.
 const (
-	// outageMemory is how long after a failed read a vanished record may be due
-	// to the outage: three heartbeats of a server and the delay of a read.
-	outageMemory = 6 * time.Second
+	// lapseAfter is the shortest outage that can make records expire. They
+	// outlive two heartbeats that are not written, and come every 1.5 s.
+	lapseAfter = 2500 * time.Millisecond
 	// returnGrace is how long servers take to register again after an outage,
 	// by the platform's contract.
 	returnGrace = 2 * time.Second
@@ -40,22 +40,43 @@
 // Fleet gathers records into views. It is not safe for concurrent use.
 type Fleet struct {
 	servers   map[string]Server
-	vanished  map[string]time.Time
+	// vanished are the records that an outage may have made expire.
+	vanished map[string]bool
 	// gone holds the last records of servers that left, so that an older
 	// record which is read late doesn't bring them back.
 	gone map[string]Server
 	evacuated map[string]bool
-	outage    time.Time
+	// down is when the outage that lasts began, returned when the last long one ended.
+	down, returned time.Time
 	changed   bool
 }
 
 // New returns an empty fleet.
 func New() *Fleet {
-	return &Fleet{servers: make(map[string]Server), vanished: make(map[string]time.Time), gone: make(map[string]Server), evacuated: make(map[string]bool), changed: true}
+	return &Fleet{servers: make(map[string]Server), vanished: make(map[string]bool), gone: make(map[string]Server), evacuated: make(map[string]bool), changed: true}
 }
 
 // Outage records that the store could not be read.
-func (f *Fleet) Outage(now time.Time) { f.outage = now }
+func (f *Fleet) Outage(now time.Time) {
+	if f.down.IsZero() {
+		f.down = now
+	}
+}
+
+// Return records that the store could be read.
+func (f *Fleet) Return(now time.Time) {
+	if !f.down.IsZero() && now.Sub(f.down) >= lapseAfter {
+		f.returned = now
+	}
+	f.down = time.Time{}
+}
+
+// Settled reports whether every server that lives had time to register again
+// since the last outage.
+func (f *Fleet) Settled(now time.Time) bool {
+	long := !f.down.IsZero() && now.Sub(f.down) >= lapseAfter
+	return !long && (f.returned.IsZero() || now.Sub(f.returned) >= returnGrace)
+}
 
 // Put takes a record in, unless a newer one of the same id is known. It
 // reports whether it was taken.
@@ -78,35 +99,33 @@
 	return true
 }
 
-// Remove takes note that the record of the id vanished.
+// Remove takes note that the record of the id vanished. Around an outage it
+// stays valid until the fleet is settled.
 func (f *Fleet) Remove(now time.Time, id string) {
-	if _, known := f.servers[id]; !known {
-		return
-	}
-	if !f.outage.IsZero() && now.Sub(f.outage) < outageMemory && !f.servers[id].Draining {
-		if _, waiting := f.vanished[id]; !waiting {
-			f.vanished[id] = now.Add(returnGrace)
-		}
-		return
+	s, known := f.servers[id]
+	switch {
+	case !known:
+	case f.Settled(now) || s.Draining:
+		f.drop(id)
+	default:
+		f.vanished[id] = true
 	}
-	f.drop(id)
 }
 
-// Keep removes all records but those of the ids, after a complete read.
-func (f *Fleet) Keep(now time.Time, ids map[string]bool) {
-	for id := range f.servers {
-		if !ids[id] {
-			f.Remove(now, id)
-		}
+// Drop removes the record of a server that is known to be gone.
+func (f *Fleet) Drop(id string) {
+	if _, known := f.servers[id]; known {
+		f.drop(id)
 	}
 }
 
 // Expire drops the records whose servers didn't register again in time.
 func (f *Fleet) Expire(now time.Time) {
-	for id, end := range f.vanished {
-		if !now.Before(end) {
-			f.drop(id)
-		}
+	if len(f.vanished) == 0 || !f.Settled(now) {
+		return
+	}
+	for id := range f.vanished {
+		f.drop(id)
 	}
 }
 
--- /dev/null
+++ b/steer/fleet/fleet_test.go
@@ -0,0 +1,119 @@
+package fleet
+
+import (
+	"slices"
+	"testing"
+	"time"
+)
+
+var start = time.Unix(1_000_000, 0)
+
+func at(d time.Duration) time.Time { return start.Add(d) }
+
+func server(id string, sequence int64) Server {
+	return Server{ID: id, Service: "catalogue", Addr: "127.0.0.1:80", Domain: "a", Region: "r", Slots: 3, Born: 1, Sequence: sequence}
+}
+
+func ids(f *Fleet) []string {
+	v, _ := f.View()
+	var out []string
+	for _, s := range v.Servers("catalogue") {
+		out = append(out, s.ID)
+	}
+	return out
+}
+
+func want(t *testing.T, f *Fleet, want ...string) {
+	t.Helper()
+	if got := ids(f); !slices.Equal(got, want) {
+		t.Errorf("servers = %v, want %v", got, want)
+	}
+}
+
+// A server left some seconds after an outage had ended and was kept for two
+// seconds more, as if the outage had made its record expire.
+func TestServerLeavesAfterOutage(t *testing.T) {
+	f := New()
+	f.Put(server("x", 1))
+	f.Put(server("y", 1))
+	for d := time.Duration(0); d < 9*time.Second; d += 300 * time.Millisecond {
+		f.Outage(at(d))
+	}
+	f.Return(at(9 * time.Second))
+	f.Remove(at(14*time.Second), "x")
+	want(t, f, "y")
+}
+
+func TestRecordsExpireInOutage(t *testing.T) {
+	f := New()
+	for _, id := range []string{"x", "y", "z"} {
+		f.Put(server(id, 1))
+	}
+	f.Outage(at(0))
+	f.Return(at(8 * time.Second))
+	f.Remove(at(8*time.Second), "x")
+	f.Remove(at(8*time.Second), "y")
+	f.Expire(at(9 * time.Second))
+	want(t, f, "x", "y", "z")
+	f.Put(server("y", 2))
+	f.Expire(at(10 * time.Second))
+	want(t, f, "y", "z")
+}
+
+func TestShortOutageExpiresNothing(t *testing.T) {
+	f := New()
+	f.Put(server("x", 1))
+	f.Outage(at(0))
+	f.Return(at(time.Second))
+	f.Remove(at(time.Second), "x")
+	want(t, f)
+}
+
+func TestDropInOutage(t *testing.T) {
+	f := New()
+	f.Put(server("x", 1))
+	f.Outage(at(0))
+	f.Drop("x")
+	want(t, f)
+}
+
+// Records may be read late: an older one must neither replace a newer one, nor
+// bring a server back that left, nor end a drain.
+func TestOldRecords(t *testing.T) {
+	f := New()
+	f.Put(server("x", 5))
+	if f.Put(server("x", 4)) {
+		t.Error("took a record of an earlier sequence")
+	}
+	draining := server("x", 6)
+	draining.Draining = true
+	f.Put(draining)
+	f.Put(server("x", 7))
+	if v, _ := f.View(); !v.Servers("catalogue")[0].Draining {
+		t.Error("a draining server returned to work")
+	}
+	f.Remove(at(0), "x")
+	if f.Put(server("x", 5)) {
+		t.Error("an old record brought a server back")
+	}
+	again := server("x", 1)
+	again.Born = 2
+	if !f.Put(again) {
+		t.Error("a new incarnation of the id was not taken")
+	}
+	if v, _ := f.View(); v.Servers("catalogue")[0].Draining {
+		t.Error("the new incarnation is draining")
+	}
+}
+
+func TestEvacuate(t *testing.T) {
+	f := New()
+	f.Evacuate("a", true)
+	if v, changed := f.View(); !changed || !v.Evacuated("a") || v.Evacuated("b") {
+		t.Error("a is not evacuated, or b is")
+	}
+	f.Evacuate("a", false)
+	if v, _ := f.View(); v.Evacuated("a") {
+		t.Error("a is still evacuated")
+	}
+}
