pick: place objects on servers of their home region first

Change: home servers come first in an object's order; what a host sent where is remembered; a look-up names few hosts, so that connections are reused; failing and slow servers cost more.

--- a/hitchd/edgepeers.go
+++ b/hitchd/edgepeers.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"io"
+	"math"
 	"net/http"
 	"time"
 
@@ -27,8 +28,11 @@
 	staleAfter = 1500 * time.Millisecond
 	// lookupLife is how long callers keep the answer of a look-up.
 	lookupLife = 2 * time.Second
-	// maxLookup is the largest number of hosts that a look-up names.
-	maxLookup = 64
+	// A look-up names this part of the region's hosts, but at least a few. The
+	// fewer hosts serve a host name, the more each knows of its servers' load and
+	// the more connections are reused.
+	lookupShare = 1.0 / 8
+	minLookup   = 2
 	// sponsors is the number of hosts that send to a server that warms up.
 	sponsors = 2
 	// sponsorShare is the part of a cold server's limit that its sponsors use
@@ -54,10 +58,12 @@
 		near = live
 	}
 	var out []string
-	for _, x := range place.Rank(name, near) {
-		if len(out) < maxLookup {
-			out = append(out, x.CallerAddr)
+	most := max(minLookup, int(math.Ceil(lookupShare*float64(len(near)))))
+	for i, x := range place.Rank(name, near) {
+		if i == most {
+			break
 		}
+		out = append(out, x.CallerAddr)
 	}
 	return out, min(lookupLife, h.settings.Bounds.LookupTTL)
 }
--- a/hitchd/internal/conns/pool.go
+++ b/hitchd/internal/conns/pool.go
@@ -27,7 +27,7 @@
 	idleMax = 4 * time.Second
 	// idleExact is the same for requests that must not be lost: the shorter a
 	// connection was idle, the less likely its server is just closing it.
-	idleExact = time.Second
+	idleExact = 2 * time.Second
 	// bufferSize is the read buffer of a connection in bytes.
 	bufferSize = 2 << 10
 	// maxIdlePerServer bounds the idle connections to one server.
--- a/steer/fleet/fleet.go
+++ b/steer/fleet/fleet.go
@@ -39,16 +39,16 @@
 
 // Fleet gathers records into views. It is not safe for concurrent use.
 type Fleet struct {
-	servers   map[string]Server
+	servers map[string]Server
 	// vanished are the records that an outage may have made expire.
 	vanished map[string]bool
 	// gone holds the last records of servers that left, so that an older
 	// record which is read late doesn't bring them back.
-	gone map[string]Server
+	gone      map[string]Server
 	evacuated map[string]bool
 	// down is when the outage that lasts began, returned when the last long one ended.
 	down, returned time.Time
-	changed   bool
+	changed        bool
 }
 
 // New returns an empty fleet.
--- a/steer/pick/done.go
+++ b/steer/pick/done.go
@@ -30,8 +30,7 @@
 	Known bool
 }
 
-// Done ends what [Picker.Choose] began. Took is the time until the answer, of
-// which distance is spent on the way.
+// Done ends what [Picker.Choose] began. Took is the time until the answer.
 func (p *Picker) Done(now time.Time, server string, result Result, took time.Duration, r Report) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -46,6 +45,8 @@
 	switch result {
 	case Answered:
 		st.succeed()
+		took = max(0, took-st.distance)
+		st.measure(took, p.work)
 		p.work += time.Duration(workWeight * float64(took-p.work))
 	case Misdirected:
 		st.eject(now)
@@ -58,6 +59,7 @@
 	case Failed:
 		st.fail(now)
 	case Shed:
+		st.blame()
 		st.others = max(st.others, float64(st.running)+1)
 	case Abandoned:
 	}
--- a/steer/pick/picker.go
+++ b/steer/pick/picker.go
@@ -13,21 +13,25 @@
 
 // Constants of placement.
 const (
-	// candidates is the number of servers in an object's order that are weighed
-	// against each other.
-	candidates = 4
 	// abroadCost is the time a request to another region takes there and back.
 	abroadCost = 70 * time.Millisecond
 	// domainCost is the same for another failure domain of the region.
 	domainCost = time.Millisecond
 	// maxEjectedShare is the share of a service's servers that may be ejected at once.
 	maxEjectedShare = 0.5
+	// faultCost is what a failed attempt costs, as a multiple of the usual time.
+	faultCost = 4
 	// defaultWork is the time a request takes until answers were seen.
 	defaultWork = 150 * time.Millisecond
 	// workWeight is the weight of a new time against the earlier ones.
 	workWeight = 0.05
-	// coldObject is the part of a request's time that an object's first server saves.
-	coldObject = 0.7
+	// unfamiliar is what the first request of an object takes longer on a server,
+	// as a multiple of the usual time: a familiar one takes three tenths of it.
+	unfamiliar = 7.0 / 3
+	// The chance that another host has used the server for the object, by the
+	// server's place in the object's order.
+	firstFamiliar  = 0.9
+	secondFamiliar = 0.5
 )
 
 // Request is what placement needs to know of a request.
@@ -93,6 +97,19 @@
 	state  *state
 	score  uint64
 	cold   bool
+	abroad bool
+}
+
+// before orders candidates for an object: servers of the home region first,
+// each region's by rendezvous hashing.
+func (c *candidate) before(o *candidate) int {
+	if c.abroad != o.abroad {
+		if o.abroad {
+			return -1
+		}
+		return 1
+	}
+	return cmp.Compare(o.score, c.score)
 }
 
 // Choose returns the server on which the request should run now, and counts
@@ -104,13 +121,13 @@
 	if len(list) == 0 {
 		return Choice{Reason: NoServers}
 	}
-	slices.SortFunc(list, func(a, b candidate) int { return cmp.Compare(b.score, a.score) })
-	best, rank, cost := p.cheapest(now, list)
+	slices.SortFunc(list, func(a, b candidate) int { return a.before(&b) })
+	best, rank, cost := p.cheapest(now, list, r.Object)
 	if best == nil {
 		return Choice{Reason: AllBusy, Usable: len(list)}
 	}
 	c := Choice{Server: *best.server, Reason: Chosen, Rank: rank, Load: best.state.load(), Cost: cost, Usable: len(list)}
-	best.state.running++
+	best.state.begin(now, r.Object, p.distance(best))
 	return c
 }
 
@@ -133,20 +150,27 @@
 			}
 		}
 		cold := s.Cold(now) || !st.lostAt.IsZero() && !s.Read.After(st.lostAt)
-		list = append(list, candidate{s, st, score(r.Object, s.ID), cold})
+		list = append(list, candidate{s, st, score(r.Object, s.ID), cold, s.Region != p.home.Region})
 	}
 	return list
 }
 
 // cheapest returns the candidate with the least cost and its rank.
-func (p *Picker) cheapest(now time.Time, list []candidate) (best *candidate, rank int, cost time.Duration) {
+func (p *Picker) cheapest(now time.Time, list []candidate, object string) (best *candidate, rank int, cost time.Duration) {
 	type priced struct {
 		rank int
 		cost time.Duration
 	}
 	order := make([]priced, len(list))
+	near := 0
 	for i := range list {
-		order[i] = priced{i, p.cost(&list[i], i)}
+		place := i
+		if list[i].abroad {
+			place -= near
+		} else {
+			near++
+		}
+		order[i] = priced{i, p.cost(&list[i], place, object)}
 	}
 	slices.SortFunc(order, func(a, b priced) int { return cmp.Compare(a.cost, b.cost) })
 	for _, o := range order {
@@ -159,29 +183,31 @@
 	return nil, 0, 0
 }
 
-// cost estimates the time until the candidate's answer.
-func (p *Picker) cost(c *candidate, rank int) time.Duration {
-	d := domainCost
-	switch {
-	case c.server.Region != p.home.Region:
-		d = abroadCost
-	case c.server.Domain == p.home.Domain:
-		d = 0
-	}
+// cost estimates the time until the candidate's answer. Place is its place
+// among the servers of the same distance.
+func (p *Picker) cost(c *candidate, place int, object string) time.Duration {
+	d := p.distance(c)
 	slots := float64(max(1, c.server.Slots))
 	if queue := c.state.load() + 1 - slots; queue > 0 {
 		d += time.Duration(queue / slots * float64(p.work))
 	}
-	d += time.Duration(float64(p.work) * coldObject / (1 - coldObject) * rankPenalty(rank))
+	d += time.Duration(float64(p.work) * (1 + unfamiliar*c.state.strange(object, place)) * c.state.pace)
+	d += time.Duration(float64(p.work) * faultCost * c.state.faults)
 	if c.cold {
 		d += p.work
 	}
 	return d
 }
 
-// rankPenalty is the chance that the server of the rank isn't used to the object.
-func rankPenalty(rank int) float64 {
-	return min(1, float64(rank)/candidates)
+// distance is the time to the candidate and back.
+func (p *Picker) distance(c *candidate) time.Duration {
+	switch {
+	case c.abroad:
+		return abroadCost
+	case c.server.Domain == p.home.Domain:
+		return 0
+	}
+	return domainCost
 }
 
 func (p *Picker) admitCold(now time.Time, c *candidate) bool {
@@ -193,11 +219,13 @@
 func (p *Picker) state(s *fleet.Server) *state {
 	st := p.states[s.ID]
 	if st == nil {
-		st = &state{born: s.Born}
+		st = newState(s.Born)
 		p.states[s.ID] = st
 	}
 	if st.born != s.Born {
-		*st = state{born: s.Born, running: st.running}
+		running := st.running
+		*st = *newState(s.Born)
+		st.running = running
 	}
 	return st
 }
--- a/steer/pick/state.go
+++ b/steer/pick/state.go
@@ -13,6 +13,14 @@
 	// ejectFirst and ejectMax bound the time of an ejection, which doubles.
 	ejectFirst = 500 * time.Millisecond
 	ejectMax   = 4 * time.Second
+	// faultWeight is the weight of an attempt's failure against the earlier ones.
+	faultWeight = 0.2
+	// paceWeight is the same for how fast the server answers, and paceMax bounds
+	// how much slower than the others a server is taken to be.
+	paceWeight = 0.1
+	paceMax    = 6
+	// maxObjects is the number of objects that are remembered for each server.
+	maxObjects = 64
 )
 
 // state is what this host observed of one server.
@@ -23,6 +31,14 @@
 	others float64
 	// born is the incarnation that was observed.
 	born int64
+	// faults is the share of recent attempts that failed.
+	faults float64
+	// pace is the time that the server takes as a multiple of the service's usual time.
+	pace float64
+	// objects are the objects that this host sent there, with the last time.
+	objects map[string]time.Time
+	// distance is the time of a request on the way.
+	distance time.Duration
 	// failures counts attempts in a row that got no answer.
 	failures int
 	// ejections counts ejections since the last success.
@@ -36,6 +52,48 @@
 	cold bucket
 }
 
+func newState(born int64) *state {
+	return &state{born: born, pace: 1, objects: make(map[string]time.Time)}
+}
+
+// begin counts a request that is sent.
+func (s *state) begin(now time.Time, object string, distance time.Duration) {
+	s.running++
+	s.distance = distance
+	if object == "" {
+		return
+	}
+	if _, known := s.objects[object]; !known && len(s.objects) >= maxObjects {
+		s.forgetOldest()
+	}
+	s.objects[object] = now
+}
+
+func (s *state) forgetOldest() {
+	var oldest string
+	var last time.Time
+	for o, t := range s.objects {
+		if last.IsZero() || t.Before(last) {
+			oldest, last = o, t
+		}
+	}
+	delete(s.objects, oldest)
+}
+
+// strange estimates the chance that the server isn't used to the object.
+func (s *state) strange(object string, place int) float64 {
+	if _, known := s.objects[object]; known || object == "" {
+		return 0
+	}
+	switch place {
+	case 0:
+		return 1 - firstFamiliar
+	case 1:
+		return 1 - secondFamiliar
+	}
+	return 1
+}
+
 // load estimates the number of requests at the server.
 func (s *state) load() float64 { return float64(s.running) + s.others }
 
@@ -45,13 +103,21 @@
 	s.others += reportWeight * (others - s.others)
 }
 
+// measure takes the time of an answer in.
+func (s *state) measure(took, usual time.Duration) {
+	ratio := min(paceMax, float64(took)/float64(max(usual, time.Millisecond)))
+	s.pace = max(1, s.pace+paceWeight*(ratio-s.pace))
+}
+
 func (s *state) succeed() {
+	s.faults -= faultWeight * s.faults
 	s.failures, s.ejections = 0, 0
 	s.ejectedUntil = time.Time{}
 }
 
 // fail counts a failure that the server is to blame for.
 func (s *state) fail(now time.Time) {
+	s.blame()
 	s.failures++
 	if s.failures < ejectAfter {
 		return
@@ -59,6 +125,9 @@
 	s.eject(now)
 }
 
+// blame counts a failed attempt.
+func (s *state) blame() { s.faults += faultWeight * (1 - s.faults) }
+
 // eject keeps the server from being chosen for a while.
 func (s *state) eject(now time.Time) {
 	s.failures = 0
