pick: move work abroad at a bounded rate

Ruled out: a change of callers (the first one came later). Change: objects run abroad by the order of their hashes; the share follows the use of the home slots by at most 0.04 a second; few excursions.

--- a/steer/pick/picker.go
+++ b/steer/pick/picker.go
@@ -67,6 +67,8 @@
 	Cost time.Duration
 	// Usable is the number of servers that could have been chosen.
 	Usable int
+	// Share is the share of the service's requests that runs abroad.
+	Share float64
 }
 
 // Home says where a host stands.
@@ -84,6 +86,7 @@
 	mu     sync.Mutex
 	states map[string]*state
 	work   time.Duration
+	spill  spill
 }
 
 // New returns a picker for a host that stands at home.
@@ -100,44 +103,76 @@
 	abroad bool
 }
 
-// before orders candidates for an object: servers of the home region first,
-// each region's by rendezvous hashing.
-func (c *candidate) before(o *candidate) int {
-	if c.abroad != o.abroad {
-		if o.abroad {
-			return -1
-		}
-		return 1
-	}
-	return cmp.Compare(o.score, c.score)
-}
-
 // Choose returns the server on which the request should run now, and counts
 // the request there until [Picker.Done] is called.
 func (p *Picker) Choose(now time.Time, v *fleet.View, r Request) Choice {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	list := p.usable(now, v, r)
-	if len(list) == 0 {
+	home, abroad, sound := p.usable(now, v, r)
+	if len(home)+len(abroad) == 0 {
 		return Choice{Reason: NoServers}
 	}
-	slices.SortFunc(list, func(a, b candidate) int { return a.before(&b) })
-	best, rank, cost := p.cheapest(now, list, r.Object)
+	first, second := home, abroad
+	if p.spill.abroad(r.Object) && len(abroad) > 0 {
+		first, second = abroad, home
+	}
+	order := p.order(first, r.Object)
+	rest := p.order(second, r.Object)
+	away := false
+	if len(order) == 0 || len(rest) > 0 && order[0].cost-rest[0].cost > excursionGain && (!sound || p.spill.count.allow(now)) {
+		order, rest, away = rest, order, true
+	}
+	best := p.admit(now, append(order, rest...))
 	if best == nil {
-		return Choice{Reason: AllBusy, Usable: len(list)}
+		return Choice{Reason: AllBusy, Usable: len(home) + len(abroad)}
+	}
+	p.spill.count.add(now, away)
+	best.state.begin(now, r.Object, p.distance(&best.candidate))
+	return Choice{Server: *best.server, Reason: Chosen, Rank: best.rank, Load: best.state.load() - 1, Cost: best.cost,
+		Usable: len(home) + len(abroad), Share: p.spill.share}
+}
+
+// priced is a candidate with its cost.
+type priced struct {
+	candidate
+	// rank is its place in the object's order among the servers of its group.
+	rank int
+	cost time.Duration
+}
+
+// order returns the candidates by cost.
+func (p *Picker) order(list []candidate, object string) []priced {
+	slices.SortFunc(list, func(a, b candidate) int { return cmp.Compare(b.score, a.score) })
+	out := make([]priced, len(list))
+	for i, c := range list {
+		out[i] = priced{c, i, p.cost(&c, i, object)}
+	}
+	slices.SortStableFunc(out, func(a, b priced) int { return cmp.Compare(a.cost, b.cost) })
+	return out
+}
+
+// admit returns the first candidate that may get a request now.
+func (p *Picker) admit(now time.Time, order []priced) *priced {
+	for i := range order {
+		c := &order[i]
+		if !c.cold || p.admitCold(now, &c.candidate) {
+			return c
+		}
 	}
-	c := Choice{Server: *best.server, Reason: Chosen, Rank: rank, Load: best.state.load(), Cost: cost, Usable: len(list)}
-	best.state.begin(now, r.Object, p.distance(best))
-	return c
+	return nil
 }
 
-// usable returns the servers that may run the request.
-func (p *Picker) usable(now time.Time, v *fleet.View, r Request) []candidate {
+// usable returns the servers at home and abroad that may run the request, and
+// whether most of the home servers are among them.
+func (p *Picker) usable(now time.Time, v *fleet.View, r Request) (home, abroad []candidate, sound bool) {
 	all := v.Servers(r.Service)
-	list := make([]candidate, 0, len(all))
-	ejected := 0
+	ejected, atHome := 0, 0
+	use := use{regions: make(map[string]bool)}
 	for i := range all {
 		s := &all[i]
+		if s.Region == p.home.Region {
+			atHome++
+		}
 		if s.Draining || v.Evacuated(s.Domain) || slices.Contains(r.Tried, s.ID) ||
 			(len(r.Regions) > 0 && !slices.Contains(r.Regions, s.Region)) {
 			continue
@@ -150,37 +185,43 @@
 			}
 		}
 		cold := s.Cold(now) || !st.lostAt.IsZero() && !s.Read.After(st.lostAt)
-		list = append(list, candidate{s, st, score(r.Object, s.ID), cold, s.Region != p.home.Region})
+		c := candidate{s, st, score(r.Object, s.ID), cold, s.Region != p.home.Region}
+		use.add(&c)
+		if c.abroad {
+			abroad = append(abroad, c)
+		} else {
+			home = append(home, c)
+		}
 	}
-	return list
+	p.follow(now, &use)
+	return home, abroad, float64(len(home)) >= soundShare*float64(atHome)
 }
 
-// cheapest returns the candidate with the least cost and its rank.
-func (p *Picker) cheapest(now time.Time, list []candidate, object string) (best *candidate, rank int, cost time.Duration) {
-	type priced struct {
-		rank int
-		cost time.Duration
-	}
-	order := make([]priced, len(list))
-	near := 0
-	for i := range list {
-		place := i
-		if list[i].abroad {
-			place -= near
-		} else {
-			near++
-		}
-		order[i] = priced{i, p.cost(&list[i], place, object)}
+// use sums up the slots of a service and their use.
+type use struct {
+	home, all, load float64
+	regions         map[string]bool
+}
+
+func (u *use) add(c *candidate) {
+	slots := float64(max(1, c.server.Slots))
+	u.all += slots
+	u.regions[c.server.Region] = true
+	if !c.abroad {
+		u.home += slots
+		u.load += c.state.load()
 	}
-	slices.SortFunc(order, func(a, b priced) int { return cmp.Compare(a.cost, b.cost) })
-	for _, o := range order {
-		c := &list[o.rank]
-		if c.cold && !p.admitCold(now, c) {
-			continue
-		}
-		return c, o.rank, o.cost
+}
+
+// follow lets the share that runs abroad follow the use of the home servers.
+func (p *Picker) follow(now time.Time, u *use) {
+	switch {
+	case u.home == 0:
+	case p.spill.last.IsZero():
+		p.spill.start(now, u.home, u.all, len(u.regions))
+	default:
+		p.spill.update(now, u.load/u.home)
 	}
-	return nil, 0, 0
 }
 
 // cost estimates the time until the candidate's answer. Place is its place
