relay: pass what one host reads on to its failure domain

Change: hosts poll the first host of their domain; ages add up, and a host whose copy is too old reads the store itself. Datagrams are gone.

--- a/hitchd/edge.go
+++ b/hitchd/edge.go
@@ -16,8 +16,8 @@
 
 	"magnoliahitch/hitchd/internal/conns"
 	"magnoliahitch/hitchd/internal/edge"
-	"magnoliahitch/hitchd/internal/gossip"
 	"magnoliahitch/hitchd/internal/lines"
+	"magnoliahitch/hitchd/internal/relay"
 	"magnoliahitch/hitchd/internal/watch"
 	"magnoliahitch/links/clock"
 	"magnoliahitch/platform"
@@ -45,15 +45,13 @@
 	log      hclog.Logger
 	store    *platform.Store
 	watch    *watch.Watch
-	gossip   *gossip.Gossip
+	relay    *relay.Relay
 	edge     *edge.Edge
-	listed   chan struct{}
 }
 
 // listeners are the sockets of an edge host.
 type listeners struct {
 	caller, ready, lookup, peer net.Listener
-	gossip                      *net.UDPConn
 }
 
 // startEdge runs the daemon with the platform's settings and returns the exit code.
@@ -90,21 +88,20 @@
 	if err != nil {
 		return err
 	}
-	h := newEdgeHost(s, l, log)
+	h := newEdgeHost(s, log)
 	callers := &http.Server{Handler: h.edge, IdleTimeout: callerIdle, ReadHeaderTimeout: headerTimeout, ErrorLog: quiet(log)}
 	var g run.Group
-	addLoop(&g, h.gossip.Receive)
-	addLoop(&g, h.gossip.Send)
+	addLoop(&g, h.relay.Run)
+	addLoop(&g, h.relay.Register)
 	addLoop(&g, func(ctx context.Context) error { return h.watch.RunOperator(ctx, platform.OperatorTable) })
 	addLoop(&g, func(ctx context.Context) error { return h.watch.RunServers(ctx, platform.ServerTable) })
 	addLoop(&g, func(ctx context.Context) error { return h.watch.RunHosts(ctx, hostsTable) })
-	addLoop(&g, h.register)
 	addLoop(&g, h.tick)
 	addLoop(&g, func(ctx context.Context) error { return h.reload(ctx, path, reload) })
 	addListener(&g, callers, l.caller)
 	addListener(&g, &http.Server{Handler: h.entry()}, l.ready)
 	addListener(&g, &http.Server{Handler: h.entry()}, l.lookup)
-	addListener(&g, &http.Server{Handler: h.peers()}, l.peer)
+	addListener(&g, &http.Server{Handler: h.relay.Handler()}, l.peer)
 	addEdgeStop(ctx, &g, h, callers)
 	log.Info("started", "caller", s.Listen.Caller, "lookup", s.Listen.Lookup, "peer", s.Listen.Peer, "store", s.Store)
 	err = g.Run()
@@ -143,27 +140,15 @@
 		}
 		*p.to = at
 	}
-	addr, err := net.ResolveUDPAddr("udp4", s.Listen.Peer)
-	if err != nil {
-		return nil, errors.Wrapf(err, "peer address %s", s.Listen.Peer)
-	}
-	l.gossip, err = net.ListenUDP("udp4", addr)
-	if err != nil {
-		return nil, errors.Wrapf(err, "listen on %s for datagrams", s.Listen.Peer)
-	}
 	return l, nil
 }
 
-func newEdgeHost(s platform.Settings, l *listeners, log hclog.Logger) *edgeHost {
-	h := &edgeHost{settings: s, log: log, listed: make(chan struct{})}
+func newEdgeHost(s platform.Settings, log hclog.Logger) *edgeHost {
+	h := &edgeHost{settings: s, log: log}
 	h.store = platform.NewStore(s.Store, conns.Dialer())
 	self := member.Host{Name: s.Host, Region: s.Region, Domain: s.Domain, CallerAddr: s.Listen.Caller, PeerAddr: s.Listen.Peer,
-		Incarnation: uint64(time.Now().UnixNano())}
-	versions := func() gossip.Versions {
-		st := h.watch.State()
-		return gossip.Versions{Operator: st.OperatorVersion, Servers: st.ServersVersion}
-	}
-	h.gossip = gossip.New(self, l.gossip, versions, log.Named("gossip"))
+		Capacity: s.Cores, Incarnation: uint64(time.Now().UnixNano())}
+	h.relay = relay.New(self, h.store, hostsTable, log.Named("relay"))
 	h.watch = watch.New(h.store, watch.Codec{
 		Config:    platform.DecodeConfig,
 		ConfigKey: platform.ConfigKey,
@@ -171,7 +156,8 @@
 		Server: func(now time.Time, id string, value []byte) (fleet.Server, error) {
 			return platform.DecodeServer(now, id, value, s.Regions)
 		},
-	}, log.Named("watch"), h.gossip.List)
+	}, log.Named("watch"), h.relay.List)
+	h.relay.Attach(h.watch)
 	h.edge = edge.New(edge.Dialect{
 		Words: conns.Words{RequestID: platform.HeaderRequestID, Deadline: platform.HeaderDeadline, Expect: platform.HeaderExpect,
 			NotRun: platform.HeaderNotRun, Signature: platform.HeaderSignature, Load: platform.HeaderLoad},
@@ -207,7 +193,6 @@
 		}
 		h.watch.Tick(clock.Now())
 		h.edge.Tick()
-		h.catchUp(ctx)
 	}
 }
 
--- /dev/null
+++ b/hitchd/edgelookup.go
@@ -0,0 +1,69 @@
+package main
+
+import (
+	"math"
+	"time"
+
+	"magnoliahitch/links/clock"
+	"magnoliahitch/steer/place"
+)
+
+const (
+	// lookupLife is how long callers keep the answer of a look-up.
+	lookupLife = 2 * time.Second
+	// A look-up names this part of the region's hosts, but at least a few. The
+	// fewer hosts serve a host name, the more each knows of its servers' load and
+	// the more connections are reused.
+	lookupShare = 1.0 / 8
+	minLookup   = 2
+	// sponsors is the number of hosts that send to a server that warms up.
+	sponsors = 2
+	// sponsorShare is the part of a cold server's limit that its sponsors use
+	// together. Twice as many hosts take themselves for sponsors while the
+	// hosts' knowledge of each other differs.
+	sponsorShare = 0.7
+	// sponsorBurst is the part of a sponsor's limit that it may use at once.
+	sponsorBurst = 0.4
+)
+
+// Ready reports whether the host takes requests.
+func (h *edgeHost) Ready() bool {
+	return h.watch.State().Ready() && !h.relay.Self().Leaving
+}
+
+// Lookup returns the hosts that a caller should use.
+func (h *edgeHost) Lookup(name, region, _ string) ([]string, time.Duration) {
+	live := h.relay.Live(clock.Now())
+	near := place.InRegion(live, region)
+	if len(near) == 0 {
+		near = live
+	}
+	var out []string
+	most := max(minLookup, int(math.Ceil(lookupShare*float64(len(near)))))
+	for i, x := range place.Rank(name, near) {
+		if i == most {
+			break
+		}
+		out = append(out, x.CallerAddr)
+	}
+	return out, min(lookupLife, h.settings.Bounds.LookupTTL)
+}
+
+// sponsor returns how fast this host may send to a server that warms up.
+func (h *edgeHost) sponsor(service, server string) (rate, burst float64) {
+	st := h.watch.State()
+	if st.Table == nil {
+		return 0, 0
+	}
+	limit := st.Table.Services[service].WarmRate*h.settings.Bounds.ColdOverrun + h.settings.Bounds.ColdSlack
+	for i, x := range place.Rank(server, h.relay.Live(clock.Now())) {
+		if i >= sponsors {
+			break
+		}
+		if x.Name == h.settings.Host {
+			each := limit * sponsorShare / sponsors
+			return each * (1 - sponsorBurst), max(1, each*sponsorBurst)
+		}
+	}
+	return 0, 0
+}
--- a/hitchd/edgestop.go
+++ b/hitchd/edgestop.go
@@ -19,8 +19,6 @@
 	acceptFor = 2800 * time.Millisecond
 	// exitMargin is kept before the process would be killed.
 	exitMargin = 150 * time.Millisecond
-	// rowTimeout bounds the removal of this host's row.
-	rowTimeout = time.Second
 )
 
 // addEdgeStop ends the group after a planned stop, which begins with the
@@ -42,11 +40,10 @@
 func (h *edgeHost) stop(callers *http.Server) {
 	began := clock.Now()
 	h.log.Info("leaving", "running", h.edge.Running())
-	h.gossip.Leave(began)
 	h.edge.Stop()
 	ctx, cancel := context.WithTimeout(context.Background(), h.settings.Bounds.Stop-exitMargin)
 	defer cancel()
-	go h.unlist(ctx)
+	h.relay.Leave(ctx)
 	time.Sleep(acceptFor)
 	if err := callers.Shutdown(ctx); err != nil {
 		h.log.Warn("requests were not finished in time", "running", h.edge.Running(), "error", err)
@@ -54,15 +51,6 @@
 	h.log.Info("left", "after", clock.Now().Sub(began))
 }
 
-// unlist removes this host's row.
-func (h *edgeHost) unlist(ctx context.Context) {
-	ctx, cancel := context.WithTimeout(ctx, rowTimeout)
-	defer cancel()
-	if err := h.store.Delete(ctx, hostsTable, h.settings.Host, 0); err != nil {
-		h.log.Warn("row of this host not removed", "error", err)
-	}
-}
-
 // quiet returns a logger for what the HTTP server says of broken connections.
 func quiet(log hclog.Logger) *stdlog.Logger {
 	return log.Named("http").StandardLogger(&hclog.StandardLoggerOptions{ForceLevel: hclog.Debug})
--- a/hitchd/internal/watch/follow.go
+++ b/hitchd/internal/watch/follow.go
@@ -17,36 +17,39 @@
 	// A connection that went silent is noticed a little later.
 	operatorWait = 2 * time.Second
 	// hostsWait is the same for the hosts' table, which only helps starting hosts.
-	hostsWait = 6 * time.Second
+	hostsWait     = 6 * time.Second
+	hostsInterval = time.Second
 	// serversInterval is the time between two reads of the servers' table. A
-	// server that leaves must be known well within the 2.5 s that it goes on serving.
-	serversInterval = 700 * time.Millisecond
+	// server that leaves must be known everywhere well within the 2.5 s that it
+	// goes on serving.
+	serversInterval = 500 * time.Millisecond
 	// retryInterval is the mean pause after a failed read.
 	retryInterval = 300 * time.Millisecond
 )
 
-// Tables are the names of the tables to follow.
-type Tables struct{ Operator, Servers, Hosts string }
-
 // follower keeps the copy of one table current.
 type follower struct {
 	table string
 	// wait is how long a read waits for changes, interval the least time between two reads.
 	wait, interval time.Duration
-	apply          func(rows []plat.Change, whole bool, version int64)
+	copy           *copied
+	apply          func(read time.Time, rows []plat.Change, whole bool, version int64)
 	failed         func(now time.Time)
-	version        int64
-	down           bool
+	// first tables are read once by every host, to learn whom to ask for the rest.
+	first bool
+	// whole tells that the history since the copy's version is gone.
+	whole bool
+	down  bool
 }
 
 // RunOperator follows the operator's table until the context ends.
 func (w *Watch) RunOperator(ctx context.Context, table string) error {
-	return w.follow(ctx, &follower{table: table, wait: operatorWait, apply: w.applyOperator})
+	return w.follow(ctx, &follower{table: table, wait: operatorWait, copy: &w.operator, apply: w.applyOperator})
 }
 
 // RunServers follows the servers' table until the context ends.
 func (w *Watch) RunServers(ctx context.Context, table string) error {
-	return w.follow(ctx, &follower{table: table, interval: serversInterval, apply: w.applyServers, failed: func(now time.Time) {
+	return w.follow(ctx, &follower{table: table, interval: serversInterval, copy: &w.servers, apply: w.applyServers, failed: func(now time.Time) {
 		w.mu.Lock()
 		w.fleet.Outage(now)
 		w.mu.Unlock()
@@ -55,11 +58,45 @@
 
 // RunHosts follows the hosts' table until the context ends.
 func (w *Watch) RunHosts(ctx context.Context, table string) error {
-	return w.follow(ctx, &follower{table: table, wait: hostsWait, interval: time.Second, apply: w.applyHosts})
+	return w.follow(ctx, &follower{table: table, wait: hostsWait, interval: hostsInterval, first: true, copy: &w.hosts, apply: w.applyHosts})
+}
+
+// Read makes this host read the store itself, or leaves that to others.
+func (w *Watch) Read(on bool) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if on == w.reads {
+		return
+	}
+	w.reads = on
+	w.log.Info("reads of the store", "on", on, "operatorAge", clock.Now().Sub(w.operator.read), "serversAge", clock.Now().Sub(w.servers.read))
+	if on {
+		close(w.reading)
+		return
+	}
+	w.reading = make(chan struct{})
+}
+
+// always is closed.
+var always = func() chan struct{} { c := make(chan struct{}); close(c); return c }()
+
+// turn returns a channel that is closed while this host reads the table.
+func (w *Watch) turn(f *follower) <-chan struct{} {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if f.first && f.copy.version == 0 {
+		return always
+	}
+	return w.reading
 }
 
 func (w *Watch) follow(ctx context.Context, f *follower) error {
 	for ctx.Err() == nil {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-w.turn(f):
+		}
 		began := clock.Now()
 		pause := f.interval
 		if err := w.read(ctx, f); err != nil && ctx.Err() == nil {
@@ -73,22 +110,30 @@
 	return nil
 }
 
-// read reads the table, or its changes since the last read.
+// read reads the table, or its changes since the copy's version.
 func (w *Watch) read(ctx context.Context, f *follower) error {
+	w.mu.Lock()
+	since := f.copy.version
+	w.mu.Unlock()
 	var rows []plat.Change
 	var version int64
 	var err error
-	whole := f.version == 0
+	read := clock.Now()
+	whole := f.whole || since == 0
 	if whole {
 		rows, version, err = w.store.Rows(ctx, f.table)
 	} else {
-		rows, version, err = w.store.Changes(ctx, f.table, f.version, f.wait)
+		rows, version, err = w.store.Changes(ctx, f.table, since, f.wait)
 	}
 	if err != nil {
 		return err
 	}
-	f.apply(rows, whole, version)
-	f.version = version
+	if f.wait > 0 {
+		// A read that waits is current when it is answered.
+		read = clock.Now()
+	}
+	f.apply(read, rows, whole, version)
+	f.whole = false
 	if f.down {
 		f.down = false
 		w.log.Info("store regained", "table", f.table, "version", version)
@@ -99,13 +144,13 @@
 // failed takes note of a failed read and returns the pause before the next one.
 func (w *Watch) failed(f *follower, err error) time.Duration {
 	if errors.Is(err, plat.ErrCompacted) {
-		w.log.Info("history of the table is gone, reading it whole", "table", f.table, "version", f.version)
-		f.version = 0
+		w.log.Info("history of the table is gone, reading it whole", "table", f.table)
+		f.whole = true
 		return 0
 	}
 	if !f.down {
 		f.down = true
-		w.log.Warn("store lost", "table", f.table, "version", f.version, "error", err)
+		w.log.Warn("store lost", "table", f.table, "error", err)
 	}
 	if f.failed != nil {
 		f.failed(clock.Now())
--- a/hitchd/internal/watch/watch.go
+++ b/hitchd/internal/watch/watch.go
@@ -1,6 +1,7 @@
 package watch
 
 import (
+	"maps"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -47,26 +48,20 @@
 	mu       sync.Mutex
 	operator copied
 	servers  copied
+	hosts    copied
 	table    *routes.Table
 	fleet    *fleet.Fleet
-	hosts    map[string]plat.Change
 	onHosts  func(map[string]plat.Change)
-}
-
-// copied is this host's copy of a table.
-type copied struct {
-	rows    map[string]plat.Change
-	version int64
-	read    time.Time
-	down    bool
+	// reading is closed while this host reads the store itself.
+	reading chan struct{}
+	reads   bool
 }
 
 // New returns a watch of the store. OnHosts is called with the rows of the
 // hosts' table whenever they change.
 func New(store plat.Feed, codec Codec, log hclog.Logger, onHosts func(map[string]plat.Change)) *Watch {
 	w := &Watch{store: store, codec: codec, log: log, fleet: fleet.New(), onHosts: onHosts,
-		operator: copied{rows: make(map[string]plat.Change)}, servers: copied{rows: make(map[string]plat.Change)},
-		hosts: make(map[string]plat.Change)}
+		operator: newCopied(), servers: newCopied(), hosts: newCopied(), reading: make(chan struct{})}
 	view, _ := w.fleet.View()
 	w.now.Store(&State{Fleet: view})
 	return w
@@ -94,21 +89,25 @@
 	w.publish()
 }
 
-// applyOperator takes changes of the operator's table in.
-func (w *Watch) applyOperator(rows []plat.Change, whole bool, version int64) {
+// applyOperator takes changes in that were read from the operator's table.
+func (w *Watch) applyOperator(read time.Time, rows []plat.Change, whole bool, version int64) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	if version < w.operator.version {
 		return
 	}
+	w.operatorRows(rows, whole)
+	w.operator.confirm(version, read)
+	w.publish()
+}
+
+func (w *Watch) operatorRows(rows []plat.Change, whole bool) {
 	if whole {
 		rows = append(missing(w.operator.rows, rows), rows...)
 	}
 	for _, r := range rows {
 		w.operatorRow(r)
 	}
-	w.operator.version, w.operator.read = version, clock.Now()
-	w.publish()
 }
 
 func (w *Watch) operatorRow(r plat.Change) {
@@ -122,11 +121,7 @@
 	if r.Key == w.codec.ConfigKey && !r.Removed {
 		w.config(r)
 	}
-	if r.Removed {
-		delete(w.operator.rows, r.Key)
-		return
-	}
-	w.operator.rows[r.Key] = r
+	w.operator.put(r)
 }
 
 // config puts a configuration in force unless a newer one is.
@@ -144,30 +139,20 @@
 }
 
 // applyServers takes changes in that were read from the servers' table.
-func (w *Watch) applyServers(rows []plat.Change, whole bool, version int64) {
+func (w *Watch) applyServers(read time.Time, rows []plat.Change, whole bool, version int64) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	now := clock.Now()
 	w.fleet.Return(now)
-	w.serverRows(now, rows, whole, version, w.fleet.Remove)
-}
-
-// adoptServers takes another host's copy of the servers' table in. A record
-// that is missing there is gone when the other host is settled.
-func (w *Watch) adoptServers(p Part) {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	remove := w.fleet.Remove
-	if p.Settled {
-		remove = func(_ time.Time, id string) { w.fleet.Drop(id) }
-	}
-	w.serverRows(clock.Now(), p.Rows, true, p.Version, remove)
-}
-
-func (w *Watch) serverRows(now time.Time, rows []plat.Change, whole bool, version int64, remove func(time.Time, string)) {
 	if version < w.servers.version {
 		return
 	}
+	w.serverRows(now, rows, whole, w.fleet.Remove)
+	w.servers.confirm(version, read)
+	w.publish()
+}
+
+func (w *Watch) serverRows(now time.Time, rows []plat.Change, whole bool, remove func(time.Time, string)) {
 	if whole {
 		rows = append(missing(w.servers.rows, rows), rows...)
 	}
@@ -175,8 +160,6 @@
 		w.serverRow(now, r, remove)
 	}
 	w.fleet.Expire(now)
-	w.servers.version, w.servers.read = version, now
-	w.publish()
 }
 
 func (w *Watch) serverRow(now time.Time, r plat.Change, remove func(time.Time, string)) {
@@ -184,7 +167,7 @@
 	if r.Removed {
 		if known {
 			remove(now, r.Key)
-			delete(w.servers.rows, r.Key)
+			w.servers.put(r)
 			w.log.Info("server record is gone", "server", r.Key, "version", r.Version)
 		}
 		return
@@ -192,7 +175,7 @@
 	if known && held.Version >= r.Version {
 		return
 	}
-	w.servers.rows[r.Key] = r
+	w.servers.put(r)
 	s, err := w.codec.Server(now, r.Key, r.Value)
 	if err != nil {
 		w.fleet.Remove(now, r.Key)
@@ -220,23 +203,26 @@
 	return out
 }
 
-// applyHosts takes changes of the hosts' table in.
-func (w *Watch) applyHosts(rows []plat.Change, whole bool, _ int64) {
+// applyHosts takes changes in that were read from the hosts' table.
+func (w *Watch) applyHosts(read time.Time, rows []plat.Change, whole bool, version int64) {
 	w.mu.Lock()
+	if version < w.hosts.version {
+		w.mu.Unlock()
+		return
+	}
+	hosts := w.hostRows(rows, whole)
+	w.hosts.confirm(version, read)
+	w.mu.Unlock()
+	w.onHosts(hosts)
+}
+
+// hostRows takes the rows in and returns all that are known.
+func (w *Watch) hostRows(rows []plat.Change, whole bool) map[string]plat.Change {
 	if whole {
-		clear(w.hosts)
+		rows = append(missing(w.hosts.rows, rows), rows...)
 	}
 	for _, r := range rows {
-		if r.Removed {
-			delete(w.hosts, r.Key)
-			continue
-		}
-		w.hosts[r.Key] = r
+		w.hosts.put(r)
 	}
-	hosts := make(map[string]plat.Change, len(w.hosts))
-	for k, r := range w.hosts {
-		hosts[k] = r
-	}
-	w.mu.Unlock()
-	w.onHosts(hosts)
+	return maps.Clone(w.hosts.rows)
 }
--- a/steer/member/member.go
+++ b/steer/member/member.go
@@ -28,6 +28,8 @@
 	OperatorAddr string `json:"operatorAddr"`
 	// Incarnation grows with each start of the host.
 	Incarnation uint64 `json:"incarnation"`
+	// Capacity is the host's share of processor cores.
+	Capacity float64 `json:"capacity,omitempty"`
 	// Leaving is set by a host that is about to stop.
 	Leaving bool `json:"leaving,omitempty"`
 }
