edge: let only hosts of a server's region sponsor its warm-up

Ruled out: late records (every host had read the server's before it sent). Change: sponsors are the hosts of the server's region that serve the service's callers.

--- a/hitchd/edgelookup.go
+++ b/hitchd/edgelookup.go
@@ -5,6 +5,8 @@
 	"time"
 
 	"magnoliahitch/links/clock"
+	"magnoliahitch/steer/fleet"
+	"magnoliahitch/steer/member"
 	"magnoliahitch/steer/place"
 )
 
@@ -40,26 +42,21 @@
 	}
 	var out []string
 	most := max(minLookup, int(math.Ceil(lookupShare*float64(len(near)))))
-	for i, x := range place.Rank(name, near) {
-		if i == most {
-			break
-		}
+	for _, x := range first(most, place.Rank(name, near)) {
 		out = append(out, x.CallerAddr)
 	}
 	return out, min(lookupLife, h.settings.Bounds.LookupTTL)
 }
 
 // sponsor returns how fast this host may send to a server that warms up.
-func (h *edgeHost) sponsor(service, server string) (rate, burst float64) {
+// Its sponsors are hosts of its region that serve the service's callers.
+func (h *edgeHost) sponsor(s *fleet.Server) (rate, burst float64) {
 	st := h.watch.State()
-	if st.Table == nil {
+	if st.Table == nil || s.Region != h.settings.Region {
 		return 0, 0
 	}
-	limit := st.Table.Services[service].WarmRate*h.settings.Bounds.ColdOverrun + h.settings.Bounds.ColdSlack
-	for i, x := range place.Rank(server, h.relay.Live(clock.Now())) {
-		if i >= sponsors {
-			break
-		}
+	limit := st.Table.Services[s.Service].WarmRate*h.settings.Bounds.ColdOverrun + h.settings.Bounds.ColdSlack
+	for _, x := range first(sponsors, place.Rank(st.Table.Name(s.Service), h.relay.Live(clock.Now()))) {
 		if x.Name == h.settings.Host {
 			each := limit * sponsorShare / sponsors
 			return each * (1 - sponsorBurst), max(1, each*sponsorBurst)
@@ -67,3 +64,6 @@
 	}
 	return 0, 0
 }
+
+// first returns the first hosts, at most n.
+func first(n int, hosts []member.Host) []member.Host { return hosts[:min(n, len(hosts))] }
--- a/hitchd/internal/edge/edge.go
+++ b/hitchd/internal/edge/edge.go
@@ -29,17 +29,13 @@
 	RetryAfter func(d time.Duration) string
 }
 
-// Sponsor tells how fast this host may send to a server of the service that
-// warms up.
-type Sponsor func(service, server string) (rate, burst float64)
-
 // Edge serves callers. It is safe for concurrent use.
 type Edge struct {
 	dialect Dialect
 	home    pick.Home
 	retries float64
 	state   func() *watch.State
-	sponsor Sponsor
+	sponsor pick.Sponsor
 	pool    *conns.Pool
 	log     hclog.Logger
 
@@ -70,7 +66,7 @@
 const defaultRetries = 0.1
 
 // New returns an edge of a host that stands at home.
-func New(d Dialect, home pick.Home, state func() *watch.State, sponsor Sponsor, log hclog.Logger, options ...Option) *Edge {
+func New(d Dialect, home pick.Home, state func() *watch.State, sponsor pick.Sponsor, log hclog.Logger, options ...Option) *Edge {
 	e := &Edge{dialect: d, home: home, retries: defaultRetries, state: state, sponsor: sponsor, pool: conns.New(d.Words), log: log,
 		services: make(map[string]*service), splits: make(map[string]*routes.Splitter)}
 	for _, o := range options {
@@ -112,8 +108,7 @@
 	defer e.mu.Unlock()
 	s := e.services[name]
 	if s == nil {
-		sponsor := func(server string) (float64, float64) { return e.sponsor(name, server) }
-		s = &service{picker: pick.New(e.home, sponsor), retries: retry.NewBudget(e.retries)}
+		s = &service{picker: pick.New(e.home, e.sponsor), retries: retry.NewBudget(e.retries)}
 		e.services[name] = s
 	}
 	return s
--- a/steer/pick/picker.go
+++ b/steer/pick/picker.go
@@ -76,7 +76,7 @@
 
 // Sponsor tells the limits of a server that warms up: the rate a second and
 // the burst that this host may use, 0 for a host that is no sponsor.
-type Sponsor func(server string) (rate, burst float64)
+type Sponsor func(s *fleet.Server) (rate, burst float64)
 
 // Picker chooses servers of one service.
 type Picker struct {
@@ -252,7 +252,7 @@
 }
 
 func (p *Picker) admitCold(now time.Time, c *candidate) bool {
-	rate, burst := p.sponsor(c.server.ID)
+	rate, burst := p.sponsor(c.server)
 	return rate > 0 && c.state.cold.take(now, rate, burst)
 }
 
--- a/steer/routes/table.go
+++ b/steer/routes/table.go
@@ -63,13 +63,15 @@
 	Version  uint64
 	Limits   Limits
 	Services map[string]Service
+	// names holds the host name through which most callers reach each service.
+	names map[string]string
 	// byHost holds the routes of each host name, the longest prefix first.
 	byHost map[string][]*Route
 }
 
 // NewTable returns the table of the routes and services.
 func NewTable(version uint64, limits Limits, services []Service, list []Route) *Table {
-	t := &Table{Version: version, Limits: limits, Services: make(map[string]Service), byHost: make(map[string][]*Route)}
+	t := &Table{Version: version, Limits: limits, Services: make(map[string]Service), byHost: make(map[string][]*Route), names: make(map[string]string)}
 	for _, s := range services {
 		t.Services[s.Name] = s
 	}
@@ -77,12 +79,35 @@
 		r := &list[i]
 		t.byHost[r.Host] = append(t.byHost[r.Host], r)
 	}
+	t.nameServices(list)
 	for _, rs := range t.byHost {
 		slices.SortStableFunc(rs, func(a, b *Route) int { return cmp.Compare(len(b.Prefix), len(a.Prefix)) })
 	}
 	return t
 }
 
+// nameServices finds the host name of the heaviest part that leads to each
+// service; the first name in the alphabet wins among equals.
+func (t *Table) nameServices(list []Route) {
+	weights := make(map[string]float64)
+	for _, r := range list {
+		sum := 0.0
+		for _, p := range r.Parts {
+			sum += p.Weight
+		}
+		for _, p := range r.Parts {
+			share := p.Weight / max(sum, 1e-9)
+			name, known := t.names[p.Service]
+			if !known || share > weights[p.Service] || share == weights[p.Service] && r.Host < name {
+				t.names[p.Service], weights[p.Service] = r.Host, share
+			}
+		}
+	}
+}
+
+// Name returns the host name through which most callers reach the service, or "".
+func (t *Table) Name(service string) string { return t.names[service] }
+
 // Find returns the route with the longest prefix of the path among the routes
 // of the host name, or nil.
 func (t *Table) Find(host, path string) *Route {
