--- a/steer/pick/picker.go
+++ b/steer/pick/picker.go
@@ -13,6 +13,9 @@
 
 // Constants of placement.
 const (
+	// copies is the number of servers of a group that an object may use. A server
+	// remembers few objects, and under load more copies would make it forget them.
+	copies = 2
 	// abroadCost is the time a request to another region takes there and back.
 	abroadCost = 70 * time.Millisecond
 	// domainCost is the same for another failure domain of the region.
@@ -143,6 +146,7 @@
 // order returns the candidates by cost.
 func (p *Picker) order(list []candidate, object string) []priced {
 	slices.SortFunc(list, func(a, b candidate) int { return cmp.Compare(b.score, a.score) })
+	list = list[:min(copies, len(list))]
 	out := make([]priced, len(list))
 	for i, c := range list {
 		out[i] = priced{c, i, p.cost(&c, i, object)}
