pick: let load reports fade

Cause: a host that sends little to a server keeps the load that it reported last, and shuns a server that has long been free. Change: a report loses its weight with a time constant of 0.6 s. Tried and reverted: late requests wait at the host for a free slot, only those that can be in time queue at a server. A host knows too little of a server's queue to hold requests back better than the server does.

--- a/steer/pick/done.go
+++ b/steer/pick/done.go
@@ -40,7 +40,7 @@
 	}
 	st.running--
 	if r.Known {
-		st.report(r.Running+r.Waiting, st.running)
+		st.report(now, r.Running+r.Waiting, st.running)
 	}
 	switch result {
 	case Answered:
@@ -60,7 +60,7 @@
 		st.fail(now)
 	case Shed:
 		st.blame()
-		st.others = max(st.others, float64(st.running)+1)
+		st.estimate(now, max(st.others, float64(st.running)+1))
 	case Abandoned:
 	}
 }
--- a/steer/pick/picker.go
+++ b/steer/pick/picker.go
@@ -119,8 +119,8 @@
 	if p.spill.abroad(r.Object) && len(abroad) > 0 {
 		first, second = abroad, home
 	}
-	order := p.order(first, r.Object)
-	rest := p.order(second, r.Object)
+	order := p.order(now, first, r.Object)
+	rest := p.order(now, second, r.Object)
 	away := false
 	if len(order) == 0 || len(rest) > 0 && order[0].cost-rest[0].cost > excursionGain && (!sound || p.spill.count.allow(now)) {
 		order, rest, away = rest, order, true
@@ -131,7 +131,7 @@
 	}
 	p.spill.count.add(now, away)
 	best.state.begin(now, r.Object, p.distance(&best.candidate))
-	return Choice{Server: *best.server, Reason: Chosen, Rank: best.rank, Load: best.state.load() - 1, Cost: best.cost,
+	return Choice{Server: *best.server, Reason: Chosen, Rank: best.rank, Load: best.state.load(now) - 1, Cost: best.cost,
 		Usable: len(home) + len(abroad), Share: p.spill.share}
 }
 
@@ -144,18 +144,18 @@
 }
 
 // order returns the candidates by cost.
-func (p *Picker) order(list []candidate, object string) []priced {
+func (p *Picker) order(now time.Time, list []candidate, object string) []priced {
 	slices.SortFunc(list, func(a, b candidate) int { return cmp.Compare(b.score, a.score) })
 	list = list[:min(copies, len(list))]
 	out := make([]priced, len(list))
 	for i, c := range list {
-		out[i] = priced{c, i, p.cost(&c, i, object)}
+		out[i] = priced{c, i, p.cost(now, &c, i, object)}
 	}
 	slices.SortStableFunc(out, func(a, b priced) int { return cmp.Compare(a.cost, b.cost) })
 	return out
 }
 
-// admit returns the first candidate that may get a request now.
+// admit returns the first candidate that may get the request now.
 func (p *Picker) admit(now time.Time, order []priced) *priced {
 	for i := range order {
 		c := &order[i]
@@ -190,7 +190,7 @@
 		}
 		cold := s.Cold(now) || !st.lostAt.IsZero() && !s.Read.After(st.lostAt)
 		c := candidate{s, st, score(r.Object, s.ID), cold, s.Region != p.home.Region}
-		use.add(&c)
+		use.add(now, &c)
 		if c.abroad {
 			abroad = append(abroad, c)
 		} else {
@@ -207,13 +207,13 @@
 	regions         map[string]bool
 }
 
-func (u *use) add(c *candidate) {
+func (u *use) add(now time.Time, c *candidate) {
 	slots := float64(max(1, c.server.Slots))
 	u.all += slots
 	u.regions[c.server.Region] = true
 	if !c.abroad {
 		u.home += slots
-		u.load += c.state.load()
+		u.load += c.state.load(now)
 	}
 }
 
@@ -230,10 +230,10 @@
 
 // cost estimates the time until the candidate's answer. Place is its place
 // among the servers of the same distance.
-func (p *Picker) cost(c *candidate, place int, object string) time.Duration {
+func (p *Picker) cost(now time.Time, c *candidate, place int, object string) time.Duration {
 	d := p.distance(c)
 	slots := float64(max(1, c.server.Slots))
-	if queue := c.state.load() + 1 - slots; queue > 0 {
+	if queue := c.state.load(now) + 1 - slots; queue > 0 {
 		d += time.Duration(queue / slots * float64(p.work))
 	}
 	d += time.Duration(float64(p.work) * (1 + unfamiliar*c.state.strange(object, place)) * c.state.pace)
--- a/steer/pick/state.go
+++ b/steer/pick/state.go
@@ -1,6 +1,7 @@
 package pick
 
 import (
+	"math"
 	"time"
 )
 
@@ -8,6 +9,9 @@
 const (
 	// reportWeight is the weight of a new load report against the earlier ones.
 	reportWeight = 0.4
+	// reportLife is the time after which an estimate has lost most of its weight:
+	// the requests that it counted have ended, and nothing is known of new ones.
+	reportLife = 600 * time.Millisecond
 	// ejectAfter is the number of failures in a row that ejects a server.
 	ejectAfter = 2
 	// ejectFirst and ejectMax bound the time of an ejection, which doubles.
@@ -29,6 +33,8 @@
 	running int
 	// others estimates the requests that other hosts have there.
 	others float64
+	// reported is when others was estimated.
+	reported time.Time
 	// born is the incarnation that was observed.
 	born int64
 	// faults is the share of recent attempts that failed.
@@ -95,14 +101,18 @@
 }
 
 // load estimates the number of requests at the server.
-func (s *state) load() float64 { return float64(s.running) + s.others }
+func (s *state) load(now time.Time) float64 {
+	return float64(s.running) + s.others*math.Exp(-now.Sub(s.reported).Seconds()/reportLife.Seconds())
+}
 
 // report takes the server's own report, made while this host had own requests there.
-func (s *state) report(total, own int) {
-	others := max(0, float64(total-own))
-	s.others += reportWeight * (others - s.others)
+func (s *state) report(now time.Time, total, own int) {
+	s.estimate(now, s.others+reportWeight*(max(0, float64(total-own))-s.others))
 }
 
+// estimate sets the number of requests that other hosts have at the server.
+func (s *state) estimate(now time.Time, others float64) { s.others, s.reported = others, now }
+
 // measure takes the time of an answer in.
 func (s *state) measure(took, usual time.Duration) {
 	ratio := min(paceMax, float64(took)/float64(max(usual, time.Millisecond)))
