relay: watch the age of copies apart from the polls

Change: a loop of its own reads the store when copies are too old; at most two hosts are tried in a round.

--- a/hitchd/edge.go
+++ b/hitchd/edge.go
@@ -92,6 +92,8 @@
 	callers := &http.Server{Handler: h.edge, IdleTimeout: callerIdle, ReadHeaderTimeout: headerTimeout, ErrorLog: quiet(log)}
 	var g run.Group
 	addLoop(&g, h.relay.Run)
+	addLoop(&g, h.relay.RunGuard)
+	addLoop(&g, h.relay.RunExchange)
 	addLoop(&g, h.relay.Register)
 	addLoop(&g, func(ctx context.Context) error { return h.watch.RunOperator(ctx, platform.OperatorTable) })
 	addLoop(&g, func(ctx context.Context) error { return h.watch.RunServers(ctx, platform.ServerTable) })
--- a/hitchd/internal/relay/relay.go
+++ b/hitchd/internal/relay/relay.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -19,6 +20,10 @@
 const (
 	// interval is the time between two polls of the source.
 	interval = 400 * time.Millisecond
+	// guardInterval is the time between two looks at the age of the copies.
+	guardInterval = 150 * time.Millisecond
+	// maxTries is the number of hosts that are tried in one round.
+	maxTries = 2
 	// listInterval is the time between two polls of another domain's first host.
 	listInterval = 900 * time.Millisecond
 	// timeout bounds a poll within the region.
@@ -58,6 +63,8 @@
 	// avoided are the hosts that didn't answer.
 	avoided map[string]avoided
 	source  string
+	// first tells that this host has no source.
+	first atomic.Bool
 	// read tells that the hosts' table was read or told once.
 	read bool
 }
@@ -187,19 +194,49 @@
 	r.log.Warn("host doesn't answer polls", "peer", h.Name, "avoidedFor", a.pause, "error", err)
 }
 
-// Run polls and reads until the context ends.
+// Run polls the source until the context ends. This host reads the store
+// itself while it has no source or its copies are too old.
 func (r *Relay) Run(ctx context.Context) error {
+	r.awaitRows(ctx)
 	t := time.NewTicker(interval)
 	defer t.Stop()
-	var listed time.Time
+	for {
+		r.first.Store(!r.follow(ctx, clock.Now()))
+		r.guard()
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-t.C:
+		}
+	}
+}
+
+// RunGuard looks at the age of the copies until the context ends, also while
+// a poll waits for its answer.
+func (r *Relay) RunGuard(ctx context.Context) error {
 	r.awaitRows(ctx)
+	t := time.NewTicker(guardInterval)
+	defer t.Stop()
 	for {
-		now := clock.Now()
-		good := r.follow(ctx, now)
-		r.watch.Read(!good)
-		if now.Sub(listed) >= listInterval {
-			listed = now
-			r.exchange(ctx, now, !good)
+		r.guard()
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-t.C:
+		}
+	}
+}
+
+func (r *Relay) guard() { r.watch.Read(r.first.Load() || !r.recent()) }
+
+// RunExchange polls the first hosts of the region's other domains until the
+// context ends, while this host is the first one of its own.
+func (r *Relay) RunExchange(ctx context.Context) error {
+	t := time.NewTicker(listInterval)
+	defer t.Stop()
+	for {
+		if r.first.Load() {
+			r.exchange(ctx, clock.Now())
 		}
 		select {
 		case <-ctx.Done():
@@ -226,9 +263,12 @@
 	}
 }
 
-// follow polls the source and reports whether its copies are recent enough.
+// follow polls the source and reports whether there is one.
 func (r *Relay) follow(ctx context.Context, now time.Time) bool {
-	for _, h := range r.sources(now, r.Self().Domain) {
+	for i, h := range r.sources(now, r.Self().Domain) {
+		if i == maxTries {
+			return false
+		}
 		if err := r.poll(ctx, h); err != nil {
 			if ctx.Err() != nil {
 				return false
@@ -237,7 +277,7 @@
 			continue
 		}
 		r.use(h.Name)
-		return r.recent()
+		return true
 	}
 	r.use("")
 	r.mu.Lock()
@@ -270,13 +310,13 @@
 }
 
 // exchange polls the first hosts of the region's other domains for their
-// lists, when this host is the first one of its own.
-func (r *Relay) exchange(ctx context.Context, now time.Time, first bool) {
-	if !first {
-		return
-	}
+// lists.
+func (r *Relay) exchange(ctx context.Context, now time.Time) {
 	for _, d := range r.domains() {
-		for _, h := range r.sources(now, d) {
+		for i, h := range r.sources(now, d) {
+			if i == maxTries {
+				break
+			}
 			err := r.poll(ctx, h)
 			if err == nil || ctx.Err() != nil {
 				break
