--- /dev/null
+++ b/hitchd/internal/conns/conns_test.go
@@ -0,0 +1,283 @@
+package conns
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"magnoliahitch/links/clock"
+	"magnoliahitch/steer/result"
+)
+
+var words = Words{RequestID: "X-Id", Deadline: "X-Deadline", Expect: "X-Expect", NotRun: "X-Not-Run", Signature: "X-Signed", Load: "X-Load"}
+
+// upstream serves raw connections; serve gets each request's header.
+type upstream struct {
+	addr  string
+	conns atomic.Int64
+}
+
+func listen(t *testing.T, serve func(c net.Conn, r *bufio.Reader, h string)) *upstream {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = l.Close() })
+	u := &upstream{addr: l.Addr().String()}
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			u.conns.Add(1)
+			go func() {
+				defer c.Close()
+				r := bufio.NewReader(c)
+				for {
+					var h strings.Builder
+					for {
+						line, err := r.ReadString('\n')
+						if err != nil {
+							return
+						}
+						h.WriteString(line)
+						if line == "\r\n" {
+							break
+						}
+					}
+					serve(c, r, h.String())
+				}
+			}()
+		}
+	}()
+	return u
+}
+
+func answer(id, body string, more ...string) string {
+	return "HTTP/1.1 200 OK\r\nX-Id: " + id + "\r\nX-Signed: s\r\nContent-Length: " + strconv.Itoa(len(body)) + "\r\n" +
+		strings.Join(more, "") + "\r\n" + body
+}
+
+func request(id string) *Request {
+	return &Request{
+		ID: id, Method: http.MethodGet, Target: "/a?b=c", Host: "h.example", Deadline: clock.Now().Add(2 * time.Second),
+		Header: http.Header{"X-Id": {id}, "Connection": {"X-Drop"}, "X-Drop": {"1"}, "X-Keep": {"1"}, "X-Deadline": {"99999"}},
+	}
+}
+
+func send(t *testing.T, p *Pool, r *Request, addr string) (*Answer, result.Outcome, error) {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(t.Context(), 2*time.Second)
+	defer cancel()
+	return p.Send(ctx, r, "server-1", addr)
+}
+
+func TestHeadersAndReuse(t *testing.T) {
+	heads := make(chan string, 2)
+	u := listen(t, func(c net.Conn, _ *bufio.Reader, h string) {
+		heads <- h
+		_, _ = io.WriteString(c, answer("1", "hello"))
+	})
+	p := New(words)
+	for range 2 {
+		a, outcome, err := send(t, p, request("1"), u.addr)
+		if err != nil || outcome != result.Done || string(a.Body) != "hello" {
+			t.Fatalf("answer %v, outcome %v, error %v", a, outcome, err)
+		}
+		h := <-heads
+		for _, want := range []string{"GET /a?b=c HTTP/1.1\r\n", "Host: h.example\r\n", "X-Expect: server-1\r\n", "X-Keep: 1\r\n"} {
+			if !strings.Contains(h, want) {
+				t.Errorf("header lacks %q: %q", want, h)
+			}
+		}
+		for _, bad := range []string{"X-Drop", "99999", "Connection"} {
+			if strings.Contains(h, bad) {
+				t.Errorf("header has %q: %q", bad, h)
+			}
+		}
+	}
+	if got := u.conns.Load(); got != 1 {
+		t.Errorf("%d connections, want the first one reused", got)
+	}
+}
+
+// A second answer that comes late must not be taken for the next request's.
+func TestLateSecondAnswer(t *testing.T) {
+	n := 0
+	u := listen(t, func(c net.Conn, _ *bufio.Reader, _ string) {
+		n++
+		if n == 1 {
+			_, _ = io.WriteString(c, answer("1", "one"))
+			return
+		}
+		_, _ = io.WriteString(c, answer("1", "stale")+answer("2", "two"))
+	})
+	p := New(words)
+	if a, _, err := send(t, p, request("1"), u.addr); err != nil || string(a.Body) != "one" {
+		t.Fatalf("answer %v, error %v", a, err)
+	}
+	a, _, err := send(t, p, request("2"), u.addr)
+	if err != nil || string(a.Body) != "two" {
+		t.Fatalf("answer %v, error %v, want the request's own", a, err)
+	}
+	if _, _, err := send(t, p, request("1"), u.addr); err != nil {
+		t.Fatal(err)
+	}
+	if got := u.conns.Load(); got != 2 {
+		t.Errorf("%d connections, want the one with a foreign answer closed", got)
+	}
+}
+
+func TestExtraBytesCostTheConnection(t *testing.T) {
+	u := listen(t, func(c net.Conn, _ *bufio.Reader, _ string) { _, _ = io.WriteString(c, answer("1", "one")+"garbage") })
+	p := New(words)
+	for range 2 {
+		if a, _, err := send(t, p, request("1"), u.addr); err != nil || string(a.Body) != "one" {
+			t.Fatalf("answer %v, error %v", a, err)
+		}
+	}
+	if got := u.conns.Load(); got != 2 {
+		t.Errorf("%d connections, want 2", got)
+	}
+}
+
+func TestOutcomes(t *testing.T) {
+	for _, c := range []struct {
+		name, raw string
+		want      result.Outcome
+		failed    bool
+	}{
+		{"refused unrun", "HTTP/1.1 503 S\r\nX-Id: 1\r\nX-Not-Run: 1\r\nContent-Length: 0\r\n\r\n", result.NotRun, false},
+		{"another server", "HTTP/1.1 421 M\r\nContent-Length: 0\r\n\r\n", result.NotRun, false},
+		{"failure of the server", "HTTP/1.1 503 S\r\nX-Id: 1\r\nX-Signed: s\r\nContent-Length: 0\r\n\r\n", result.Done, false},
+		{"success without signature", "HTTP/1.1 200 OK\r\nX-Id: 1\r\nContent-Length: 1\r\n\r\nx", result.Unknown, true},
+		{"encoded", "HTTP/1.1 200 OK\r\nX-Id: 1\r\nX-Signed: s\r\nContent-Encoding: gzip\r\nContent-Length: 1\r\n\r\nx", result.Unknown, true},
+		{"cut short", "HTTP/1.1 200 OK\r\nX-Id: 1\r\nX-Signed: s\r\nContent-Length: 9\r\n\r\nx", result.Unknown, true},
+		{"no protocol", "what is this\r\n\r\n", result.Unknown, true},
+		{"nothing", "", result.Unknown, true},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			u := listen(t, func(conn net.Conn, _ *bufio.Reader, _ string) {
+				_, _ = io.WriteString(conn, c.raw)
+				_ = conn.Close()
+			})
+			_, got, err := send(t, New(words), request("1"), u.addr)
+			if got != c.want || (err != nil) != c.failed {
+				t.Errorf("outcome %v, error %v, want %v", got, err, c.want)
+			}
+		})
+	}
+}
+
+func TestNoConnectionMeansNotRun(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	addr := l.Addr().String()
+	_ = l.Close()
+	if _, got, err := send(t, New(words), request("1"), addr); got != result.NotRun || err == nil {
+		t.Errorf("outcome %v, error %v, want notRun", got, err)
+	}
+}
+
+// An answer without length ends with its connection, which is not kept.
+func TestUnframedAnswer(t *testing.T) {
+	u := listen(t, func(c net.Conn, _ *bufio.Reader, _ string) {
+		_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nX-Id: 1\r\nX-Signed: s\r\n\r\nall of it")
+		_ = c.Close()
+	})
+	a, _, err := send(t, New(words), request("1"), u.addr)
+	if err != nil || string(a.Body) != "all of it" {
+		t.Errorf("answer %v, error %v", a, err)
+	}
+}
+
+func TestUnframedAnswerReset(t *testing.T) {
+	u := listen(t, func(c net.Conn, _ *bufio.Reader, _ string) {
+		_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nX-Id: 1\r\nX-Signed: s\r\n\r\nall")
+		_ = c.(*net.TCPConn).SetLinger(0)
+		time.Sleep(20 * time.Millisecond)
+		_ = c.Close()
+	})
+	if a, outcome, err := send(t, New(words), request("1"), u.addr); err == nil {
+		t.Errorf("answer %v, outcome %v, want an error: the end was lost", a, outcome)
+	}
+}
+
+// A server may answer before it has the whole body. What follows on that
+// connection would be taken for the rest of the body.
+func TestEarlyAnswerToLongBody(t *testing.T) {
+	u := listen(t, func(c net.Conn, _ *bufio.Reader, _ string) { _, _ = io.WriteString(c, answer("1", "no")) })
+	p := New(words)
+	r := request("1")
+	r.Method = http.MethodPost
+	r.Body = make([]byte, 8<<10)
+	r.Length = 16 << 20
+	// The rest of the body never comes.
+	rest, _ := io.Pipe()
+	r.Rest = rest
+	a, outcome, err := send(t, p, r, u.addr)
+	if err != nil || outcome != result.Done || string(a.Body) != "no" {
+		t.Fatalf("answer %v, outcome %v, error %v", a, outcome, err)
+	}
+	if _, _, err := send(t, p, request("1"), u.addr); err != nil {
+		t.Fatal(err)
+	}
+	if got := u.conns.Load(); got != 2 {
+		t.Errorf("%d connections, want 2", got)
+	}
+}
+
+func TestCancelClosesTheConnection(t *testing.T) {
+	closed := make(chan struct{})
+	u := listen(t, func(_ net.Conn, r *bufio.Reader, _ string) {
+		_, _ = r.ReadByte()
+		close(closed)
+	})
+	ctx, cancel := context.WithCancel(t.Context())
+	time.AfterFunc(30*time.Millisecond, cancel)
+	_, outcome, err := New(words).Send(ctx, request("1"), "server-1", u.addr)
+	if err == nil || outcome != result.Unknown {
+		t.Errorf("outcome %v, error %v, want unknown", outcome, err)
+	}
+	select {
+	case <-closed:
+	case <-time.After(5 * time.Second):
+		t.Error("the connection stays open after the caller left")
+	}
+}
+
+func TestChunkedBody(t *testing.T) {
+	got := make(chan string, 1)
+	u := listen(t, func(c net.Conn, r *bufio.Reader, _ string) {
+		var b strings.Builder
+		for !strings.HasSuffix(b.String(), "0\r\n\r\n") {
+			line, err := r.ReadString('\n')
+			if err != nil {
+				return
+			}
+			b.WriteString(line)
+		}
+		got <- b.String()
+		_, _ = io.WriteString(c, answer("1", "ok"))
+	})
+	r := request("1")
+	r.Method, r.Length = http.MethodPost, -1
+	r.Body, r.Rest = []byte("held"), strings.NewReader("rest")
+	if _, _, err := send(t, New(words), r, u.addr); err != nil {
+		t.Fatal(err)
+	}
+	if got, want := <-got, "4\r\nheld\r\n4\r\nrest\r\n0\r\n\r\n"; got != want {
+		t.Errorf("body = %q, want %q", got, want)
+	}
+}
--- a/hitchd/internal/conns/send.go
+++ b/hitchd/internal/conns/send.go
@@ -117,15 +117,19 @@
 	if ctx.Err() != nil {
 		return nil, result.NotRun, ctx.Err()
 	}
-	head := x.head(id)
+	// The head of a body of unknown length ends with its first chunk.
+	first := x.head(id)
+	if x.request.Length >= 0 {
+		first = append(first, x.request.Body...)
+	}
 	x.written = make(chan struct{})
 	if x.request.Rest == nil && len(x.request.Body) <= inlineBody {
-		x.write(append(head, x.request.Body...), nil)
+		x.write(first, nil)
 		if x.failed != nil && x.sent == 0 {
 			return nil, result.NotRun, x.failed
 		}
 	} else {
-		go x.write(append(head, x.request.Body...), x.request.Rest)
+		go x.write(first, x.request.Rest)
 	}
 	a, err := x.read()
 	if err != nil {
