--- a/hitchd/edge.go
+++ b/hitchd/edge.go
@@ -148,9 +148,12 @@
 func newEdgeHost(s platform.Settings, log hclog.Logger) *edgeHost {
 	h := &edgeHost{settings: s, log: log}
 	h.store = platform.NewStore(s.Store, conns.Dialer())
-	self := member.Host{Name: s.Host, Region: s.Region, Domain: s.Domain, CallerAddr: s.Listen.Caller, PeerAddr: s.Listen.Peer,
-		Capacity: s.Cores, Incarnation: uint64(time.Now().UnixNano())}
-	h.relay = relay.New(self, h.store, hostsTable, log.Named("relay"))
+	self := member.Host{
+		Name: s.Host, Region: s.Region, Domain: s.Domain, CallerAddr: s.Listen.Caller, PeerAddr: s.Listen.Peer,
+		Capacity: s.Cores, Incarnation: uint64(time.Now().UnixNano()),
+	}
+	deaths := edge.NewDeaths(s.Host, log.Named("deaths"))
+	h.relay = relay.New(self, h.store, hostsTable, deaths, log.Named("relay"))
 	h.watch = watch.New(h.store, watch.Codec{
 		Config:    platform.DecodeConfig,
 		ConfigKey: platform.ConfigKey,
@@ -161,13 +164,15 @@
 	}, log.Named("watch"), h.relay.List)
 	h.relay.Attach(h.watch)
 	h.edge = edge.New(edge.Dialect{
-		Words: conns.Words{RequestID: platform.HeaderRequestID, Deadline: platform.HeaderDeadline, Expect: platform.HeaderExpect,
-			NotRun: platform.HeaderNotRun, Signature: platform.HeaderSignature, Load: platform.HeaderLoad},
+		Words: conns.Words{
+			RequestID: platform.HeaderRequestID, Deadline: platform.HeaderDeadline, Expect: platform.HeaderExpect,
+			NotRun: platform.HeaderNotRun, Signature: platform.HeaderSignature, Load: platform.HeaderLoad,
+		},
 		Object:     platform.Object,
 		Patience:   platform.Patience,
 		Load:       platform.Load,
 		RetryAfter: platform.RetryAfter,
-	}, pick.Home{Region: s.Region, Domain: s.Domain}, h.watch.State, h.sponsor, log.Named("edge"), edge.WithRetries(retryShare*s.Bounds.RetryRatio))
+	}, pick.Home{Region: s.Region, Domain: s.Domain}, h.watch.State, h.sponsor, log.Named("edge"), edge.WithRetries(retryShare*s.Bounds.RetryRatio), edge.WithDeaths(deaths))
 	return h
 }
 
--- a/hitchd/edgestop.go
+++ b/hitchd/edgestop.go
@@ -48,7 +48,7 @@
 	if err := callers.Shutdown(ctx); err != nil {
 		h.log.Warn("requests were not finished in time", "running", h.edge.Running(), "error", err)
 	}
-	h.log.Info("left", "after", clock.Now().Sub(began))
+	h.log.Info("left", "afterMs", clock.Now().Sub(began).Milliseconds())
 }
 
 // quiet returns a logger for what the HTTP server says of broken connections.
--- a/hitchd/internal/edge/answer.go
+++ b/hitchd/internal/edge/answer.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"io"
+	"math"
 	"math/rand/v2"
 	"net/http"
 	"time"
@@ -68,15 +69,23 @@
 	}
 	requests(kind, status, reason).Inc()
 	seconds(kind).Update(took.Seconds())
-	args := []any{"request", x.id, "route", name, "service", x.service, "object", x.object, "server", x.last, "attempts", x.attempts,
-		"status", status, "took", took, "version", x.version}
+	c := x.choice
+	args := []any{
+		"request", x.id, "route", name, "service", x.service, "object", x.object, "status", status, "tookMs", ms(took),
+		"attempts", x.attempts, "server", c.Server.ID, "region", c.Server.Region, "rank", c.Rank, "load", c.Load, "expectedMs", ms(c.Cost),
+		"usable", c.Usable, "abroadShare", c.Share, "version", x.version,
+	}
 	if reason != "" {
-		st := e.state()
-		args = append(args, "reason", string(reason), "ran", x.ran, "serversAge", clock.Now().Sub(st.Servers), "error", x.failure)
+		now, st := clock.Now(), e.state()
+		args = append(args, "reason", string(reason), "mayHaveRun", x.ran, "serversAgeMs", ms(now.Sub(st.Servers)),
+			"operatorAgeMs", ms(now.Sub(st.Operator)), "error", x.failure)
 	}
 	e.log.Info("request ended", args...)
 }
 
+// ms returns a duration in milliseconds, with tenths.
+func ms(d time.Duration) float64 { return math.Round(float64(d)/float64(time.Millisecond/10)) / 10 }
+
 func requests(service string, status int, reason result.Reason) *metrics.Counter {
 	return metrics.GetOrCreateCounter(fmt.Sprintf(`hitch_edge_requests_total{service=%q,status="%d",reason=%q}`, service, status, reason))
 }
--- a/hitchd/internal/edge/edge.go
+++ b/hitchd/internal/edge/edge.go
@@ -37,6 +37,7 @@
 	state   func() *watch.State
 	sponsor pick.Sponsor
 	pool    *conns.Pool
+	deaths  *Deaths
 	log     hclog.Logger
 
 	stopping atomic.Bool
@@ -61,17 +62,25 @@
 // WithRetries sets the share of a service's requests that may be sent again.
 func WithRetries(share float64) Option { return func(e *Edge) { e.retries = share } }
 
+// WithDeaths sets where crashes of servers are recorded.
+func WithDeaths(d *Deaths) Option { return func(e *Edge) { e.deaths = d } }
+
 // defaultRetries is the share of requests that may be sent again unless
 // [WithRetries] says otherwise.
 const defaultRetries = 0.1
 
 // New returns an edge of a host that stands at home.
 func New(d Dialect, home pick.Home, state func() *watch.State, sponsor pick.Sponsor, log hclog.Logger, options ...Option) *Edge {
-	e := &Edge{dialect: d, home: home, retries: defaultRetries, state: state, sponsor: sponsor, pool: conns.New(d.Words), log: log,
-		services: make(map[string]*service), splits: make(map[string]*routes.Splitter)}
+	e := &Edge{
+		dialect: d, home: home, retries: defaultRetries, state: state, sponsor: sponsor, pool: conns.New(d.Words), log: log,
+		services: make(map[string]*service), splits: make(map[string]*routes.Splitter),
+	}
 	for _, o := range options {
 		o(e)
 	}
+	if e.deaths == nil {
+		e.deaths = NewDeaths("", log)
+	}
 	return e
 }
 
--- /dev/null
+++ b/hitchd/internal/edge/edge_test.go
@@ -0,0 +1,289 @@
+package edge
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strconv"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+
+	"magnoliahitch/hitchd/internal/conns"
+	"magnoliahitch/hitchd/internal/watch"
+	"magnoliahitch/links/clock"
+	"magnoliahitch/steer/fleet"
+	"magnoliahitch/steer/pick"
+	"magnoliahitch/steer/routes"
+)
+
+var dialect = Dialect{
+	Words:  conns.Words{RequestID: "X-Id", Deadline: "X-Deadline", Expect: "X-Expect", NotRun: "X-Not-Run", Signature: "X-Signed", Load: "X-Load"},
+	Object: func(h http.Header) string { return h.Get("X-Object") },
+	Patience: func(h http.Header) (time.Duration, bool) {
+		d, err := time.ParseDuration(h.Get("X-Patience"))
+		return d, err == nil
+	},
+	Load: func(http.Header) (int, int, bool) { return 0, 0, false },
+	RetryAfter: func(d time.Duration) string {
+		return strconv.FormatFloat(d.Seconds(), 'f', 3, 64)
+	},
+}
+
+// stage is an edge before upstream servers that all behave alike.
+type stage struct {
+	front *httptest.Server
+	edge  *Edge
+	runs  atomic.Int64
+}
+
+func newStage(t *testing.T, count int, route routes.Route, serve http.HandlerFunc) *stage {
+	t.Helper()
+	s := &stage{}
+	f := fleet.New()
+	for i := range count {
+		u := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			s.runs.Add(1)
+			w.Header().Set("X-Id", r.Header.Get("X-Id"))
+			serve(w, r)
+		}))
+		t.Cleanup(u.Close)
+		f.Put(fleet.Server{ID: "s" + strconv.Itoa(i), Service: "loans", Addr: strings.TrimPrefix(u.URL, "http://"), Region: "north", Domain: "north-a", Slots: 3})
+	}
+	route.Host, route.Prefix, route.Parts = "127.0.0.1", "/a/", []routes.Part{{Service: "loans", Weight: 1}}
+	view, _ := f.View()
+	table := routes.NewTable(1, routes.Limits{BodyBytes: 1 << 20}, []routes.Service{{Name: "loans"}}, []routes.Route{route})
+	st := &watch.State{Table: table, Fleet: view, Servers: clock.Now()}
+	s.edge = New(dialect, pick.Home{Region: "north"}, func() *watch.State { return st },
+		func(*fleet.Server) (float64, float64) { return 100, 100 }, hclog.NewNullLogger(), WithRetries(0.2))
+	s.front = httptest.NewServer(s.edge)
+	t.Cleanup(s.front.Close)
+	return s
+}
+
+func (s *stage) do(t *testing.T, method, path, body string) (*http.Response, string) {
+	t.Helper()
+	req, err := http.NewRequestWithContext(t.Context(), method, s.front.URL+path, strings.NewReader(body))
+	if err != nil {
+		t.Fatal(err)
+	}
+	req.Header.Set("X-Id", "r1")
+	req.Header.Set("X-Patience", "2s")
+	res, err := http.DefaultClient.Do(req)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer res.Body.Close()
+	data, err := io.ReadAll(res.Body)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return res, string(data)
+}
+
+func signed(status int, body string) http.HandlerFunc {
+	return func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("X-Signed", "s")
+		w.WriteHeader(status)
+		_, _ = io.WriteString(w, body)
+	}
+}
+
+func cut(w http.ResponseWriter, _ *http.Request) {
+	c, _, err := w.(http.Hijacker).Hijack()
+	if err == nil {
+		_ = c.Close()
+	}
+}
+
+func unrun(w http.ResponseWriter, _ *http.Request) {
+	w.Header().Set("X-Not-Run", "1")
+	w.WriteHeader(http.StatusServiceUnavailable)
+}
+
+func TestAnswers(t *testing.T) {
+	idempotent := routes.Route{Idempotent: true, MaxAttempts: 2, Timeout: time.Second}
+	exact := routes.Route{MaxAttempts: 2, Timeout: time.Second}
+	for _, c := range []struct {
+		name    string
+		route   routes.Route
+		serve   http.HandlerFunc
+		status  int
+		runs    int64
+		comeIn  bool
+		content string
+	}{
+		{"whole answer", exact, signed(200, "ok"), 200, 1, false, "ok"},
+		{"failure of the server passes", exact, signed(500, "bad"), 500, 1, false, "bad"},
+		{"failure of the server is tried again", idempotent, signed(500, "bad"), 500, 2, false, "bad"},
+		{"lost answer of exact work is never sent again", exact, cut, 502, 1, false, ""},
+		{"lost answer is sent again", idempotent, cut, 502, 2, false, ""},
+		{"turned away exact work may go elsewhere", exact, unrun, 503, 2, true, ""},
+		{"turned away work says when to come back", idempotent, unrun, 503, 2, true, ""},
+		{"success without signature is no answer", exact, func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(200) }, 502, 1, false, ""},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			s := newStage(t, 3, c.route, c.serve)
+			res, body := s.do(t, http.MethodPost, "/a/x", "payload")
+			if res.StatusCode != c.status || c.content != "" && body != c.content {
+				t.Errorf("answer %d %q, want %d %q", res.StatusCode, body, c.status, c.content)
+			}
+			if got := s.runs.Load(); got != c.runs {
+				t.Errorf("%d servers got it, want %d", got, c.runs)
+			}
+			if got := res.Header.Get("Retry-After") != ""; got != c.comeIn {
+				t.Errorf("Retry-After is there: %v, want %v", got, c.comeIn)
+			}
+		})
+	}
+}
+
+// A refusal as not run must hold for all attempts together: one that may have
+// run before makes it untrue.
+func TestNotRunAfterUnknownIsUnknown(t *testing.T) {
+	n := atomic.Int64{}
+	s := newStage(t, 2, routes.Route{Idempotent: true, MaxAttempts: 2, Timeout: time.Second}, func(w http.ResponseWriter, r *http.Request) {
+		if n.Add(1) == 1 {
+			cut(w, r)
+			return
+		}
+		unrun(w, r)
+	})
+	if res, _ := s.do(t, http.MethodGet, "/a/x", ""); res.StatusCode != http.StatusBadGateway {
+		t.Errorf("status = %d, want 502", res.StatusCode)
+	}
+}
+
+func TestOwnAnswers(t *testing.T) {
+	s := newStage(t, 1, routes.Route{MaxAttempts: 1, Timeout: time.Second}, signed(200, "ok"))
+	if res, _ := s.do(t, http.MethodGet, "/none/", ""); res.StatusCode != http.StatusNotFound {
+		t.Errorf("status without route = %d, want 404", res.StatusCode)
+	}
+	if res, _ := s.do(t, http.MethodPost, "/a/", strings.Repeat("x", 2<<20)); res.StatusCode != http.StatusRequestEntityTooLarge {
+		t.Errorf("status of a long body = %d, want 413", res.StatusCode)
+	}
+	if got := s.runs.Load(); got != 0 {
+		t.Errorf("%d requests reached a server, want none", got)
+	}
+	empty := New(dialect, pick.Home{}, func() *watch.State { return &watch.State{} }, nil, hclog.NewNullLogger())
+	w := httptest.NewRecorder()
+	empty.ServeHTTP(w, httptest.NewRequest(http.MethodGet, "/a/", nil))
+	if w.Code != http.StatusServiceUnavailable || w.Header().Get("Retry-After") == "" {
+		t.Errorf("status without configuration = %d, want 503 with Retry-After", w.Code)
+	}
+}
+
+// The route's timeout ends a request though its caller would wait longer, and
+// the server learns what is left.
+func TestTimeout(t *testing.T) {
+	left := make(chan string, 1)
+	s := newStage(t, 1, routes.Route{MaxAttempts: 1, Timeout: 100 * time.Millisecond}, func(_ http.ResponseWriter, r *http.Request) {
+		left <- r.Header.Get("X-Deadline")
+		<-r.Context().Done()
+	})
+	began := time.Now()
+	res, _ := s.do(t, http.MethodGet, "/a/x", "")
+	if res.StatusCode != http.StatusGatewayTimeout {
+		t.Errorf("status = %d, want 504", res.StatusCode)
+	}
+	if took := time.Since(began); took > time.Second {
+		t.Errorf("answered after %v, want the route's 100 ms", took)
+	}
+	if ms, err := strconv.Atoi(<-left); err != nil || ms > 100 {
+		t.Errorf("server was told %d ms, want at most 100", ms)
+	}
+}
+
+// A caller that leaves ends the work at the server.
+func TestCallerLeaves(t *testing.T) {
+	ended := make(chan struct{})
+	s := newStage(t, 1, routes.Route{MaxAttempts: 1, Timeout: 10 * time.Second}, func(_ http.ResponseWriter, r *http.Request) {
+		<-r.Context().Done()
+		close(ended)
+	})
+	ctx, cancel := context.WithTimeout(t.Context(), 50*time.Millisecond)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, s.front.URL+"/a/x", nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if res, err := http.DefaultClient.Do(req); err == nil {
+		_ = res.Body.Close()
+		t.Fatalf("status = %d, want no answer", res.StatusCode)
+	}
+	select {
+	case <-ended:
+	case <-time.After(5 * time.Second):
+		t.Error("the server works on after the caller left")
+	}
+}
+
+// Retries stay within the budget when every server turns requests away.
+func TestRetryBudget(t *testing.T) {
+	s := newStage(t, 3, routes.Route{Idempotent: true, MaxAttempts: 3, Timeout: time.Second}, unrun)
+	const requests = 60
+	for range requests {
+		s.do(t, http.MethodGet, "/a/x", "")
+	}
+	if got, limit := s.runs.Load(), int64(requests*1.2+3); got > limit {
+		t.Errorf("%d arrivals for %d requests, want at most %d", got, requests, limit)
+	}
+}
+
+// crashed returns the number of servers that crashed with a request.
+func crashed(d *Deaths) int {
+	n := 0
+	for _, r := range d.Reports(clock.Now()) {
+		n += len(r.Servers)
+	}
+	return n
+}
+
+// A request that crashes its servers is refused after the third one, also at
+// a host that is only told of it, and other requests still run.
+func TestQueryOfDeath(t *testing.T) {
+	s := newStage(t, 6, routes.Route{Idempotent: true, MaxAttempts: 1, Timeout: time.Second}, func(w http.ResponseWriter, r *http.Request) {
+		if strings.HasSuffix(r.URL.Path, "poison") {
+			_ = r.Context().Value(http.ServerContextKey).(*http.Server).Close()
+			return
+		}
+		signed(200, "ok")(w, r)
+	})
+	for i := range 8 {
+		s.do(t, http.MethodGet, "/a/poison", "")
+		// A crash is known once a connection was refused.
+		for n := min(i+1, conviction); crashed(s.edge.deaths) < n; {
+			time.Sleep(time.Millisecond)
+		}
+	}
+	if got := s.runs.Load(); got != conviction {
+		t.Errorf("%d servers ran it, want %d", got, conviction)
+	}
+	res, _ := s.do(t, http.MethodGet, "/a/poison", "")
+	if res.StatusCode != http.StatusServiceUnavailable {
+		t.Errorf("status = %d, want 503", res.StatusCode)
+	}
+	if res, body := s.do(t, http.MethodGet, "/a/other", ""); res.StatusCode != http.StatusOK {
+		t.Errorf("another request got %d %q, want 200", res.StatusCode, body)
+	}
+	other := NewDeaths("other", hclog.NewNullLogger())
+	now := clock.Now()
+	other.Told(now, s.edge.deaths.Reports(now))
+	for _, r := range s.edge.deaths.Reports(now) {
+		if !other.Convicted(now, r.Print) {
+			t.Error("a host that was told would run it")
+		}
+	}
+}
+
+func TestStopAsksToClose(t *testing.T) {
+	s := newStage(t, 1, routes.Route{MaxAttempts: 1, Timeout: time.Second}, signed(200, "ok"))
+	s.edge.Stop()
+	if res, _ := s.do(t, http.MethodGet, "/a/x", ""); res.StatusCode != http.StatusOK || !res.Close {
+		t.Errorf("status %d, close %v, want an answer that closes the connection", res.StatusCode, res.Close)
+	}
+}
--- a/hitchd/internal/edge/run.go
+++ b/hitchd/internal/edge/run.go
@@ -81,7 +81,7 @@
 // may have seen it.
 func (e *Edge) attempt(ctx context.Context, s *service, x *exchange, c pick.Choice) (a *conns.Answer, outcome result.Outcome, sent bool) {
 	began := clock.Now()
-	x.last = c.Server.ID
+	x.choice = c
 	a, outcome, err := e.pool.Send(ctx, &x.request, c.Server.ID, c.Server.Addr)
 	now := clock.Now()
 	took := now.Sub(began)
@@ -97,12 +97,13 @@
 	}
 	res := judge(ctx, a, outcome)
 	s.picker.Done(now, c.Server.ID, res, took, report)
+	if res == pick.Broken {
+		go e.deaths.Lost(context.WithoutCancel(ctx), x.print, c.Server.ID, c.Server.Addr)
+	}
 	attempts(x.service, res).Inc()
 	if res != pick.Answered {
-		e.log.Info("attempt failed", "request", x.id, "server", c.Server.ID, "result", res.String(), "outcome", outcome.String(),
-			"took", took, "rank", c.Rank, "load", c.Load, "usable", c.Usable, "error", err)
-	} else {
-		e.log.Debug("placed", "request", x.id, "server", c.Server.ID, "rank", c.Rank, "load", c.Load, "cost", c.Cost, "took", took)
+		e.log.Info("attempt failed", "request", x.id, "server", c.Server.ID, "address", c.Server.Addr, "result", res.String(),
+			"outcome", outcome.String(), "tookMs", ms(took), "rank", c.Rank, "load", c.Load, "usable", c.Usable, "error", err)
 	}
 	return a, outcome, sent
 }
--- a/hitchd/internal/edge/serve.go
+++ b/hitchd/internal/edge/serve.go
@@ -9,6 +9,8 @@
 
 	"magnoliahitch/hitchd/internal/conns"
 	"magnoliahitch/links/clock"
+	"magnoliahitch/steer/crash"
+	"magnoliahitch/steer/pick"
 	"magnoliahitch/steer/result"
 	"magnoliahitch/steer/routes"
 )
@@ -28,13 +30,14 @@
 	service string
 	object  string
 	request conns.Request
+	print   crash.Print
 	// tried are the servers it was sent to, attempts their number.
 	tried    []string
 	attempts int
 	// ran tells that a server may have run it.
 	ran bool
-	// last is the last attempt's server and error.
-	last    string
+	// choice is the last placement, failure the last attempt's error.
+	choice  pick.Choice
 	failure error
 	version uint64
 }
@@ -83,12 +86,19 @@
 	}
 	ctx, cancel := context.WithTimeout(r.Context(), patience)
 	defer cancel()
-	x.request = conns.Request{ID: x.id, Method: r.Method, Target: target, Host: r.Host, Header: r.Header,
-		Length: r.ContentLength, Deadline: x.start.Add(patience), Exact: !x.route.Idempotent}
+	x.request = conns.Request{
+		ID: x.id, Method: r.Method, Target: target, Host: r.Host, Header: r.Header,
+		Length: r.ContentLength, Deadline: x.start.Add(patience), Exact: !x.route.Idempotent,
+	}
 	if err := x.hold(r); err != nil {
 		e.unread(w, x, err)
 		return
 	}
+	x.print = fingerprint(x.service, r, &x.request)
+	if e.deaths.Convicted(x.start, x.print) {
+		e.refuse(w, x, result.ReasonSuspect)
+		return
+	}
 	e.service(x.service).count(x.start)
 	e.run(ctx, w, x)
 }
--- a/hitchd/internal/relay/poll.go
+++ b/hitchd/internal/relay/poll.go
@@ -14,6 +14,7 @@
 	"magnoliahitch/hitchd/internal/peer"
 	"magnoliahitch/hitchd/internal/watch"
 	"magnoliahitch/links/clock"
+	"magnoliahitch/steer/crash"
 	"magnoliahitch/steer/member"
 )
 
@@ -30,12 +31,15 @@
 	Self     member.Host       `msgpack:"self"`
 	Versions watch.Versions    `msgpack:"versions"`
 	Sums     map[string]uint64 `msgpack:"sums"`
+	Deaths   []crash.Report    `msgpack:"deaths"`
 }
 
 // pollAnswer holds what the asking host lacks.
 type pollAnswer struct {
 	Copy  watch.Copy `msgpack:"copy"`
 	Lists []toldList `msgpack:"lists"`
+	// Deaths are the requests with which servers crashed.
+	Deaths []crash.Report `msgpack:"deaths"`
 }
 
 // toldList is the list of live hosts of a failure domain.
@@ -55,7 +59,7 @@
 // poll asks the host for what this one lacks and takes it in.
 func (r *Relay) poll(ctx context.Context, h member.Host) error {
 	r.mu.Lock()
-	ask := pollRequest{Self: r.self, Versions: r.watch.Versions(), Sums: r.members.Sums()}
+	ask := pollRequest{Self: r.self, Versions: r.watch.Versions(), Sums: r.members.Sums(), Deaths: r.deaths.Reports(clock.Now())}
 	r.mu.Unlock()
 	data, err := msgpack.Marshal(ask)
 	if err != nil {
@@ -89,6 +93,7 @@
 // take takes the answer of the host in.
 func (r *Relay) take(asked time.Time, h member.Host, a pollAnswer) {
 	r.watch.Adopt(asked, a.Copy)
+	r.deaths.Told(clock.Now(), a.Deaths)
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	delete(r.avoided, h.Name)
@@ -111,7 +116,8 @@
 }
 
 func (r *Relay) answer(now time.Time, in pollRequest) pollAnswer {
-	a := pollAnswer{Copy: r.watch.Since(in.Versions)}
+	r.deaths.Told(now, in.Deaths)
+	a := pollAnswer{Copy: r.watch.Since(in.Versions), Deaths: r.deaths.Reports(now)}
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if r.members.Hear(now, in.Self) {
--- a/hitchd/internal/relay/relay.go
+++ b/hitchd/internal/relay/relay.go
@@ -13,6 +13,7 @@
 	"magnoliahitch/hitchd/internal/watch"
 	"magnoliahitch/links/clock"
 	"magnoliahitch/links/plat"
+	"magnoliahitch/steer/crash"
 	"magnoliahitch/steer/member"
 )
 
@@ -51,9 +52,11 @@
 type Relay struct {
 	watch *watch.Watch
 	store plat.Feed
-	table string
-	log   hclog.Logger
-	start time.Time
+	// deaths are passed on with the copies.
+	deaths Deaths
+	table  string
+	log    hclog.Logger
+	start  time.Time
 
 	mu      sync.Mutex
 	self    member.Host
@@ -83,9 +86,17 @@
 }
 
 // New returns the relay of a host. The table has a row for each host.
-func New(self member.Host, store plat.Feed, table string, log hclog.Logger) *Relay {
-	return &Relay{store: store, table: table, log: log, start: clock.Now(), self: self, members: NewMembers(self),
-		rows: make(map[string]row), avoided: make(map[string]avoided)}
+func New(self member.Host, store plat.Feed, table string, deaths Deaths, log hclog.Logger) *Relay {
+	return &Relay{
+		store: store, table: table, deaths: deaths, log: log, start: clock.Now(), self: self, members: NewMembers(self),
+		rows: make(map[string]row), avoided: make(map[string]avoided),
+	}
+}
+
+// Deaths are the requests with which servers crashed, told from host to host.
+type Deaths interface {
+	Reports(now time.Time) []crash.Report
+	Told(now time.Time, reports []crash.Report)
 }
 
 // Attach ties the relay to the watch whose copies it passes on.
@@ -191,7 +202,7 @@
 	a.pause = min(avoidMax, max(avoidFirst, 2*a.pause))
 	a.until = now.Add(a.pause)
 	r.avoided[h.Name] = a
-	r.log.Warn("host doesn't answer polls", "peer", h.Name, "avoidedFor", a.pause, "error", err)
+	r.log.Warn("host doesn't answer polls", "peer", h.Name, "avoidedForMs", a.pause.Milliseconds(), "error", err)
 }
 
 // Run polls the source until the context ends. This host reads the store
@@ -227,7 +238,12 @@
 	}
 }
 
-func (r *Relay) guard() { r.watch.Read(r.first.Load() || !r.recent()) }
+// guard makes this host read the store when it must.
+func (r *Relay) guard() {
+	first := r.first.Load()
+	r.watch.Sourced(!first)
+	r.watch.Read(first || !r.recent())
+}
 
 // RunExchange polls the first hosts of the region's other domains until the
 // context ends, while this host is the first one of its own.
--- /dev/null
+++ b/hitchd/internal/relay/relay_test.go
@@ -0,0 +1,206 @@
+package relay
+
+import (
+	"context"
+	"net/http/httptest"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+
+	"magnoliahitch/hitchd/internal/watch"
+	"magnoliahitch/links/clock"
+	"magnoliahitch/links/plat"
+	"magnoliahitch/steer/crash"
+	"magnoliahitch/steer/fleet"
+	"magnoliahitch/steer/member"
+	"magnoliahitch/steer/routes"
+)
+
+var start = time.Unix(1_000_000, 0)
+
+func at(d time.Duration) time.Time { return start.Add(d) }
+
+func host(name, domain string) member.Host {
+	return member.Host{Name: name, Region: "north", Domain: domain, CallerAddr: name + ":1", PeerAddr: name + ":2", Incarnation: 1}
+}
+
+func names(hosts []member.Host) []string {
+	var out []string
+	for _, h := range hosts {
+		out = append(out, h.Name)
+	}
+	return out
+}
+
+func wantLive(t *testing.T, m *Members, now time.Time, want ...string) {
+	t.Helper()
+	if got := names(m.Live(now)); !slices.Equal(got, want) {
+		t.Errorf("live = %v, want %v", got, want)
+	}
+}
+
+func TestSilentHostIsDead(t *testing.T) {
+	m := NewMembers(host("a", "x"))
+	m.Hear(at(0), host("b", "x"))
+	m.Hear(at(0), host("c", "x"))
+	for d := time.Duration(0); d < 5*time.Second; d += 400 * time.Millisecond {
+		m.Hear(at(d), host("c", "x"))
+		m.Judge(at(d))
+	}
+	wantLive(t, m, at(5*time.Second), "a", "c")
+}
+
+func TestLeavingHostIsNotNamed(t *testing.T) {
+	m := NewMembers(host("a", "x"))
+	b := host("b", "x")
+	m.Hear(at(0), b)
+	m.Judge(at(0))
+	wantLive(t, m, at(0), "a", "b")
+	b.Leaving = true
+	m.Hear(at(time.Second), b)
+	// A poll that was sent before arrives late.
+	m.Hear(at(time.Second), host("b", "x"))
+	m.Judge(at(time.Second))
+	wantLive(t, m, at(time.Second), "a")
+	again := host("b", "x")
+	again.Incarnation = 2
+	m.Hear(at(2*time.Second), again)
+	m.Judge(at(2 * time.Second))
+	wantLive(t, m, at(2*time.Second), "a", "b")
+	m.Leave()
+	m.Judge(at(2 * time.Second))
+	wantLive(t, m, at(2*time.Second), "b")
+}
+
+// The lists of a domain that can't be reached are not used for long.
+func TestUnreachableDomainFades(t *testing.T) {
+	m := NewMembers(host("a", "x"))
+	m.Tell("y", []member.Host{host("d", "y")}, 7, at(0))
+	m.Judge(at(0))
+	wantLive(t, m, at(0), "a", "d")
+	m.Tell("y", nil, 7, at(3*time.Second))
+	wantLive(t, m, at(5*time.Second), "a", "d")
+	m.Tell("y", nil, 8, at(6*time.Second))
+	m.Judge(at(8 * time.Second))
+	wantLive(t, m, at(8*time.Second), "a")
+}
+
+// A host that becomes the first one of its domain keeps what its source told
+// until the others had time to poll it.
+func TestListSurvivesItsSource(t *testing.T) {
+	m := NewMembers(host("b", "x"))
+	m.Tell("x", []member.Host{host("a", "x"), host("b", "x"), host("c", "x")}, 7, at(0))
+	m.Judge(at(500 * time.Millisecond))
+	wantLive(t, m, at(500*time.Millisecond), "a", "b", "c")
+	for d := time.Second; d < 4*time.Second; d += 400 * time.Millisecond {
+		m.Hear(at(d), host("c", "x"))
+		m.Judge(at(d))
+	}
+	wantLive(t, m, at(4*time.Second), "b", "c")
+}
+
+// noStore fails every call, as for a host that is turned away.
+type noStore struct{}
+
+func (noStore) Rows(context.Context, string) ([]plat.Change, int64, error) {
+	return nil, 0, plat.ErrDown
+}
+
+func (noStore) Changes(context.Context, string, int64, time.Duration) ([]plat.Change, int64, error) {
+	return nil, 0, plat.ErrDown
+}
+func (noStore) Put(context.Context, string, string, []byte) error   { return plat.ErrDown }
+func (noStore) Delete(context.Context, string, string, int64) error { return plat.ErrDown }
+
+// noDeaths knows of no crashes.
+type noDeaths struct{}
+
+func (noDeaths) Reports(time.Time) []crash.Report   { return nil }
+func (noDeaths) Told(_ time.Time, _ []crash.Report) {}
+
+func newRelay(self member.Host) *Relay {
+	r := New(self, noStore{}, "hosts", noDeaths{}, hclog.NewNullLogger())
+	r.Attach(watch.New(noStore{}, watch.Codec{
+		ConfigKey: "config",
+		Config: func(value []byte) (*routes.Table, error) {
+			return routes.NewTable(uint64(len(value)), routes.Limits{}, nil, nil), nil
+		},
+		Evacuated: func(string) (string, bool) { return "", false },
+		Server: func(now time.Time, id string, _ []byte) (fleet.Server, error) {
+			return fleet.Server{ID: id, Service: "loans", Read: now}, nil
+		},
+	}, hclog.NewNullLogger(), r.List))
+	return r
+}
+
+func hostRow(h member.Host, version int64) plat.Change {
+	return plat.Change{Row: plat.Row{Key: h.Name, Version: version, Value: []byte(`{"name":"` + h.Name + `","region":"north","domain":"` + h.Domain +
+		`","peerAddr":"` + h.PeerAddr + `","incarnation":1}`)}}
+}
+
+// A host that the store turns away learns everything from its source, and
+// both list each other.
+func TestPoll(t *testing.T) {
+	first := newRelay(host("a", "x"))
+	s := httptest.NewServer(first.Handler())
+	defer s.Close()
+	now := clock.Now()
+	first.watch.Adopt(now, watch.Copy{
+		Operator: watch.Part{Version: 9, Whole: true, Rows: []plat.Change{{Row: plat.Row{Key: "config", Version: 8, Value: []byte("xyz")}}}},
+		Servers:  watch.Part{Version: 9, Whole: true, Rows: []plat.Change{{Row: plat.Row{Key: "s1", Version: 7}}}},
+	})
+	second := newRelay(host("b", "x"))
+	a := host("a", "x")
+	a.PeerAddr = strings.TrimPrefix(s.URL, "http://")
+	second.List(map[string]plat.Change{"a": hostRow(a, 1)})
+	if err := second.poll(t.Context(), a); err != nil {
+		t.Fatal(err)
+	}
+	st := second.watch.State()
+	if st.Table == nil || st.Table.Version != 3 || st.Fleet.Len() != 1 {
+		t.Errorf("state = %+v, want the configuration and the server", st)
+	}
+	if got, want := names(second.Live(clock.Now())), []string{"a", "b"}; !slices.Equal(got, want) {
+		t.Errorf("live at b = %v, want %v", got, want)
+	}
+	if got, want := names(first.Live(clock.Now())), []string{"a", "b"}; !slices.Equal(got, want) {
+		t.Errorf("live at a = %v, want %v", got, want)
+	}
+}
+
+// A host that doesn't answer is passed over for a while, and the next one is
+// the source.
+func TestSourceThatDoesNotAnswer(t *testing.T) {
+	r := newRelay(host("c", "x"))
+	r.List(map[string]plat.Change{"a": hostRow(host("a", "x"), 1), "b": hostRow(host("b", "x"), 2), "c": hostRow(host("c", "x"), 3), "d": hostRow(host("d", "y"), 4)})
+	all := r.sources(clock.Now(), "x")
+	want := order([]member.Host{host("a", "x"), host("b", "x"), host("c", "x")})
+	i := slices.IndexFunc(want, func(h member.Host) bool { return h.Name == "c" })
+	if got := names(all); !slices.Equal(got, names(want[:i])) {
+		t.Fatalf("sources = %v, want those before c in %v", got, names(want))
+	}
+	now := clock.Now()
+	for _, h := range all {
+		r.avoid(now, h, nil)
+	}
+	if got := r.sources(now, "x"); len(got) != 0 {
+		t.Errorf("sources = %v, want none right after they failed", names(got))
+	}
+	if got := r.sources(now.Add(avoidFirst), "x"); len(got) != len(all) {
+		t.Errorf("sources = %v, want all again", names(got))
+	}
+	if got := names(r.sources(now, "y")); !slices.Equal(got, []string{"d"}) {
+		t.Errorf("sources in y = %v, want d", got)
+	}
+}
+
+func TestLargestHostsAreSources(t *testing.T) {
+	small, large := host("a", "x"), host("b", "x")
+	small.Capacity, large.Capacity = 0.1, 0.8
+	if got, want := names(order([]member.Host{small, large})), []string{"b", "a"}; !slices.Equal(got, want) {
+		t.Errorf("order = %v, want %v", got, want)
+	}
+}
--- a/hitchd/internal/watch/follow.go
+++ b/hitchd/internal/watch/follow.go
@@ -23,8 +23,12 @@
 	// server that leaves must be known everywhere well within the 2.5 s that it
 	// goes on serving.
 	serversInterval = 500 * time.Millisecond
-	// retryInterval is the mean pause after a failed read.
-	retryInterval = 300 * time.Millisecond
+	// retryFirst is the mean pause after a failed read. It doubles with each
+	// further one up to a limit: all hosts of the fleet read in an outage, and
+	// refused calls count as well. A host with a source leaves most to that.
+	retryFirst      = 250 * time.Millisecond
+	retryMax        = 800 * time.Millisecond
+	retryMaxSourced = 2500 * time.Millisecond
 )
 
 // follower keeps the copy of one table current.
@@ -37,6 +41,8 @@
 	failed         func(now time.Time)
 	// first tables are read once by every host, to learn whom to ask for the rest.
 	first bool
+	// fails counts failed reads in a row.
+	fails int
 	// whole tells that the history since the copy's version is gone.
 	whole bool
 	down  bool
@@ -69,7 +75,8 @@
 		return
 	}
 	w.reads = on
-	w.log.Info("reads of the store", "on", on, "operatorAge", clock.Now().Sub(w.operator.read), "serversAge", clock.Now().Sub(w.servers.read))
+	w.log.Info("reads of the store", "on", on, "operatorAgeMs", clock.Now().Sub(w.operator.read).Milliseconds(),
+		"serversAgeMs", clock.Now().Sub(w.servers.read).Milliseconds())
 	if on {
 		close(w.reading)
 		return
@@ -77,6 +84,9 @@
 	w.reading = make(chan struct{})
 }
 
+// Sourced tells whether this host has another one to learn from.
+func (w *Watch) Sourced(on bool) { w.sourced.Store(on) }
+
 // always is closed.
 var always = func() chan struct{} { c := make(chan struct{}); close(c); return c }()
 
@@ -133,7 +143,7 @@
 		read = clock.Now()
 	}
 	f.apply(read, rows, whole, version)
-	f.whole = false
+	f.whole, f.fails = false, 0
 	if f.down {
 		f.down = false
 		w.log.Info("store regained", "table", f.table, "version", version)
@@ -155,5 +165,11 @@
 	if f.failed != nil {
 		f.failed(clock.Now())
 	}
-	return retryInterval/2 + rand.N(retryInterval)
+	limit := retryMax
+	if w.sourced.Load() {
+		limit = retryMaxSourced
+	}
+	pause := min(limit, retryFirst<<min(f.fails, 4))
+	f.fails++
+	return pause/2 + rand.N(pause)
 }
--- a/hitchd/internal/watch/watch.go
+++ b/hitchd/internal/watch/watch.go
@@ -44,6 +44,8 @@
 	codec Codec
 	log   hclog.Logger
 	now   atomic.Pointer[State]
+	// sourced tells that another host passes its copies on to this one.
+	sourced atomic.Bool
 
 	mu       sync.Mutex
 	operator copied
@@ -60,8 +62,10 @@
 // New returns a watch of the store. OnHosts is called with the rows of the
 // hosts' table whenever they change.
 func New(store plat.Feed, codec Codec, log hclog.Logger, onHosts func(map[string]plat.Change)) *Watch {
-	w := &Watch{store: store, codec: codec, log: log, fleet: fleet.New(), onHosts: onHosts,
-		operator: newCopied(), servers: newCopied(), hosts: newCopied(), reading: make(chan struct{})}
+	w := &Watch{
+		store: store, codec: codec, log: log, fleet: fleet.New(), onHosts: onHosts,
+		operator: newCopied(), servers: newCopied(), hosts: newCopied(), reading: make(chan struct{}),
+	}
 	view, _ := w.fleet.View()
 	w.now.Store(&State{Fleet: view})
 	return w
@@ -77,8 +81,10 @@
 	if !changed {
 		view = old.Fleet
 	}
-	w.now.Store(&State{Table: w.table, Fleet: view, Operator: w.operator.read, Servers: w.servers.read,
-		OperatorVersion: w.operator.version, ServersVersion: w.servers.version})
+	w.now.Store(&State{
+		Table: w.table, Fleet: view, Operator: w.operator.read, Servers: w.servers.read,
+		OperatorVersion: w.operator.version, ServersVersion: w.servers.version,
+	})
 }
 
 // Tick expires what time has made invalid.
@@ -184,7 +190,7 @@
 	}
 	if w.fleet.Put(s) && (!known || s.Draining) {
 		w.log.Info("server record", "server", s.ID, "service", s.Service, "domain", s.Domain,
-			"draining", s.Draining, "warmUp", s.ColdUntil.Sub(now), "version", r.Version)
+			"draining", s.Draining, "coldMs", max(0, s.ColdUntil.Sub(now)).Milliseconds(), "version", r.Version)
 	}
 }
 
--- /dev/null
+++ b/hitchd/internal/watch/watch_test.go
@@ -0,0 +1,286 @@
+package watch
+
+import (
+	"context"
+	"encoding/json"
+	"slices"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/go-faster/errors"
+	"github.com/hashicorp/go-hclog"
+
+	"magnoliahitch/links/clock"
+	"magnoliahitch/links/plat"
+	"magnoliahitch/steer/fleet"
+	"magnoliahitch/steer/routes"
+)
+
+// store is a table store in memory whose reads can fail.
+type store struct {
+	mu      sync.Mutex
+	rows    map[string]map[string]plat.Change
+	version int64
+	// floor is the version below which changes are forgotten.
+	floor int64
+	fail  error
+	calls int
+}
+
+func newStore() *store { return &store{rows: make(map[string]map[string]plat.Change)} }
+
+func (s *store) set(table, key, value string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.version++
+	if s.rows[table] == nil {
+		s.rows[table] = make(map[string]plat.Change)
+	}
+	s.rows[table][key] = plat.Change{Row: plat.Row{Key: key, Value: []byte(value), Version: s.version}, Removed: value == ""}
+}
+
+func (s *store) read(table string, after int64, removed bool) ([]plat.Change, int64, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.calls++
+	if s.fail != nil {
+		return nil, 0, s.fail
+	}
+	if removed && after < s.floor {
+		return nil, 0, plat.ErrCompacted
+	}
+	var out []plat.Change
+	for _, r := range s.rows[table] {
+		if r.Version > after && (removed || !r.Removed) {
+			out = append(out, r)
+		}
+	}
+	return out, s.version, nil
+}
+
+func (s *store) Rows(_ context.Context, table string) ([]plat.Change, int64, error) {
+	return s.read(table, 0, false)
+}
+
+func (s *store) Changes(ctx context.Context, table string, after int64, wait time.Duration) ([]plat.Change, int64, error) {
+	for end := time.Now().Add(wait); ; {
+		rows, version, err := s.read(table, after, true)
+		if err != nil || len(rows) > 0 || !time.Now().Before(end) || ctx.Err() != nil {
+			return rows, version, err
+		}
+		time.Sleep(50 * time.Millisecond)
+	}
+}
+
+func (s *store) Put(_ context.Context, table, key string, value []byte) error {
+	s.set(table, key, string(value))
+	return nil
+}
+
+func (s *store) Delete(_ context.Context, table, key string, _ int64) error {
+	s.set(table, key, "")
+	return nil
+}
+
+var codec = Codec{
+	ConfigKey: "config",
+	Config: func(value []byte) (*routes.Table, error) {
+		var c struct{ Version uint64 }
+		if err := json.Unmarshal(value, &c); err != nil {
+			return nil, err
+		}
+		return routes.NewTable(c.Version, routes.Limits{}, nil, nil), nil
+	},
+	Evacuated: func(key string) (string, bool) { return strings.CutPrefix(key, "evacuate/") },
+	Server: func(now time.Time, id string, value []byte) (fleet.Server, error) {
+		s := fleet.Server{ID: id, Service: "loans", Read: now}
+		if string(value) == "garbage" {
+			return s, errors.New("garbage")
+		}
+		s.Draining = string(value) == "draining"
+		return s, nil
+	},
+}
+
+func newWatch(s *store) *Watch {
+	return New(s, codec, hclog.NewNullLogger(), func(map[string]plat.Change) {})
+}
+
+// run follows all tables for the time.
+func run(t *testing.T, w *Watch, d time.Duration) {
+	t.Helper()
+	ctx, cancel := context.WithCancel(t.Context())
+	w.Read(true)
+	var g sync.WaitGroup
+	for _, f := range []func() error{
+		func() error { return w.RunOperator(ctx, "op") },
+		func() error { return w.RunServers(ctx, "servers") },
+		func() error { return w.RunHosts(ctx, "hosts") },
+	} {
+		g.Go(func() {
+			if err := f(); err != nil {
+				t.Error(err)
+			}
+		})
+	}
+	time.Sleep(d)
+	cancel()
+	g.Wait()
+}
+
+func ids(w *Watch) []string {
+	var out []string
+	for _, s := range w.State().Fleet.Servers("loans") {
+		if !s.Draining {
+			out = append(out, s.ID)
+		}
+	}
+	return out
+}
+
+func TestFollow(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newStore()
+		s.set("op", "config", `{"version":4}`)
+		s.set("servers", "a", "ready")
+		s.set("servers", "b", "ready")
+		w := newWatch(s)
+		go func() {
+			time.Sleep(2 * time.Second)
+			s.set("op", "config", `{"version":9}`)
+			s.set("op", "evacuate/x", "{}")
+			s.set("servers", "a", "draining")
+			s.set("servers", "b", "garbage")
+			s.set("servers", "c", "ready")
+		}()
+		run(t, w, 4*time.Second)
+		st := w.State()
+		if got := st.Table.Version; got != 9 {
+			t.Errorf("version = %d, want 9", got)
+		}
+		if !st.Fleet.Evacuated("x") {
+			t.Error("x is not evacuated")
+		}
+		if got, want := ids(w), []string{"c"}; !slices.Equal(got, want) {
+			t.Errorf("servers = %v, want %v: a drains, b can't be read", got, want)
+		}
+	})
+}
+
+// Neither an older configuration nor one that can't be read replaces the one
+// in force.
+func TestConfigNeverReverts(t *testing.T) {
+	w := newWatch(newStore())
+	now := clock.Now()
+	for i, value := range []string{`{"version":7}`, `{"version":5}`, `{"vers`, `{"version":7}`} {
+		row := plat.Change{Row: plat.Row{Key: "config", Version: int64(i + 1), Value: []byte(value)}}
+		w.applyOperator(now, []plat.Change{row}, false, int64(i+1))
+		if got := w.State().Table.Version; got != 7 {
+			t.Errorf("version after %s = %d, want 7", value, got)
+		}
+	}
+}
+
+func TestHistoryGone(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newStore()
+		s.set("servers", "a", "ready")
+		s.set("servers", "b", "ready")
+		w := newWatch(s)
+		go func() {
+			time.Sleep(time.Second)
+			s.mu.Lock()
+			delete(s.rows["servers"], "a")
+			s.version++
+			s.floor = s.version
+			s.mu.Unlock()
+		}()
+		run(t, w, 3*time.Second)
+		if got, want := ids(w), []string{"b"}; !slices.Equal(got, want) {
+			t.Errorf("servers = %v, want %v after the table was read whole", got, want)
+		}
+	})
+}
+
+func TestOutageKeepsState(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newStore()
+		s.set("op", "config", `{"version":4}`)
+		s.set("servers", "a", "ready")
+		w := newWatch(s)
+		go func() {
+			time.Sleep(time.Second)
+			s.mu.Lock()
+			s.fail = plat.ErrDown
+			s.mu.Unlock()
+		}()
+		run(t, w, 20*time.Second)
+		if got, want := ids(w), []string{"a"}; !slices.Equal(got, want) || w.State().Table.Version != 4 {
+			t.Errorf("servers = %v, want %v and the configuration kept", got, want)
+		}
+		// The pause is at least half of the longest one once it was doubled.
+		if limit := 3*int(19*time.Second/(retryMax/2)) + 10; s.calls > limit {
+			t.Errorf("%d calls in an outage of 19 s, want at most %d", s.calls, limit)
+		}
+	})
+}
+
+// A host that doesn't read the store gets everything, and only what is new,
+// from one that does.
+func TestCopies(t *testing.T) {
+	a, b := newWatch(newStore()), newWatch(newStore())
+	now := clock.Now()
+	a.applyOperator(now, []plat.Change{{Row: plat.Row{Key: "config", Version: 3, Value: []byte(`{"version":4}`)}}}, true, 5)
+	a.applyServers(now, []plat.Change{
+		{Row: plat.Row{Key: "x", Version: 1, Value: []byte("ready")}},
+		{Row: plat.Row{Key: "y", Version: 2, Value: []byte("ready")}},
+	}, true, 5)
+	b.Adopt(now, a.Since(b.Versions()))
+	if got, want := ids(b), []string{"x", "y"}; !slices.Equal(got, want) || b.State().Table.Version != 4 {
+		t.Fatalf("servers = %v, want %v", got, want)
+	}
+	a.applyServers(now, []plat.Change{{Row: plat.Row{Key: "x", Version: 6}, Removed: true}, {Row: plat.Row{Key: "z", Version: 7, Value: []byte("ready")}}}, false, 7)
+	c := a.Since(b.Versions())
+	if got := len(c.Servers.Rows); got != 2 || c.Servers.Whole {
+		t.Errorf("%d rows, whole %v, want the two that changed", got, c.Servers.Whole)
+	}
+	b.Adopt(now, c)
+	if got, want := ids(b), []string{"y", "z"}; !slices.Equal(got, want) {
+		t.Errorf("servers = %v, want %v", got, want)
+	}
+	old := newWatch(newStore())
+	old.applyServers(now, []plat.Change{{Row: plat.Row{Key: "x", Version: 1, Value: []byte("ready")}}}, true, 1)
+	b.Adopt(now, old.Since(Versions{}))
+	if got, want := ids(b), []string{"y", "z"}; !slices.Equal(got, want) {
+		t.Errorf("servers = %v after an older copy, want %v", got, want)
+	}
+}
+
+// The age of a copy adds up along the way.
+func TestAgeAddsUp(t *testing.T) {
+	a, b := newWatch(newStore()), newWatch(newStore())
+	now := clock.Now()
+	a.applyServers(now.Add(-3*time.Second), nil, true, 5)
+	b.Adopt(now, a.Since(Versions{}))
+	if age := now.Sub(b.State().Servers); age < 3*time.Second || age > 4*time.Second {
+		t.Errorf("age = %v, want the 3 s of the first copy", age)
+	}
+}
+
+// Removals that are forgotten make the next copy a whole one.
+func TestForgottenRemovals(t *testing.T) {
+	c := newCopied()
+	for i := range int64(maxRemoved + 10) {
+		c.put(plat.Change{Row: plat.Row{Key: "k" + string(rune('a'+i%26)) + time.Duration(i).String(), Version: i + 1}, Removed: true})
+	}
+	c.confirm(maxRemoved+10, clock.Now())
+	if p := c.since(1, clock.Now()); !p.Whole {
+		t.Error("a copy since a forgotten removal is not whole")
+	}
+	if p := c.since(maxRemoved+9, clock.Now()); p.Whole {
+		t.Error("a copy since a remembered removal is whole")
+	}
+}
--- a/steer/crash/suspects.go
+++ b/steer/crash/suspects.go
@@ -22,8 +22,9 @@
 	goodSlots  = 8192
 )
 
-// conviction is the number of dead servers that convicts a request.
-const conviction = 2
+// defaultConviction is the number of dead servers that convicts a request
+// unless [WithConviction] says otherwise.
+const defaultConviction = 2
 
 // Report tells another host about a request.
 type Report struct {
@@ -71,13 +72,30 @@
 type Suspects struct {
 	self    string
 	records map[Print]*record
+	// conviction is the number of dead servers that convicts a request.
+	conviction int
+	// trials tells that a suspect runs alone before it is convicted.
+	trials bool
 	// good holds prints that succeeded lately, each at its own place.
 	good [goodSlots]Print
 }
 
+// Option changes how suspects are treated.
+type Option func(*Suspects)
+
+// WithConviction sets the number of dead servers that convicts a request.
+func WithConviction(n int) Option { return func(s *Suspects) { s.conviction = n } }
+
+// WithoutTrials lets suspects run like other requests until they are convicted.
+func WithoutTrials() Option { return func(s *Suspects) { s.trials = false } }
+
 // New returns the empty knowledge of the named host.
-func New(self string) *Suspects {
-	return &Suspects{self: self, records: make(map[Print]*record)}
+func New(self string, options ...Option) *Suspects {
+	s := &Suspects{self: self, records: make(map[Print]*record), conviction: defaultConviction, trials: true}
+	for _, o := range options {
+		o(s)
+	}
+	return s
 }
 
 // Begin says whether the request may run now, and when to come back if not.
@@ -86,9 +104,11 @@
 	switch {
 	case r == nil:
 		return Clean, 0
-	case len(r.servers) >= conviction:
+	case len(r.servers) >= s.conviction:
 		r.last, r.tried = now, true
 		return Convicted, memory
+	case !s.trials:
+		return Clean, 0
 	case r.trying:
 		return OnTrial, retryTrial
 	case r.origin != s.self && now.Sub(r.last) < trialTime:
@@ -174,7 +194,7 @@
 	}
 	k.last = now
 	for _, n := range r.Servers {
-		if len(k.servers) < conviction && !slices.Contains(k.servers, n) {
+		if len(k.servers) < s.conviction && !slices.Contains(k.servers, n) {
 			k.servers = append(k.servers, n)
 		}
 	}
--- a/steer/crash/suspects_test.go
+++ b/steer/crash/suspects_test.go
@@ -135,3 +135,21 @@
 		seen[p] = true
 	}
 }
+
+// Without trials a suspect runs like others until enough servers died with it.
+func TestWithoutTrials(t *testing.T) {
+	now := time.Unix(1_000_000, 0)
+	s := New("a", WithConviction(3), WithoutTrials())
+	for i, server := range []string{"x", "y", "y", "z"} {
+		if v, _ := s.Begin(now, 7); v != Clean {
+			t.Fatalf("verdict before death %d = %v, want clean", i, v)
+		}
+		s.Died(now, 7, server)
+	}
+	if v, _ := s.Begin(now, 7); v != Convicted {
+		t.Errorf("verdict after three dead servers = %v, want convicted", v)
+	}
+	if v, _ := s.Begin(now, 8); v != Clean {
+		t.Errorf("verdict of another request = %v, want clean", v)
+	}
+}
--- a/steer/pick/picker.go
+++ b/steer/pick/picker.go
@@ -131,8 +131,10 @@
 	}
 	p.spill.count.add(now, away)
 	best.state.begin(now, r.Object, p.distance(&best.candidate))
-	return Choice{Server: *best.server, Reason: Chosen, Rank: best.rank, Load: best.state.load(now) - 1, Cost: best.cost,
-		Usable: len(home) + len(abroad), Share: p.spill.share}
+	return Choice{
+		Server: *best.server, Reason: Chosen, Rank: best.rank, Load: best.state.load(now) - 1, Cost: best.cost,
+		Usable: len(home) + len(abroad), Share: p.spill.share,
+	}
 }
 
 // priced is a candidate with its cost.
--- /dev/null
+++ b/steer/routes/routes_test.go
@@ -0,0 +1,114 @@
+package routes
+
+import (
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"testing"
+)
+
+func TestFind(t *testing.T) {
+	table := NewTable(3, Limits{}, nil, []Route{
+		{Name: "all", Host: "a.example", Prefix: "/"},
+		{Name: "long", Host: "a.example", Prefix: "/x/y/"},
+		{Name: "short", Host: "a.example", Prefix: "/x/"},
+		{Name: "other", Host: "b.example", Prefix: "/z/"},
+	})
+	for _, c := range []struct{ host, path, want string }{
+		{"a.example", "/x/y/1", "long"},
+		{"a.example", "/x/1", "short"},
+		{"A.Example:8080", "/x/y/", "long"},
+		{"a.example", "/x", "all"},
+		{"b.example", "/z/1", "other"},
+		{"b.example", "/x/1", ""},
+		{"c.example", "/x/1", ""},
+	} {
+		got := ""
+		if r := table.Find(c.host, c.path); r != nil {
+			got = r.Name
+		}
+		if got != c.want {
+			t.Errorf("route of %s%s = %q, want %q", c.host, c.path, got, c.want)
+		}
+	}
+}
+
+func TestAllows(t *testing.T) {
+	everywhere, bound := Route{}, Route{Regions: []string{"south"}}
+	if !everywhere.Allows("north") || bound.Allows("north") || !bound.Allows("south") {
+		t.Error("allowed regions are not kept")
+	}
+}
+
+func TestNameOfService(t *testing.T) {
+	table := NewTable(1, Limits{}, nil, []Route{
+		{Host: "a.example", Parts: []Part{{"main", 1}}},
+		{Host: "b.example", Parts: []Part{{"main", 10}, {"side", 90}}},
+	})
+	if got := table.Name("main"); got != "a.example" {
+		t.Errorf("name of main = %q, want a.example, whose requests all go there", got)
+	}
+	if got := table.Name("side"); got != "b.example" {
+		t.Errorf("name of side = %q, want b.example", got)
+	}
+	if got := table.Name("none"); got != "" {
+		t.Errorf("name of an unknown service = %q", got)
+	}
+}
+
+// Few objects of very unequal popularity still give each part its share.
+func TestSplitShares(t *testing.T) {
+	r := rand.New(rand.NewPCG(1, 2))
+	for _, weights := range [][]float64{{90, 10}, {50, 50}, {70, 20, 10}, {0, 5}} {
+		var parts []Part
+		sum := 0.0
+		for i, w := range weights {
+			parts = append(parts, Part{fmt.Sprint("s", i), w})
+			sum += w
+		}
+		var s Splitter
+		counts := make(map[string]int)
+		const requests = 300
+		for range requests {
+			object := fmt.Sprint(int(math.Sqrt(float64(r.IntN(400)))))
+			counts[s.Choose(parts, object).Service]++
+		}
+		for _, p := range parts {
+			got, want := float64(counts[p.Service])/requests, p.Weight/sum
+			if math.Abs(got-want) > 0.03 {
+				t.Errorf("weights %v: share of %s = %.3f, want %.3f", weights, p.Service, got, want)
+			}
+		}
+	}
+}
+
+// An object mostly stays with its part.
+func TestSplitKeepsObjects(t *testing.T) {
+	r := rand.New(rand.NewPCG(3, 4))
+	parts := []Part{{"a", 50}, {"b", 50}}
+	var s Splitter
+	last := make(map[int]string)
+	moved := 0
+	const requests = 2000
+	for range requests {
+		o := r.IntN(50)
+		p := s.Choose(parts, fmt.Sprint(o)).Service
+		if before, seen := last[o]; seen && before != p {
+			moved++
+		}
+		last[o] = p
+	}
+	if limit := requests / 4; moved > limit {
+		t.Errorf("objects moved %d times in %d requests, want at most %d", moved, requests, limit)
+	}
+}
+
+func TestSplitWithoutParts(t *testing.T) {
+	var s Splitter
+	if got := s.Choose(nil, "x"); got != (Part{}) {
+		t.Errorf("part of a route without parts = %v", got)
+	}
+	if got := s.Choose([]Part{{"a", 0}, {"b", 0}}, "x"); got != (Part{}) {
+		t.Errorf("part of a route whose weights are 0 = %v", got)
+	}
+}
