--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,7 @@
 # Everything is built with Go, make and a C compiler; tools are pinned here.
 GOFUMPT := mvdan.cc/gofumpt@v0.12.0
 REVIVE := github.com/mgechev/revive@v1.17.0
-MODULES := steer links hitchd hitchctl standin
+MODULES := steer links platform hitchd hitchctl standin
 BIN := $(CURDIR)/bin
 # Recorded trace and deployment (pall or lens) of the demo.
 TRACE := traces/demo.jsonl
