--- a/hitchd/internal/edge/run.go
+++ b/hitchd/internal/edge/run.go
@@ -35,6 +35,7 @@
 			break
 		}
 		a, outcome, sent := e.attempt(ctx, s, x, c)
+		x.ran = x.ran || outcome == result.Unknown
 		if ctx.Err() != nil && (a == nil || outcome == result.NotRun) {
 			e.expire(ctx, w, x)
 			return
@@ -45,9 +46,6 @@
 				break
 			}
 		}
-		if outcome == result.Unknown {
-			x.ran = true
-		}
 		if !e.again(s, x, outcome, sent, dials) {
 			break
 		}
--- a/hitchd/internal/relay/poll.go
+++ b/hitchd/internal/relay/poll.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
 	"github.com/go-faster/errors"
 	"github.com/vmihailenco/msgpack/v5"
 
@@ -26,6 +27,11 @@
 	peerIdle = 10 * time.Second
 )
 
+var (
+	pollsAnswered = metrics.NewCounter(`hitch_relay_polls_total{result="answered"}`)
+	pollsFailed   = metrics.NewCounter(`hitch_relay_polls_total{result="failed"}`)
+)
+
 // pollRequest asks a host for what changed.
 type pollRequest struct {
 	Self     member.Host       `msgpack:"self"`
@@ -86,6 +92,7 @@
 	if err := msgpack.Unmarshal(data, &a); err != nil {
 		return errors.Wrapf(err, "poll %s", h.Name)
 	}
+	pollsAnswered.Inc()
 	r.take(asked, h, a)
 	return nil
 }
--- a/hitchd/internal/relay/relay.go
+++ b/hitchd/internal/relay/relay.go
@@ -202,6 +202,7 @@
 	a.pause = min(avoidMax, max(avoidFirst, 2*a.pause))
 	a.until = now.Add(a.pause)
 	r.avoided[h.Name] = a
+	pollsFailed.Inc()
 	r.log.Warn("host doesn't answer polls", "peer", h.Name, "avoidedForMs", a.pause.Milliseconds(), "error", err)
 }
 
--- a/hitchd/internal/watch/follow.go
+++ b/hitchd/internal/watch/follow.go
@@ -2,9 +2,11 @@
 
 import (
 	"context"
+	"fmt"
 	"math/rand/v2"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
 	"github.com/go-faster/errors"
 
 	"magnoliahitch/links/clock"
@@ -142,6 +144,7 @@
 		// A read that waits is current when it is answered.
 		read = clock.Now()
 	}
+	reads(f.table, "read").Inc()
 	f.apply(read, rows, whole, version)
 	f.whole, f.fails = false, 0
 	if f.down {
@@ -154,10 +157,12 @@
 // failed takes note of a failed read and returns the pause before the next one.
 func (w *Watch) failed(f *follower, err error) time.Duration {
 	if errors.Is(err, plat.ErrCompacted) {
+		reads(f.table, "compacted").Inc()
 		w.log.Info("history of the table is gone, reading it whole", "table", f.table)
 		f.whole = true
 		return 0
 	}
+	reads(f.table, "failed").Inc()
 	if !f.down {
 		f.down = true
 		w.log.Warn("store lost", "table", f.table, "error", err)
@@ -173,3 +178,7 @@
 	f.fails++
 	return pause/2 + rand.N(pause)
 }
+
+func reads(table, result string) *metrics.Counter {
+	return metrics.GetOrCreateCounter(fmt.Sprintf(`hitch_watch_reads_total{table=%q,result=%q}`, table, result))
+}
