pick: count a first run of an object at three times the usual work

TestSlowServer then failed: with first runs dearer, a server eight times slower kept half of the requests, since its answers raised what counts as usual. Change: one in ten for the second server; the usual time is the 40th percentile of the answers, which slow servers don't move.

--- a/steer/pick/done.go
+++ b/steer/pick/done.go
@@ -47,7 +47,7 @@
 		st.succeed()
 		took = max(0, took-st.distance)
 		st.measure(took, p.work)
-		p.work += time.Duration(workWeight * float64(took-p.work))
+		p.learn(took)
 	case Misdirected:
 		st.eject(now)
 	case Refused:
--- a/steer/pick/picker.go
+++ b/steer/pick/picker.go
@@ -26,15 +26,19 @@
 	faultCost = 4
 	// defaultWork is the time a request takes until answers were seen.
 	defaultWork = 150 * time.Millisecond
-	// workWeight is the weight of a new time against the earlier ones.
-	workWeight = 0.05
-	// unfamiliar is what the first request of an object takes longer on a server,
-	// as a multiple of the usual time: a familiar one takes three tenths of it.
-	unfamiliar = 7.0 / 3
+	// workStep is the part by which an answer moves the usual time, and
+	// workQuantile the share of answers that are faster: below one half, so that
+	// slow servers and first runs don't count as usual.
+	workStep     = 0.05
+	workQuantile = 0.4
+	// unfamiliar is what the first request of an object costs more on a server,
+	// as a multiple of the usual time: it takes 7/3 longer, as a familiar one takes
+	// three tenths of it, and others wait for its slot meanwhile.
+	unfamiliar = 3.0
 	// The chance that another host has used the server for the object, by the
 	// server's place in the object's order.
 	firstFamiliar  = 0.9
-	secondFamiliar = 0.5
+	secondFamiliar = 0.1
 )
 
 // Request is what placement needs to know of a request.
@@ -257,6 +261,15 @@
 	return domainCost
 }
 
+// learn moves the usual time towards the quantile of the answers.
+func (p *Picker) learn(took time.Duration) {
+	step := -workStep * (1 - workQuantile)
+	if took > p.work {
+		step = workStep * workQuantile
+	}
+	p.work = max(time.Millisecond, time.Duration(float64(p.work)*(1+step)))
+}
+
 func (p *Picker) admitCold(now time.Time, c *candidate) bool {
 	rate, burst := p.sponsor(c.server)
 	return rate > 0 && c.state.cold.take(now, rate, burst)
