hitchd: let callers' connections wait while a host starts

Change: connections queue for at most 0.8 s until the host is ready; it polls every 60 ms until then. Reads of the servers' table wait 0.7 s for changes.

--- a/hitchd/edge.go
+++ b/hitchd/edge.go
@@ -35,6 +35,9 @@
 	callerIdle = 2 * time.Minute
 	// headerTimeout is how long a caller may take for a header.
 	headerTimeout = 10 * time.Second
+	// readyPatience is how long callers' connections wait for a starting host.
+	// Callers give up a host that has not read their request after a second.
+	readyPatience = 800 * time.Millisecond
 	// hostsTable is the table with a row for each running host.
 	hostsTable = "hosts"
 )
@@ -100,7 +103,7 @@
 	addLoop(&g, func(ctx context.Context) error { return h.watch.RunHosts(ctx, hostsTable) })
 	addLoop(&g, h.tick)
 	addLoop(&g, func(ctx context.Context) error { return h.reload(ctx, path, reload) })
-	addListener(&g, callers, l.caller)
+	addListener(&g, callers, l.caller, h.awaitReady)
 	addListener(&g, &http.Server{Handler: h.entry()}, l.ready)
 	addListener(&g, &http.Server{Handler: h.entry()}, l.lookup)
 	addListener(&g, &http.Server{Handler: h.relay.Handler()}, l.peer)
@@ -113,22 +116,46 @@
 	return err
 }
 
-// addListener serves until the group ends. A server that a planned stop shut
-// down doesn't end the group.
-func addListener(g *run.Group, s *http.Server, l net.Listener) {
+// addListener serves until the group ends, after the functions to wait for. A
+// server that a planned stop shut down doesn't end the group.
+func addListener(g *run.Group, s *http.Server, l net.Listener, first ...func(context.Context)) {
 	ended := make(chan struct{})
+	ctx, cancel := context.WithCancel(context.Background())
 	g.Add(func() error {
+		for _, f := range first {
+			f(ctx)
+		}
 		if err := s.Serve(l); !errors.Is(err, http.ErrServerClosed) {
 			return err
 		}
 		<-ended
 		return nil
 	}, func(error) {
+		cancel()
 		close(ended)
 		_ = s.Close()
 	})
 }
 
+// awaitReady waits until requests can be served, or for so long that a caller
+// is better told to go elsewhere. Connections queue meanwhile: a host that
+// just started would refuse what it can serve a moment later.
+func (h *edgeHost) awaitReady(ctx context.Context) {
+	end := time.NewTimer(readyPatience)
+	defer end.Stop()
+	t := time.NewTicker(readyPatience / 40)
+	defer t.Stop()
+	for !h.watch.State().Ready() {
+		select {
+		case <-ctx.Done():
+			return
+		case <-end.C:
+			return
+		case <-t.C:
+		}
+	}
+}
+
 // bindEdge takes the ports of the settings.
 func bindEdge(s platform.Settings) (*listeners, error) {
 	l := &listeners{}
--- a/hitchd/internal/relay/relay.go
+++ b/hitchd/internal/relay/relay.go
@@ -25,6 +25,8 @@
 	guardInterval = 150 * time.Millisecond
 	// maxTries is the number of hosts that are tried in one round.
 	maxTries = 2
+	// startInterval is the same while this host can't serve yet.
+	startInterval = 60 * time.Millisecond
 	// listInterval is the time between two polls of another domain's first host.
 	listInterval = 900 * time.Millisecond
 	// timeout bounds a poll within the region.
@@ -32,7 +34,7 @@
 	// staleServers and staleOperator are the ages of the copies from which a
 	// host reads the store itself. A server that leaves must be known within
 	// 2.5 s, by way of the reader's interval, a poll, and one more read.
-	staleServers  = 1400 * time.Millisecond
+	staleServers  = 1600 * time.Millisecond
 	staleOperator = 3200 * time.Millisecond
 	// startPatience is how long a starting host waits for a source that starts too.
 	startPatience = 700 * time.Millisecond
@@ -210,15 +212,17 @@
 // itself while it has no source or its copies are too old.
 func (r *Relay) Run(ctx context.Context) error {
 	r.awaitRows(ctx)
-	t := time.NewTicker(interval)
-	defer t.Stop()
 	for {
 		r.first.Store(!r.follow(ctx, clock.Now()))
 		r.guard()
+		pause := interval
+		if !r.watch.State().Ready() {
+			pause = startInterval
+		}
 		select {
 		case <-ctx.Done():
 			return nil
-		case <-t.C:
+		case <-time.After(pause):
 		}
 	}
 }
--- a/hitchd/internal/watch/follow.go
+++ b/hitchd/internal/watch/follow.go
@@ -25,6 +25,9 @@
 	// server that leaves must be known everywhere well within the 2.5 s that it
 	// goes on serving.
 	serversInterval = 500 * time.Millisecond
+	// serversWait is how long a read waits for changes, so that a quiet fleet
+	// costs fewer calls.
+	serversWait = 700 * time.Millisecond
 	// retryFirst is the mean pause after a failed read. It doubles with each
 	// further one up to a limit: all hosts of the fleet read in an outage, and
 	// refused calls count as well. A host with a source leaves most to that.
@@ -57,7 +60,7 @@
 
 // RunServers follows the servers' table until the context ends.
 func (w *Watch) RunServers(ctx context.Context, table string) error {
-	return w.follow(ctx, &follower{table: table, interval: serversInterval, copy: &w.servers, apply: w.applyServers, failed: func(now time.Time) {
+	return w.follow(ctx, &follower{table: table, wait: serversWait, interval: serversInterval, copy: &w.servers, apply: w.applyServers, failed: func(now time.Time) {
 		w.mu.Lock()
 		w.fleet.Outage(now)
 		w.mu.Unlock()
