pick: check the health of servers that may have restarted

A server with one lost answer counted as cold until its record changed. Change: a server that refused, broke or closed connections, or whose record a restarted host found, is asked for its health and counts as cold until then; sponsors go by the hosts' rows, alive or not.

plat: one client for the platform's store. The stand-in store speaks its protocol (rows, transactions, feed, objects, 410, 429, lost answers) and the old client is gone.

--- a/hitchd/edge.go
+++ b/hitchd/edge.go
@@ -38,6 +38,9 @@
 	// readyPatience is how long callers' connections wait for a starting host.
 	// Callers give up a host that has not read their request after a second.
 	readyPatience = 800 * time.Millisecond
+	// startDoubt is how long after a start records may be those of servers that
+	// crashed: they are gone after three heartbeats of 1.5 s.
+	startDoubt = 5 * time.Second
 	// hostsTable is the table with a row for each running host.
 	hostsTable = "hosts"
 )
@@ -174,7 +177,7 @@
 
 func newEdgeHost(s platform.Settings, log hclog.Logger) *edgeHost {
 	h := &edgeHost{settings: s, log: log}
-	h.store = platform.NewStore(s.Store, conns.Dialer())
+	h.store = platform.NewStore("http://"+s.Store, platform.WithDialer(conns.Dialer()))
 	self := member.Host{
 		Name: s.Host, Region: s.Region, Domain: s.Domain, CallerAddr: s.Listen.Caller, PeerAddr: s.Listen.Peer,
 		Capacity: s.Cores, Incarnation: uint64(time.Now().UnixNano()),
@@ -198,11 +201,21 @@
 		Object:     platform.Object,
 		Patience:   platform.Patience,
 		Load:       platform.Load,
+		Cold:       platform.Cold,
 		RetryAfter: platform.RetryAfter,
-	}, pick.Home{Region: s.Region, Domain: s.Domain}, h.watch.State, h.sponsor, log.Named("edge"), edge.WithRetries(retryShare*s.Bounds.RetryRatio), edge.WithDeaths(deaths))
+	}, pick.Home{Region: s.Region, Domain: s.Domain}, h.watch.State, h.sponsor, log.Named("edge"), edge.WithRetries(retryShare*s.Bounds.RetryRatio), edge.WithDeaths(deaths), edge.WithDoubt(doubtUntil(s)))
 	return h
 }
 
+// doubtUntil returns until when the servers' records are doubted: a host that
+// starts beside running servers can't know which of them restarted with it.
+func doubtUntil(s platform.Settings) time.Time {
+	if s.FirstStart {
+		return time.Time{}
+	}
+	return clock.Now().Add(startDoubt)
+}
+
 // retryShare is the part of the allowed retries that hosts use. The rest
 // covers the difference between one host's window and the fleet's.
 const retryShare = 0.8
--- a/hitchd/edgelookup.go
+++ b/hitchd/edgelookup.go
@@ -19,11 +19,10 @@
 	lookupShare = 1.0 / 8
 	minLookup   = 2
 	// sponsors is the number of hosts that send to a server that warms up.
-	sponsors = 2
+	sponsors = 3
 	// sponsorShare is the part of a cold server's limit that its sponsors use
-	// together. Twice as many hosts take themselves for sponsors while the
-	// hosts' knowledge of each other differs.
-	sponsorShare = 0.7
+	// together. While a host is added, one more takes itself for a sponsor.
+	sponsorShare = 0.75
 	// sponsorBurst is the part of a sponsor's limit that it may use at once.
 	sponsorBurst = 0.4
 )
@@ -48,15 +47,17 @@
 	return out, min(lookupLife, h.settings.Bounds.LookupTTL)
 }
 
-// sponsor returns how fast this host may send to a server that warms up.
-// Its sponsors are hosts of its region that serve the service's callers.
+// sponsor returns how fast this host may send to a server that warms up. Its
+// sponsors are the first hosts of its region in the order in which look-ups
+// name them, alive or not: hosts that start together don't know of each other
+// at first, and each would take itself for one.
 func (h *edgeHost) sponsor(s *fleet.Server) (rate, burst float64) {
 	st := h.watch.State()
 	if st.Table == nil || s.Region != h.settings.Region {
 		return 0, 0
 	}
 	limit := st.Table.Services[s.Service].WarmRate*h.settings.Bounds.ColdOverrun + h.settings.Bounds.ColdSlack
-	for _, x := range first(sponsors, place.Rank(st.Table.Name(s.Service), h.relay.Live(clock.Now()))) {
+	for _, x := range first(sponsors, place.Rank(st.Table.Name(s.Service), h.relay.Known())) {
 		if x.Name == h.settings.Host {
 			each := limit * sponsorShare / sponsors
 			return each * (1 - sponsorBurst), max(1, each*sponsorBurst)
--- a/hitchd/internal/conns/pool.go
+++ b/hitchd/internal/conns/pool.go
@@ -72,8 +72,9 @@
 	used bool
 }
 
-// get returns an idle connection to the address, or a new one.
-func (p *Pool) get(ctx context.Context, now time.Time, addr string, exact bool) (*conn, error) {
+// get returns an idle connection to the address, or a new one. Closed tells
+// that the server closed a connection that it would have kept.
+func (p *Pool) get(ctx context.Context, now time.Time, addr string, exact bool) (c *conn, closed bool, err error) {
 	longest := idleMax
 	if exact {
 		longest = idleExact
@@ -83,16 +84,18 @@
 		if c == nil {
 			break
 		}
-		if idle := now.Sub(c.since); idle < longest && idle < c.keep && c.quiet() {
-			return c, nil
+		idle, quiet := now.Sub(c.since), c.quiet()
+		if idle < longest && idle < c.keep && quiet {
+			return c, closed, nil
 		}
+		closed = closed || !quiet && idle < c.keep
 		_ = c.Close()
 	}
 	raw, err := p.dialer.DialContext(ctx, "tcp", addr)
 	if err != nil {
-		return nil, err
+		return nil, closed, err
 	}
-	return &conn{Conn: raw, addr: addr, reader: bufio.NewReaderSize(raw, bufferSize), keep: idleMax}, nil
+	return &conn{Conn: raw, addr: addr, reader: bufio.NewReaderSize(raw, bufferSize), keep: idleMax}, closed, nil
 }
 
 func (p *Pool) take(addr string) *conn {
--- a/hitchd/internal/conns/read.go
+++ b/hitchd/internal/conns/read.go
@@ -110,6 +110,8 @@
 func (x *exchange) judge(a *Answer) (*Answer, result.Outcome, error) {
 	w := x.pool.words
 	switch {
+	case x.request.Check:
+		return a, result.Done, nil
 	case a.Header.Get(w.NotRun) != "" || a.Status == http.StatusMisdirectedRequest:
 		return a, result.NotRun, nil
 	case a.Status >= 200 && a.Status < 300 && !a.Signed(w):
--- a/hitchd/internal/conns/send.go
+++ b/hitchd/internal/conns/send.go
@@ -62,6 +62,8 @@
 	Rest     io.Reader
 	Length   int64
 	Deadline time.Time
+	// Check requests are health checks, whose answers have no signature.
+	Check bool
 	// Exact requests must not be lost on a connection that the server closes.
 	Exact bool
 }
@@ -75,6 +77,8 @@
 	Stream io.ReadCloser
 	// Length is the length of the whole answer, -1 when it isn't known.
 	Length int64
+	// Closed tells that the server had closed idle connections.
+	Closed bool
 	// Reused tells that the connection had carried other requests.
 	Reused bool
 }
@@ -85,7 +89,7 @@
 // Send makes one attempt at the server with the id and address. The error of
 // an attempt without answer names the step.
 func (p *Pool) Send(ctx context.Context, r *Request, id, addr string) (*Answer, result.Outcome, error) {
-	c, err := p.get(ctx, clock.Now(), addr, r.Exact)
+	c, closed, err := p.get(ctx, clock.Now(), addr, r.Exact)
 	if err != nil {
 		return nil, result.NotRun, errors.Wrapf(err, "connect to %s at %s", id, addr)
 	}
@@ -97,6 +101,7 @@
 		_ = c.Close()
 		return nil, outcome, errors.Wrapf(err, "send to %s at %s", id, addr)
 	}
+	a.Closed = closed
 	return a, outcome, nil
 }
 
--- a/hitchd/internal/edge/edge.go
+++ b/hitchd/internal/edge/edge.go
@@ -25,6 +25,8 @@
 	Patience func(h http.Header) (time.Duration, bool)
 	// Load returns a server's count of its requests.
 	Load func(h http.Header) (running, waiting int, known bool)
+	// Cold returns how long a server goes on warming up, by its health check.
+	Cold func(h http.Header) time.Duration
 	// RetryAfter formats the time after which to come back.
 	RetryAfter func(d time.Duration) string
 }
@@ -34,11 +36,13 @@
 	dialect Dialect
 	home    pick.Home
 	retries float64
-	state   func() *watch.State
-	sponsor pick.Sponsor
-	pool    *conns.Pool
-	deaths  *Deaths
-	log     hclog.Logger
+	// doubtUntil is until when the records of servers are doubted.
+	doubtUntil time.Time
+	state      func() *watch.State
+	sponsor    pick.Sponsor
+	pool       *conns.Pool
+	deaths     *Deaths
+	log        hclog.Logger
 
 	stopping atomic.Bool
 	running  atomic.Int64
@@ -65,6 +69,10 @@
 // WithDeaths sets where crashes of servers are recorded.
 func WithDeaths(d *Deaths) Option { return func(e *Edge) { e.deaths = d } }
 
+// WithDoubt makes the edge doubt the servers' records that were read before the
+// time, as after a start beside running servers.
+func WithDoubt(until time.Time) Option { return func(e *Edge) { e.doubtUntil = until } }
+
 // defaultRetries is the share of requests that may be sent again unless
 // [WithRetries] says otherwise.
 const defaultRetries = 0.1
@@ -117,7 +125,7 @@
 	defer e.mu.Unlock()
 	s := e.services[name]
 	if s == nil {
-		s = &service{picker: pick.New(e.home, e.sponsor), retries: retry.NewBudget(e.retries)}
+		s = &service{picker: pick.New(e.home, e.sponsor, pick.WithDoubt(e.doubtUntil)), retries: retry.NewBudget(e.retries)}
 		e.services[name] = s
 	}
 	return s
--- a/hitchd/internal/edge/edge_test.go
+++ b/hitchd/internal/edge/edge_test.go
@@ -29,6 +29,7 @@
 		return d, err == nil
 	},
 	Load: func(http.Header) (int, int, bool) { return 0, 0, false },
+	Cold: func(http.Header) time.Duration { return 0 },
 	RetryAfter: func(d time.Duration) string {
 		return strconv.FormatFloat(d.Seconds(), 'f', 3, 64)
 	},
--- a/hitchd/internal/edge/run.go
+++ b/hitchd/internal/edge/run.go
@@ -31,6 +31,7 @@
 			return
 		}
 		c := s.picker.Choose(now, e.state().Fleet, pick.Request{Service: x.service, Object: x.object, Regions: x.route.Regions, Tried: x.tried})
+		e.check(ctx, s, c.Check)
 		if c.Reason != pick.Chosen {
 			break
 		}
@@ -90,6 +91,9 @@
 		x.attempts++
 	}
 	var report pick.Report
+	if a != nil && a.Closed {
+		s.picker.Doubt(began, c.Server.ID)
+	}
 	if a != nil {
 		report.Running, report.Waiting, report.Known = e.dialect.Load(a.Header)
 	}
--- a/hitchd/internal/relay/relay.go
+++ b/hitchd/internal/relay/relay.go
@@ -118,6 +118,20 @@
 	return r.members.Live(now)
 }
 
+// Known returns the hosts of the region that have a row, alive or not, and
+// this one.
+func (r *Relay) Known() []member.Host {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	out := []member.Host{r.self}
+	for _, x := range r.rows {
+		if x.host.Region == r.self.Region && x.host.Name != r.self.Name {
+			out = append(out, x.host)
+		}
+	}
+	return out
+}
+
 // Leave tells the source, or the hosts that poll this one, that it is about to stop.
 func (r *Relay) Leave(ctx context.Context) {
 	r.mu.Lock()
--- a/hitchd/node.go
+++ b/hitchd/node.go
@@ -16,7 +16,7 @@
 	"magnoliahitch/hitchd/internal/spread"
 	"magnoliahitch/hitchd/internal/view"
 	"magnoliahitch/links/clock"
-	"magnoliahitch/links/plat"
+	"magnoliahitch/platform"
 	"magnoliahitch/steer/config"
 	"magnoliahitch/steer/member"
 	"magnoliahitch/steer/place"
@@ -50,8 +50,8 @@
 
 // newNode makes the parts and ties them together. Nothing runs yet.
 func newNode(s setup.Settings, keys *credentials, log hclog.Logger) *node {
-	table := plat.NewClient(s.Platform.Table, plat.WithTimeout(s.Platform.Timeout))
-	objects := plat.NewClient(s.Platform.Objects, plat.WithTimeout(tableTimeout))
+	table := platform.NewStore(s.Platform.Table, platform.WithTimeout(s.Platform.Timeout))
+	objects := platform.NewStore(s.Platform.Objects, platform.WithTimeout(tableTimeout))
 	n := &node{settings: s, log: log, view: view.New(), client: peer.NewClient(keys.certs), peers: peer.NewServer(keys.certs)}
 	n.hosts = hosts.New(self(s), table, n.client, log.Named("hosts"),
 		hosts.WithKeys(func() []place.Key { return place.Keys(n.view.Config()) }))
--- a/links/mem/mem.go
+++ b/links/mem/mem.go
@@ -3,6 +3,7 @@
 package mem
 
 import (
+	"cmp"
 	"context"
 	"maps"
 	"slices"
@@ -31,6 +32,10 @@
 	fault   Fault
 	version int64
 	rows    map[string]plat.Row
+	// removed are the versions at which rows were removed, floor the version up
+	// to which removals are forgotten.
+	removed map[string]int64
+	floor   int64
 	objects map[string][]byte
 	reads   int64
 	writes  int64
@@ -38,7 +43,7 @@
 
 // New returns an empty store.
 func New() *Store {
-	return &Store{rows: make(map[string]plat.Row), objects: make(map[string][]byte)}
+	return &Store{rows: make(map[string]plat.Row), removed: make(map[string]int64), objects: make(map[string][]byte)}
 }
 
 // SetFault changes what is wrong with the store.
@@ -59,7 +64,7 @@
 func (s *Store) Copy() *Store {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return &Store{version: s.version, rows: maps.Clone(s.rows), objects: maps.Clone(s.objects)}
+	return &Store{version: s.version, rows: maps.Clone(s.rows), removed: maps.Clone(s.removed), floor: s.floor, objects: maps.Clone(s.objects)}
 }
 
 // Restore brings back the rows and objects of an older copy.
@@ -68,6 +73,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.version, s.rows, s.objects = c.version, c.rows, c.objects
+	s.removed, s.floor = c.removed, c.floor
 }
 
 // begin waits for the delay and fails when the store is down.
@@ -145,9 +151,13 @@
 	s.version++
 	for _, p := range t.Puts {
 		s.rows[p.Key] = plat.Row{Key: p.Key, Version: s.version, Value: p.Value}
+		delete(s.removed, p.Key)
 	}
 	for _, k := range t.Deletes {
-		delete(s.rows, k)
+		if _, there := s.rows[k]; there {
+			delete(s.rows, k)
+			s.removed[k] = s.version
+		}
 	}
 	if s.fault.LoseCommits > 0 {
 		s.fault.LoseCommits--
@@ -156,6 +166,51 @@
 	return s.version, nil
 }
 
+// Version returns the version of the newest transaction.
+func (s *Store) Version() int64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.version
+}
+
+// Compact forgets the removals of rows.
+func (s *Store) Compact() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.floor = s.version
+	clear(s.removed)
+}
+
+// Since returns what changed under the prefix after the version, in the order
+// of versions, and the newest version. It returns [plat.ErrCompacted] when
+// removals after the version are forgotten.
+func (s *Store) Since(ctx context.Context, prefix string, after int64) ([]plat.Change, int64, error) {
+	if err := s.begin(ctx); err != nil {
+		return nil, 0, err
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.reads++
+	if after < s.floor {
+		return nil, 0, plat.ErrCompacted
+	}
+	var out []plat.Change
+	for k, r := range s.rows {
+		if r.Version > after && strings.HasPrefix(k, prefix) {
+			out = append(out, plat.Change{Row: r})
+		}
+	}
+	for k, v := range s.removed {
+		if v > after && strings.HasPrefix(k, prefix) {
+			out = append(out, plat.Change{Row: plat.Row{Key: k, Version: v}, Removed: true})
+		}
+	}
+	slices.SortFunc(out, func(a, b plat.Change) int {
+		return cmp.Or(cmp.Compare(a.Version, b.Version), cmp.Compare(a.Key, b.Key))
+	})
+	return out, s.version, nil
+}
+
 // Load returns the object, or [plat.ErrMissing].
 func (s *Store) Load(ctx context.Context, key string) ([]byte, error) {
 	if err := s.begin(ctx); err != nil {
--- a/standin/internal/stage/blocks.go
+++ b/standin/internal/stage/blocks.go
@@ -7,12 +7,16 @@
 	"crypto/sha256"
 	"encoding/hex"
 	"fmt"
-	"net/http"
-	"net/url"
+	"time"
 
 	"github.com/go-faster/errors"
+
+	"magnoliahitch/platform"
 )
 
+// storeTimeout bounds the writing of a block table.
+const storeTimeout = time.Minute
+
 // firstBlock is the second byte of the first region's addresses: the callers
 // of region n are 127.(firstBlock+n).0.0/16.
 const firstBlock = 10
@@ -62,14 +66,5 @@
 	if err != nil {
 		return err
 	}
-	address := d.Platform() + "/object/" + url.PathEscape("blocks/"+digest)
-	req, err := http.NewRequestWithContext(ctx, http.MethodPut, address, bytes.NewReader(table))
-	if err != nil {
-		return err
-	}
-	res, err := http.DefaultClient.Do(req)
-	if err != nil {
-		return errors.Wrap(err, "store block table at platform")
-	}
-	return res.Body.Close()
+	return platform.NewStore(d.Platform(), platform.WithTimeout(storeTimeout)).Store(ctx, "blocks/"+digest, table)
 }
--- a/standin/internal/store/store.go
+++ b/standin/internal/store/store.go
@@ -2,11 +2,9 @@
 package store
 
 import (
-	"context"
 	"io"
 	"net/http"
 	"net/url"
-	"strconv"
 	"sync"
 	"time"
 
@@ -26,6 +24,9 @@
 
 	mu    sync.Mutex
 	saved *mem.Store
+	// rate is the number of calls that are served in a second, 0 for all.
+	rate, calls int
+	second      int64
 }
 
 // New returns an empty platform.
@@ -34,66 +35,59 @@
 // Handler returns the platform's HTTP handler.
 func (s *Server) Handler() http.Handler {
 	e := echo.New()
-	e.GET("/table/row", s.get)
-	e.GET("/table/rows", s.list)
-	e.POST("/table/txn", s.commit)
-	e.GET("/object/:key", s.load)
-	e.PUT("/object/:key", s.put)
+	api := e.Group("/api", s.limit)
+	api.GET("/rows-get", s.rows)
+	api.GET("/rows-feed", s.feed)
+	api.POST("/rows-tx", s.transact)
+	api.GET("/blob-get/:key", s.load)
+	api.PUT("/blob-put/:key", s.put)
 	e.POST("/standin/fault", s.fault)
+	e.POST("/standin/compact", s.compact)
 	e.POST("/standin/save", s.save)
 	e.POST("/standin/restore", s.restore)
 	e.GET("/standin/counts", s.counts)
 	return e
 }
 
-type rowsAnswer struct {
-	Rows []plat.Row `json:"rows"`
-}
-
-type commitAnswer struct {
-	Version int64 `json:"version"`
-}
-
 // answer writes out, or the status of the store's failure. A lost answer
 // cuts the connection.
 func answer(c echo.Context, out any, err error) error {
 	switch {
 	case err == nil && out == nil:
-		return c.NoContent(http.StatusNoContent)
+		return c.NoContent(http.StatusOK)
 	case err == nil:
 		return c.JSON(http.StatusOK, out)
 	case errors.Is(err, plat.ErrMissing):
 		return echo.ErrNotFound
 	case errors.Is(err, plat.ErrConflict):
-		return echo.NewHTTPError(http.StatusConflict, err.Error())
+		return echo.NewHTTPError(http.StatusPreconditionFailed, err.Error())
+	case errors.Is(err, plat.ErrCompacted):
+		return echo.NewHTTPError(http.StatusGone, err.Error())
 	case errors.Is(err, plat.ErrUnknown):
 		panic(http.ErrAbortHandler)
 	}
 	return echo.ErrServiceUnavailable
 }
 
-func (s *Server) get(c echo.Context) error {
-	row, err := s.store.Get(c.Request().Context(), c.QueryParam("key"))
-	return answer(c, row, err)
-}
-
-func (s *Server) list(c echo.Context) error {
-	limit, err := strconv.Atoi(c.QueryParam("limit"))
-	if err != nil || limit <= 0 {
-		return echo.ErrBadRequest
+// limit refuses the calls over the rate.
+func (s *Server) limit(next echo.HandlerFunc) echo.HandlerFunc {
+	return func(c echo.Context) error {
+		if !s.allow(time.Now()) {
+			return echo.ErrTooManyRequests
+		}
+		return next(c)
 	}
-	rows, err := s.store.List(c.Request().Context(), c.QueryParam("prefix"), c.QueryParam("after"), limit)
-	return answer(c, rowsAnswer{rows}, err)
 }
 
-// commit runs to its end also when the client gives up, as a real store does.
-func (s *Server) commit(c echo.Context) error {
-	var t plat.Txn
-	if err := c.Bind(&t); err != nil {
-		return err
+// allow counts a call in the present second.
+func (s *Server) allow(now time.Time) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if n := now.Unix(); n != s.second {
+		s.second, s.calls = n, 0
 	}
-	version, err := s.store.Commit(context.WithoutCancel(c.Request().Context()), t)
-	return answer(c, commitAnswer{version}, err)
+	s.calls++
+	return s.rate == 0 || s.calls <= s.rate
 }
 
 func (s *Server) load(c echo.Context) error {
@@ -125,6 +119,8 @@
 	Down        bool `json:"down"`
 	LoseCommits int  `json:"loseCommits"`
 	DelayMs     int  `json:"delayMs"`
+	// CallsPerS is the number of calls that are served in a second, 0 for all.
+	CallsPerS int `json:"callsPerS"`
 }
 
 func (s *Server) fault(c echo.Context) error {
@@ -132,6 +128,9 @@
 	if err := c.Bind(&in); err != nil {
 		return err
 	}
+	s.mu.Lock()
+	s.rate = in.CallsPerS
+	s.mu.Unlock()
 	s.store.SetFault(mem.Fault{
 		Down:        in.Down,
 		LoseCommits: in.LoseCommits,
@@ -140,6 +139,12 @@
 	return c.NoContent(http.StatusNoContent)
 }
 
+// compact makes the store forget its history.
+func (s *Server) compact(c echo.Context) error {
+	s.store.Compact()
+	return c.NoContent(http.StatusNoContent)
+}
+
 func (s *Server) save(c echo.Context) error {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- /dev/null
+++ b/standin/internal/store/store_test.go
@@ -0,0 +1,157 @@
+package store
+
+import (
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/go-faster/errors"
+
+	"magnoliahitch/links/plat"
+	"magnoliahitch/platform"
+)
+
+// open returns a client of a stand-in store, and a call that posts to its own interface.
+func open(t *testing.T) (*platform.Store, func(path, body string)) {
+	t.Helper()
+	s := httptest.NewServer(New().Handler())
+	t.Cleanup(s.Close)
+	return platform.NewStore(s.URL, platform.WithTimeout(2*time.Second)), func(path, body string) {
+		t.Helper()
+		res, err := http.Post(s.URL+path, "application/json", strings.NewReader(body))
+		if err != nil {
+			t.Fatal(err)
+		}
+		_ = res.Body.Close()
+		if res.StatusCode != http.StatusNoContent {
+			t.Fatalf("%s: status %d", path, res.StatusCode)
+		}
+	}
+}
+
+func commit(t *testing.T, c *platform.Store, x plat.Txn) int64 {
+	t.Helper()
+	v, err := c.Commit(t.Context(), x)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return v
+}
+
+func TestTable(t *testing.T) {
+	c, _ := open(t)
+	ctx := t.Context()
+	if _, err := c.Get(ctx, "a"); !errors.Is(err, plat.ErrMissing) {
+		t.Errorf("error = %v, want missing", err)
+	}
+	v := commit(t, c, plat.Txn{Checks: []plat.Check{{Key: "a"}}, Puts: []plat.Put{{Key: "a", Value: []byte("1")}}})
+	row, err := c.Get(ctx, "a")
+	if err != nil || string(row.Value) != "1" || row.Version != v {
+		t.Errorf("row = %+v, error = %v, want version %d", row, err, v)
+	}
+	if _, err := c.Commit(ctx, plat.Txn{Checks: []plat.Check{{Key: "a", Version: v + 1}}, Deletes: []string{"a"}}); !errors.Is(err, plat.ErrConflict) {
+		t.Errorf("error = %v, want a conflict", err)
+	}
+	commit(t, c, plat.Txn{Checks: []plat.Check{{Key: "a", Version: v}}, Deletes: []string{"a"}})
+	if _, err := c.Get(ctx, "a"); !errors.Is(err, plat.ErrMissing) {
+		t.Errorf("error = %v, want missing", err)
+	}
+}
+
+func TestListOfSeveralPages(t *testing.T) {
+	c, _ := open(t)
+	const rows = 1100
+	for i := 0; i < rows; i += 100 {
+		var x plat.Txn
+		for n := i; n < i+100; n++ {
+			x.Puts = append(x.Puts, plat.Put{Key: fmt.Sprintf("p/%05d", n)})
+		}
+		commit(t, c, x)
+	}
+	commit(t, c, plat.Txn{Puts: []plat.Put{{Key: "o"}, {Key: "p"}, {Key: "p0"}}})
+	got, err := c.List(t.Context(), "p/", "", 5000)
+	if err != nil || len(got) != rows || got[0].Key != "p/00000" || got[rows-1].Key != "p/01099" {
+		t.Errorf("%d rows, error %v, want %d in order", len(got), err, rows)
+	}
+	got, err = c.List(t.Context(), "p/", "p/00009", 3)
+	if err != nil || len(got) != 3 || got[0].Key != "p/00010" {
+		t.Errorf("rows = %v, error = %v, want three from p/00010", got, err)
+	}
+}
+
+func TestFeed(t *testing.T) {
+	c, post := open(t)
+	ctx := t.Context()
+	if err := c.Put(ctx, "t", "a", []byte("1")); err != nil {
+		t.Fatal(err)
+	}
+	rows, v, err := c.Rows(ctx, "t")
+	if err != nil || len(rows) != 1 {
+		t.Fatalf("rows = %v, error = %v", rows, err)
+	}
+	time.AfterFunc(50*time.Millisecond, func() {
+		if err := c.Put(ctx, "t", "b", []byte("2")); err != nil {
+			t.Error(err)
+		}
+	})
+	rows, v, err = c.Changes(ctx, "t", v, 5*time.Second)
+	if err != nil || len(rows) != 1 || rows[0].Key != "b" {
+		t.Errorf("rows = %v, error = %v, want b", rows, err)
+	}
+	if err := c.Delete(ctx, "t", "a", 0); err != nil {
+		t.Fatal(err)
+	}
+	rows, _, err = c.Changes(ctx, "t", v, 0)
+	if err != nil || len(rows) != 1 || !rows[0].Removed {
+		t.Errorf("rows = %v, error = %v, want a removed", rows, err)
+	}
+	post("/standin/compact", "")
+	if _, _, err := c.Changes(ctx, "t", v, 0); !errors.Is(err, plat.ErrCompacted) {
+		t.Errorf("error = %v, want compacted", err)
+	}
+	if rows, _, err := c.Changes(ctx, "other", v+10, 0); err != nil || len(rows) != 0 {
+		t.Errorf("rows of another table = %v, error = %v", rows, err)
+	}
+}
+
+func TestObjects(t *testing.T) {
+	c, _ := open(t)
+	if _, err := c.Load(t.Context(), "x/y"); !errors.Is(err, plat.ErrMissing) {
+		t.Errorf("error = %v, want missing", err)
+	}
+	if err := c.Store(t.Context(), "x/y", []byte("data")); err != nil {
+		t.Fatal(err)
+	}
+	if got, err := c.Load(t.Context(), "x/y"); err != nil || string(got) != "data" {
+		t.Errorf("object = %q, error = %v", got, err)
+	}
+}
+
+func TestFaults(t *testing.T) {
+	c, post := open(t)
+	ctx := t.Context()
+	post("/standin/fault", `{"down":true}`)
+	if _, err := c.Get(ctx, "a"); !errors.Is(err, plat.ErrDown) {
+		t.Errorf("error = %v, want down", err)
+	}
+	post("/standin/fault", `{"loseCommits":1}`)
+	if err := c.Put(ctx, "t", "a", []byte("1")); !errors.Is(err, plat.ErrUnknown) {
+		t.Errorf("error = %v, want unknown", err)
+	}
+	if rows, _, err := c.Rows(ctx, "t"); err != nil || len(rows) != 1 {
+		t.Errorf("rows = %v, error = %v, want the write to have taken effect", rows, err)
+	}
+	post("/standin/fault", `{"callsPerS":1}`)
+	refused := 0
+	for range 5 {
+		if _, _, err := c.Rows(ctx, "t"); errors.Is(err, plat.ErrDown) {
+			refused++
+		}
+	}
+	if refused < 3 {
+		t.Errorf("%d of 5 calls refused, want at least 3 over the rate", refused)
+	}
+}
--- a/steer/pick/done.go
+++ b/steer/pick/done.go
@@ -51,10 +51,10 @@
 	case Misdirected:
 		st.eject(now)
 	case Refused:
-		st.lostAt = now
+		st.doubt(now)
 		st.eject(now)
 	case Broken:
-		st.lostAt = now
+		st.doubt(now)
 		st.fail(now)
 	case Failed:
 		st.fail(now)
@@ -65,6 +65,25 @@
 	}
 }
 
+// Doubt records that the server closed idle connections, as one does that restarts.
+func (p *Picker) Doubt(now time.Time, server string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if st := p.states[server]; st != nil {
+		st.doubt(now)
+	}
+}
+
+// Verify records the answer of the server's health check, asked at the time:
+// how long it goes on warming up.
+func (p *Picker) Verify(asked time.Time, server string, cold time.Duration) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if st := p.states[server]; st != nil {
+		st.verified, st.coldUntil = asked, asked.Add(cold)
+	}
+}
+
 // Forget drops what was observed of servers that are gone.
 func (p *Picker) Forget(known map[string]bool) {
 	p.mu.Lock()
--- a/steer/pick/picker.go
+++ b/steer/pick/picker.go
@@ -20,6 +20,12 @@
 	abroadCost = 70 * time.Millisecond
 	// domainCost is the same for another failure domain of the region.
 	domainCost = time.Millisecond
+	// checkInterval is the time between two health checks of a server that may
+	// have restarted.
+	checkInterval = 400 * time.Millisecond
+	// doubtLife is how long a host that just started doubts the records it found:
+	// those of crashed servers are gone after three heartbeats of 1.5 s.
+	doubtLife = 5 * time.Second
 	// maxEjectedShare is the share of a service's servers that may be ejected at once.
 	maxEjectedShare = 0.5
 	// faultCost is what a failed attempt costs, as a multiple of the usual time.
@@ -76,6 +82,8 @@
 	Usable int
 	// Share is the share of the service's requests that runs abroad.
 	Share float64
+	// Check are servers whose health should be checked: they may have restarted.
+	Check []fleet.Server
 }
 
 // Home says where a host stands.
@@ -94,11 +102,24 @@
 	states map[string]*state
 	work   time.Duration
 	spill  spill
+	// doubtUntil is until when records don't show that their servers still run.
+	doubtUntil time.Time
 }
 
+// Option changes a picker.
+type Option func(*Picker)
+
+// WithDoubt makes the picker doubt the records that were read before the time:
+// servers may have restarted while this host was down.
+func WithDoubt(until time.Time) Option { return func(p *Picker) { p.doubtUntil = until } }
+
 // New returns a picker for a host that stands at home.
-func New(home Home, sponsor Sponsor) *Picker {
-	return &Picker{home: home, sponsor: sponsor, states: make(map[string]*state), work: defaultWork}
+func New(home Home, sponsor Sponsor, options ...Option) *Picker {
+	p := &Picker{home: home, sponsor: sponsor, states: make(map[string]*state), work: defaultWork}
+	for _, o := range options {
+		o(p)
+	}
+	return p
 }
 
 // candidate is a server that may be chosen.
@@ -108,6 +129,8 @@
 	score  uint64
 	cold   bool
 	abroad bool
+	// doubted servers may have restarted.
+	doubted bool
 }
 
 // Choose returns the server on which the request should run now, and counts
@@ -129,15 +152,16 @@
 	if len(order) == 0 || len(rest) > 0 && order[0].cost-rest[0].cost > excursionGain && (!sound || p.spill.count.allow(now)) {
 		order, rest, away = rest, order, true
 	}
+	check := p.check(now, order)
 	best := p.admit(now, append(order, rest...))
 	if best == nil {
-		return Choice{Reason: AllBusy, Usable: len(home) + len(abroad)}
+		return Choice{Reason: AllBusy, Usable: len(home) + len(abroad), Check: check}
 	}
 	p.spill.count.add(now, away)
 	best.state.begin(now, r.Object, p.distance(&best.candidate))
 	return Choice{
 		Server: *best.server, Reason: Chosen, Rank: best.rank, Load: best.state.load(now) - 1, Cost: best.cost,
-		Usable: len(home) + len(abroad), Share: p.spill.share,
+		Usable: len(home) + len(abroad), Share: p.spill.share, Check: check,
 	}
 }
 
@@ -161,6 +185,19 @@
 	return out
 }
 
+// check returns the servers whose health should be checked now.
+func (p *Picker) check(now time.Time, order []priced) []fleet.Server {
+	var out []fleet.Server
+	for i := range order {
+		c := &order[i]
+		if c.doubted && now.Sub(c.state.checked) >= checkInterval {
+			c.state.checked = now
+			out = append(out, *c.server)
+		}
+	}
+	return out
+}
+
 // admit returns the first candidate that may get the request now.
 func (p *Picker) admit(now time.Time, order []priced) *priced {
 	for i := range order {
@@ -194,8 +231,11 @@
 				continue
 			}
 		}
-		cold := s.Cold(now) || !st.lostAt.IsZero() && !s.Read.After(st.lostAt)
-		c := candidate{s, st, score(r.Object, s.ID), cold, s.Region != p.home.Region}
+		doubted := st.doubted(now, s.Read)
+		c := candidate{
+			server: s, state: st, score: score(r.Object, s.ID), abroad: s.Region != p.home.Region,
+			doubted: doubted, cold: doubted || s.Cold(now) || now.Before(st.coldUntil),
+		}
 		use.add(now, &c)
 		if c.abroad {
 			abroad = append(abroad, c)
@@ -280,6 +320,9 @@
 	st := p.states[s.ID]
 	if st == nil {
 		st = newState(s.Born)
+		if s.Read.Before(p.doubtUntil) {
+			st.lostAt, st.doubtEnds = s.Read, s.Read.Add(doubtLife)
+		}
 		p.states[s.ID] = st
 	}
 	if st.born != s.Born {
--- a/steer/pick/state.go
+++ b/steer/pick/state.go
@@ -51,13 +51,28 @@
 	ejections int
 	// ejectedUntil is when the server may be tried again.
 	ejectedUntil time.Time
-	// lostAt is when a connection was refused or died; until a newer record is
-	// read, the server may have restarted cold.
+	// lostAt is when a connection was refused or died, or when the record was read
+	// by a host that just started. The server may have restarted cold since.
 	lostAt time.Time
+	// doubtEnds is when that is settled by itself, zero for never.
+	doubtEnds time.Time
+	// verified is when the server's health check answered, checked when it was
+	// asked last, and coldUntil what it said of its warm-up.
+	verified, checked, coldUntil time.Time
 	// cold is the rate limit while the server warms up.
 	cold bucket
 }
 
+// doubted reports whether the server may have restarted without a record that
+// says so.
+func (s *state) doubted(now, read time.Time) bool {
+	return !s.lostAt.IsZero() && !read.After(s.lostAt) && s.verified.Before(s.lostAt) &&
+		(s.doubtEnds.IsZero() || now.Before(s.doubtEnds))
+}
+
+// doubt records that the server may have restarted.
+func (s *state) doubt(now time.Time) { s.lostAt, s.doubtEnds = now, time.Time{} }
+
 func newState(born int64) *state {
 	return &state{born: born, pace: 1, objects: make(map[string]time.Time)}
 }
