--- a/hitchd/internal/relay/relay.go
+++ b/hitchd/internal/relay/relay.go
@@ -2,12 +2,10 @@
 
 import (
 	"context"
-	"encoding/json"
 	"sync"
 	"sync/atomic"
 	"time"
 
-	"github.com/go-faster/errors"
 	"github.com/hashicorp/go-hclog"
 
 	"magnoliahitch/hitchd/internal/watch"
@@ -40,14 +38,6 @@
 	startPatience = 700 * time.Millisecond
 	// rowsPatience is how long a starting host waits for the hosts' table.
 	rowsPatience = 250 * time.Millisecond
-	// avoidFirst and avoidMax bound how long a host that didn't answer is passed
-	// over as source, which doubles.
-	avoidFirst = time.Second
-	avoidMax   = 15 * time.Second
-	// registerInterval is the time between two tries to write this host's row.
-	registerInterval = 500 * time.Millisecond
-	// rowLife is how long the row of a silent host stays in the table.
-	rowLife = 30 * time.Second
 )
 
 // Relay passes copies on. It is safe for concurrent use.
@@ -74,19 +64,6 @@
 	read bool
 }
 
-// row is a host of the table.
-type row struct {
-	host    member.Host
-	version int64
-	// seen is when the host was first listed or last known to live.
-	seen time.Time
-}
-
-type avoided struct {
-	until time.Time
-	pause time.Duration
-}
-
 // New returns the relay of a host. The table has a row for each host.
 func New(self member.Host, store plat.Feed, table string, deaths Deaths, log hclog.Logger) *Relay {
 	return &Relay{
@@ -142,86 +119,6 @@
 	r.follow(ctx, clock.Now())
 }
 
-// List takes the rows of the hosts' table in.
-func (r *Relay) List(rows map[string]plat.Change) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	now := clock.Now()
-	r.read = true
-	for name := range r.rows {
-		if _, there := rows[name]; !there {
-			delete(r.rows, name)
-		}
-	}
-	for name, c := range rows {
-		if old, known := r.rows[name]; known && old.version == c.Version {
-			continue
-		}
-		var h member.Host
-		if err := json.Unmarshal(c.Value, &h); err != nil || h.Name != name {
-			r.log.Warn("row names no host", "key", name, "version", c.Version, "error", err)
-			continue
-		}
-		r.rows[name] = row{host: h, version: c.Version, seen: now}
-		delete(r.avoided, name)
-	}
-}
-
-// sources returns the hosts of the domain that come before this one, or all
-// of another domain, less those that didn't answer lately.
-func (r *Relay) sources(now time.Time, domain string) []member.Host {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	list := []member.Host{}
-	for _, x := range r.rows {
-		if x.host.Domain == domain && x.host.Name != r.self.Name {
-			list = append(list, x.host)
-		}
-	}
-	if domain == r.self.Domain {
-		list = append(list, r.self)
-	}
-	var out []member.Host
-	for _, h := range order(list) {
-		if h.Name == r.self.Name {
-			break
-		}
-		if now.Before(r.avoided[h.Name].until) {
-			continue
-		}
-		out = append(out, h)
-	}
-	return out
-}
-
-// domains returns the other failure domains of the region.
-func (r *Relay) domains() []string {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	there := make(map[string]bool)
-	var out []string
-	for _, x := range r.rows {
-		d := x.host.Domain
-		if x.host.Region == r.self.Region && d != r.self.Domain && !there[d] {
-			there[d] = true
-			out = append(out, d)
-		}
-	}
-	return out
-}
-
-// avoid passes the host over for a while.
-func (r *Relay) avoid(now time.Time, h member.Host, err error) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	a := r.avoided[h.Name]
-	a.pause = min(avoidMax, max(avoidFirst, 2*a.pause))
-	a.until = now.Add(a.pause)
-	r.avoided[h.Name] = a
-	pollsFailed.Inc()
-	r.log.Warn("host doesn't answer polls", "peer", h.Name, "avoidedForMs", a.pause.Milliseconds(), "error", err)
-}
-
 // Run polls the source until the context ends. This host reads the store
 // itself while it has no source or its copies are too old.
 func (r *Relay) Run(ctx context.Context) error {
@@ -361,82 +258,3 @@
 	}
 	r.expireRows(ctx, now)
 }
-
-// Register writes this host's row unless the table already has it.
-func (r *Relay) Register(ctx context.Context) error {
-	self := r.Self()
-	for {
-		if r.registered(self) {
-			r.log.Info("row of this host stands")
-			<-ctx.Done()
-			return nil
-		}
-		if r.knowsRows() {
-			if err := r.register(ctx, self); err != nil {
-				r.log.Warn("row of this host not written", "error", err)
-			}
-		}
-		select {
-		case <-ctx.Done():
-			return nil
-		case <-time.After(registerInterval / 5):
-		}
-	}
-}
-
-func (r *Relay) knowsRows() bool {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	return r.read
-}
-
-// registered reports whether the table's row leads to this host.
-func (r *Relay) registered(self member.Host) bool {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	x, there := r.rows[self.Name]
-	h := x.host
-	h.Incarnation = self.Incarnation
-	return there && h == self
-}
-
-func (r *Relay) register(ctx context.Context, self member.Host) error {
-	data, err := json.Marshal(self)
-	if err != nil {
-		return errors.Wrap(err, "encode row of this host")
-	}
-	if err := r.store.Put(ctx, r.table, self.Name, data); err != nil {
-		return err
-	}
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	r.rows[self.Name] = row{host: self, seen: clock.Now()}
-	return nil
-}
-
-// expireRows removes the rows of hosts of this domain that are silent for long.
-func (r *Relay) expireRows(ctx context.Context, now time.Time) {
-	r.mu.Lock()
-	live := make(map[string]bool)
-	for _, h := range r.members.Live(now) {
-		live[h.Name] = true
-	}
-	expired := make(map[string]int64)
-	for name, x := range r.rows {
-		switch {
-		case x.host.Domain != r.self.Domain || name == r.self.Name:
-		case live[name]:
-			x.seen = now
-			r.rows[name] = x
-		case now.Sub(x.seen) >= rowLife:
-			x.seen = now
-			r.rows[name] = x
-			expired[name] = x.version
-		}
-	}
-	r.mu.Unlock()
-	for name, version := range expired {
-		err := r.store.Delete(ctx, r.table, name, version)
-		r.log.Info("row of a silent host removed", "peer", name, "error", err)
-	}
-}
--- a/steer/pick/picker.go
+++ b/steer/pick/picker.go
@@ -23,6 +23,8 @@
 	// checkInterval is the time between two health checks of a server that may
 	// have restarted.
 	checkInterval = 400 * time.Millisecond
+	// joinAge is how long after the first request a server counts as one that joins.
+	joinAge = 2 * time.Second
 	// doubtLife is how long a host that just started doubts the records it found:
 	// those of crashed servers are gone after three heartbeats of 1.5 s.
 	doubtLife = 5 * time.Second
@@ -102,6 +104,8 @@
 	states map[string]*state
 	work   time.Duration
 	spill  spill
+	// began is when the first server was chosen.
+	began time.Time
 	// doubtUntil is until when records don't show that their servers still run.
 	doubtUntil time.Time
 }
@@ -138,6 +142,9 @@
 func (p *Picker) Choose(now time.Time, v *fleet.View, r Request) Choice {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	if p.began.IsZero() {
+		p.began = now
+	}
 	home, abroad, sound := p.usable(now, v, r)
 	if len(home)+len(abroad) == 0 {
 		return Choice{Reason: NoServers}
@@ -278,6 +285,11 @@
 // among the servers of the same distance.
 func (p *Picker) cost(now time.Time, c *candidate, place int, object string) time.Duration {
 	d := p.distance(c)
+	if c.state.joined && c.state.untried && !c.cold {
+		// Objects stay where they are known, so that a server that joins would
+		// get nothing for long.
+		return d
+	}
 	slots := float64(max(1, c.server.Slots))
 	if queue := c.state.load(now) + 1 - slots; queue > 0 {
 		d += time.Duration(queue / slots * float64(p.work))
@@ -320,6 +332,7 @@
 	st := p.states[s.ID]
 	if st == nil {
 		st = newState(s.Born)
+		st.joined = s.Read.Sub(p.began) >= joinAge
 		if s.Read.Before(p.doubtUntil) {
 			st.lostAt, st.doubtEnds = s.Read, s.Read.Add(doubtLife)
 		}
--- a/steer/pick/picker_test.go
+++ b/steer/pick/picker_test.go
@@ -183,3 +183,27 @@
 		t.Errorf("load after five seconds = %.1f, want about 0", got)
 	}
 }
+
+// A server that joins gets a request though every object is known elsewhere.
+func TestServerThatJoins(t *testing.T) {
+	f := servers(map[string]int{"north": 3}, nil)
+	p := newPicker()
+	for i := range 60 {
+		now := at(time.Duration(i) * 20 * time.Millisecond)
+		c := p.Choose(now, view(f), Request{Service: "loans", Object: fmt.Sprint(i % 20)})
+		p.Done(now, c.Server.ID, Answered, 10*time.Millisecond, Report{})
+	}
+	f.Put(fleet.Server{ID: "north-new", Service: "loans", Region: "north", Domain: "north-a", Slots: 3, Born: 1, Read: at(5 * time.Second)})
+	got := 0
+	for i := range 60 {
+		now := at(6*time.Second + time.Duration(i)*20*time.Millisecond)
+		c := p.Choose(now, view(f), Request{Service: "loans", Object: fmt.Sprint(i % 20)})
+		p.Done(now, c.Server.ID, Answered, 10*time.Millisecond, Report{})
+		if c.Server.ID == "north-new" {
+			got++
+		}
+	}
+	if got == 0 || got > 30 {
+		t.Errorf("new server got %d of 60 requests, want some but not most", got)
+	}
+}
--- a/steer/pick/state.go
+++ b/steer/pick/state.go
@@ -29,6 +29,9 @@
 
 // state is what this host observed of one server.
 type state struct {
+	// joined tells that the server came while this host served, and untried that
+	// it got nothing from it yet.
+	joined, untried bool
 	// running counts the requests that this host has at the server.
 	running int
 	// others estimates the requests that other hosts have there.
@@ -74,12 +77,13 @@
 func (s *state) doubt(now time.Time) { s.lostAt, s.doubtEnds = now, time.Time{} }
 
 func newState(born int64) *state {
-	return &state{born: born, pace: 1, objects: make(map[string]time.Time)}
+	return &state{born: born, untried: true, pace: 1, objects: make(map[string]time.Time)}
 }
 
 // begin counts a request that is sent.
 func (s *state) begin(now time.Time, object string, distance time.Duration) {
 	s.running++
+	s.untried = false
 	s.distance = distance
 	if object == "" {
 		return
