place: decide on look-ups and sponsors beside the other orders of hosts

Cause: both decisions stood in the daemon without a test. TestSponsors failed first: where a cold server tolerates little, the least burst of one came on top of the rate, 9.5 requests in a second where 9.2 are allowed.

--- /dev/null
+++ b/steer/place/nearby_test.go
@@ -0,0 +1,58 @@
+package place
+
+import (
+	"fmt"
+	"testing"
+
+	"magnoliahitch/steer/member"
+)
+
+func regionHosts(region string, n int) []member.Host {
+	var out []member.Host
+	for i := range n {
+		out = append(out, member.Host{Name: fmt.Sprintf("%s-%d", region, i), Region: region, Domain: fmt.Sprint(region, i%2)})
+	}
+	return out
+}
+
+func TestNearby(t *testing.T) {
+	all := append(regionHosts("north", 6), regionHosts("south", 40)...)
+	got := Nearby("a.example", "north", all)
+	if len(got) != minNearby || got[0].Region != "north" || got[0].Domain == got[1].Domain {
+		t.Errorf("hosts = %v, want two of the region in two failure domains", got)
+	}
+	if got := Nearby("a.example", "south", all); len(got) != 5 {
+		t.Errorf("%d hosts, want an eighth of 40", len(got))
+	}
+	if got := Nearby("a.example", "west", all); len(got) == 0 {
+		t.Error("no host for a region without any")
+	}
+	if got := Nearby("a.example", "north", nil); len(got) != 0 {
+		t.Errorf("hosts = %v, want none", got)
+	}
+}
+
+// All hosts together keep to the limit in any second, also while one more is
+// added that only it itself and those after it know.
+func TestSponsors(t *testing.T) {
+	for _, limit := range []float64{9.2, 13.1, 21.5} {
+		hosts := regionHosts("north", 9)
+		sum, count := 0.0, 0
+		for _, h := range hosts {
+			rate, burst := Sponsor(h.Name, "a.example", hosts[:8], limit)
+			if h.Name == hosts[8].Name {
+				rate, burst = Sponsor(h.Name, "a.example", hosts, limit)
+			}
+			if rate > 0 {
+				count++
+			}
+			sum += rate + burst
+		}
+		if sum > limit {
+			t.Errorf("sponsors send up to %.1f in a second, want at most %.1f", sum, limit)
+		}
+		if count < sponsors || count > sponsors+1 {
+			t.Errorf("%d sponsors, want %d or one more", count, sponsors)
+		}
+	}
+}
