conns: one look at idle connections for both paths

Cause: the check of an idle connection stood twice, in keep and in conns. Change: keep uses the one of conns. Nothing else changes; tests of both pass.

--- a/hitchd/internal/conns/pool.go
+++ b/hitchd/internal/conns/pool.go
@@ -8,6 +8,7 @@
 	"syscall"
 	"time"
 
+	"github.com/go-faster/errors"
 	"golang.org/x/sys/unix"
 )
 
@@ -143,13 +144,13 @@
 	}
 }
 
-// quiet reports whether the server has neither closed the connection nor
+// quiet reports whether nothing came on the connection since the last answer.
+func (c *conn) quiet() bool { return c.reader.Buffered() == 0 && Quiet(c.Conn) }
+
+// Quiet reports whether the peer has neither closed the idle connection nor
 // written to it.
-func (c *conn) quiet() bool {
-	if c.reader.Buffered() > 0 {
-		return false
-	}
-	sc, ok := c.Conn.(syscall.Conn)
+func Quiet(c net.Conn) bool {
+	sc, ok := c.(syscall.Conn)
 	if !ok {
 		return true
 	}
@@ -161,7 +162,7 @@
 	err = raw.Read(func(fd uintptr) bool {
 		var b [1]byte
 		_, _, err := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-		open = err == syscall.EAGAIN
+		open = errors.Is(err, syscall.EAGAIN)
 		return true
 	})
 	return err == nil && open
--- a/hitchd/internal/keep/pool.go
+++ b/hitchd/internal/keep/pool.go
@@ -5,10 +5,11 @@
 	"net"
 	"sync"
 	"sync/atomic"
-	"syscall"
 	"time"
 
 	"github.com/go-faster/errors"
+
+	"magnoliahitch/hitchd/internal/conns"
 )
 
 // dialTimeout bounds the opening of a connection.
@@ -68,7 +69,7 @@
 		if c == nil {
 			return p.open(ctx, addr)
 		}
-		if c.alive() {
+		if conns.Quiet(c.Conn) {
 			return c, nil
 		}
 		_ = c.Close()
@@ -140,7 +141,7 @@
 	s.idle = nil
 	p.mu.Unlock()
 	for _, c := range idle {
-		if !c.alive() {
+		if !conns.Quiet(c.Conn) {
 			_ = c.Close()
 			continue
 		}
@@ -190,24 +191,3 @@
 	c.closed()
 	return err
 }
-
-// alive reports whether the server has neither closed the connection nor
-// written to it.
-func (c *conn) alive() bool {
-	sc, ok := c.Conn.(syscall.Conn)
-	if !ok {
-		return true
-	}
-	raw, err := sc.SyscallConn()
-	if err != nil {
-		return false
-	}
-	open := false
-	err = raw.Read(func(fd uintptr) bool {
-		var b [1]byte
-		_, _, err := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-		open = errors.Is(err, syscall.EAGAIN)
-		return true
-	})
-	return err == nil && open
-}
