soak: run hosts as processes under random faults and check what they promise

Change: standin soak starts hitchd as separate processes with the platform's settings, and store, upstream servers and callers that speak the platform's protocols. Loopback proxies delay, cut one way, silence and reset connections; processes are killed, stopped, paused and reloaded, in series and overlapping. A ledger joins what callers and servers see and names the broken promise. Ruled out: a proxy between two hosts, as a host's address for its peers is the one that it listens on.

--- a/Makefile
+++ b/Makefile
@@ -8,11 +8,13 @@
 DEPLOYMENT := pall
 # First port of the demo on loopback.
 PORT := 17000
+# Seeds of the fault soak; a fresh one is drawn when there are none.
+SEEDS :=
 # What --version prints.
 VERSION := $(shell git describe --tags --always --dirty 2>/dev/null || echo development)
 export GOFLAGS :=
 
-.PHONY: all build tools test fmt lint unit bench demo clean
+.PHONY: all build tools test fmt lint unit bench demo soak clean
 
 all: build
 
@@ -46,5 +48,8 @@
 demo: build
 	$(BIN)/standin demo --bin $(BIN) --port $(PORT) --trace $(TRACE) --deployment $(DEPLOYMENT)
 
+soak: build
+	$(BIN)/standin soak --bin $(BIN) $(foreach s,$(SEEDS),--seed $(s))
+
 clean:
-	rm -rf $(BIN) demo-run
+	rm -rf $(BIN) demo-run soak-run
--- a/links/mem/mem.go
+++ b/links/mem/mem.go
@@ -21,6 +21,8 @@
 	// LoseCommits is the number of coming commits that take effect while
 	// their answer is lost.
 	LoseCommits int `json:"loseCommits"`
+	// LateBy makes lost commits take effect so much later, if their checks hold then.
+	LateBy time.Duration `json:"lateBy"`
 	// Delay is added to each call.
 	Delay time.Duration `json:"delay"`
 }
@@ -143,9 +145,33 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.writes++
+	lost := s.fault.LoseCommits > 0
+	if lost {
+		s.fault.LoseCommits--
+	}
+	if lost && s.fault.LateBy > 0 {
+		time.AfterFunc(s.fault.LateBy, func() {
+			s.mu.Lock()
+			defer s.mu.Unlock()
+			// Whoever sent it learns nothing of a conflict.
+			_ = s.apply(t)
+		})
+		return 0, plat.ErrUnknown
+	}
+	if err := s.apply(t); err != nil {
+		return 0, err
+	}
+	if lost {
+		return 0, plat.ErrUnknown
+	}
+	return s.version, nil
+}
+
+// apply runs the transaction, or returns [plat.ErrConflict]. The caller holds the lock.
+func (s *Store) apply(t plat.Txn) error {
 	for _, k := range t.Checks {
 		if s.rows[k.Key].Version != k.Version {
-			return 0, plat.ErrConflict
+			return plat.ErrConflict
 		}
 	}
 	s.version++
@@ -159,11 +185,15 @@
 			s.removed[k] = s.version
 		}
 	}
-	if s.fault.LoseCommits > 0 {
-		s.fault.LoseCommits--
-		return 0, plat.ErrUnknown
-	}
-	return s.version, nil
+	return nil
+}
+
+// Drop removes a row whatever is wrong with the store, as one that lapses.
+func (s *Store) Drop(key string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	// A transaction without checks has no conflict.
+	_ = s.apply(plat.Txn{Deletes: []string{key}})
 }
 
 // Version returns the version of the newest transaction.
--- /dev/null
+++ b/standin/internal/soak/server.go
@@ -0,0 +1,273 @@
+package soak
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/go-faster/errors"
+
+	"magnoliahitch/platform"
+)
+
+// What an upstream server is like.
+const (
+	serverSlots = 3
+	serverQueue = 9
+	// leastWork and workSpread are the time of a request. A server that warms
+	// up takes twice as long.
+	leastWork  = 20 * time.Millisecond
+	workSpread = 60 * time.Millisecond
+	// warmUp is how long a server stays cold.
+	warmUp = 3 * time.Second
+	// serverIdle is how long a server keeps an idle connection.
+	serverIdle = 10 * time.Second
+	// healthPath is the path of the health check.
+	healthPath = "/health"
+	// bodySpread is the largest length of an answer in bytes.
+	bodySpread = 6000
+)
+
+// ServerFault is what is wrong with a server.
+type ServerFault struct {
+	// Slow makes work take so many times as long, 0 for as usual.
+	Slow float64
+	// Fail, Lose, Cut and Extra are the shares of the requests that fail, whose
+	// answer is lost, breaks off, or is followed by another one.
+	Fail, Lose, Cut, Extra float64
+}
+
+// Server is one start of an upstream server.
+type Server struct {
+	Upstream
+	Born      int64
+	addr      string
+	ledger    *Ledger
+	coldUntil time.Time
+	http      *http.Server
+	slots     chan struct{}
+	waiting   atomic.Int64
+	draining  atomic.Bool
+	fault     atomic.Pointer[ServerFault]
+	ended     atomic.Bool
+
+	mu   sync.Mutex
+	idle map[net.Conn]bool
+}
+
+// StartServer starts a server at the address.
+func StartServer(now time.Time, u Upstream, addr string, cold bool, l *Ledger) (*Server, error) {
+	s := &Server{
+		Upstream: u, Born: now.UnixMilli(), ledger: l, slots: make(chan struct{}, serverSlots), idle: make(map[net.Conn]bool),
+	}
+	if cold {
+		s.coldUntil = now.Add(warmUp)
+	}
+	s.fault.Store(&ServerFault{})
+	ln, err := net.Listen("tcp4", addr)
+	if err != nil {
+		return nil, errors.Wrapf(err, "start server %s", u.ID)
+	}
+	s.addr = ln.Addr().String()
+	l.Start(u, s.coldUntil)
+	s.http = &http.Server{Handler: s, IdleTimeout: serverIdle, ConnState: s.track}
+	go func() { _ = s.http.Serve(ln) }()
+	return s, nil
+}
+
+// Addr returns the address at which the server listens.
+func (s *Server) Addr() string { return s.addr }
+
+// Crash ends the server at once.
+func (s *Server) Crash() {
+	s.ended.Store(true)
+	_ = s.http.Close()
+}
+
+// Forget closes the idle connections without notice.
+func (s *Server) Forget() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for c := range s.idle {
+		if t, ok := c.(*net.TCPConn); ok {
+			abort(t)
+		}
+	}
+}
+
+func (s *Server) track(c net.Conn, state http.ConnState) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.idle, c)
+	if state == http.StateIdle {
+		s.idle[c] = true
+	}
+}
+
+// Sum is the checksum of a body.
+func Sum(body []byte) uint64 { return xxhash.Sum64(body) }
+
+// Body returns the answer to a request.
+func Body(id string) []byte {
+	n := int(xxhash.Sum64String(id) % bodySpread)
+	return bytes.Repeat([]byte(id+"\n"), n/(len(id)+1)+1)[:n]
+}
+
+// ServeHTTP serves a request of a host.
+func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	id := r.Header.Get(platform.HeaderRequestID)
+	h := w.Header()
+	if r.URL.Path == healthPath {
+		s.health(w)
+		return
+	}
+	h.Set(platform.HeaderRequestID, id)
+	if expect := r.Header.Get(platform.HeaderExpect); expect != "" && expect != s.ID {
+		s.reject(w, http.StatusMisdirectedRequest)
+		return
+	}
+	if id == "" {
+		s.reject(w, http.StatusBadRequest)
+		return
+	}
+	ms, err := strconv.Atoi(r.Header.Get(platform.HeaderDeadline))
+	if err != nil {
+		ms = 0
+	}
+	allowed := time.Duration(ms) * time.Millisecond
+	s.ledger.Arrive(time.Now(), id, s.ID, allowed)
+	ctx, cancel := context.WithTimeout(r.Context(), allowed)
+	defer cancel()
+	if !s.admit(ctx) {
+		s.reject(w, http.StatusServiceUnavailable)
+		return
+	}
+	defer func() { <-s.slots }()
+	s.work(ctx, w, r, id)
+}
+
+// admit waits for a slot. It reports false when the queue is full, or the
+// time is up or the caller gone before the work began.
+func (s *Server) admit(ctx context.Context) bool {
+	if s.waiting.Add(1) > serverQueue {
+		s.waiting.Add(-1)
+		return false
+	}
+	defer s.waiting.Add(-1)
+	select {
+	case s.slots <- struct{}{}:
+	case <-ctx.Done():
+		return false
+	}
+	if ctx.Err() != nil || s.ended.Load() {
+		<-s.slots
+		return false
+	}
+	return true
+}
+
+func (s *Server) reject(w http.ResponseWriter, status int) {
+	w.Header().Set(platform.HeaderNotRun, "1")
+	w.Header().Set(platform.HeaderLoad, s.load())
+	w.WriteHeader(status)
+}
+
+func (s *Server) load() string {
+	return fmt.Sprintf("%d,%d,%d", len(s.slots), s.waiting.Load(), serverSlots)
+}
+
+func (s *Server) health(w http.ResponseWriter) {
+	w.Header().Set("Instance-Id", s.ID)
+	if left := time.Until(s.coldUntil); left > 0 {
+		w.Header().Set(platform.HeaderCold, strconv.FormatInt(left.Milliseconds(), 10))
+	}
+	if s.draining.Load() {
+		w.WriteHeader(http.StatusServiceUnavailable)
+	}
+}
+
+// work runs the request and answers it, or spoils the answer by the fault.
+func (s *Server) work(ctx context.Context, w http.ResponseWriter, r *http.Request, id string) {
+	body, err := io.ReadAll(r.Body)
+	if err != nil {
+		panic(http.ErrAbortHandler)
+	}
+	s.ledger.Run(time.Now(), id, s.ID, r.Method, r.RequestURI, Sum(body))
+	f := *s.fault.Load()
+	took := leastWork + rand.N(workSpread)
+	if time.Now().Before(s.coldUntil) {
+		took *= 2
+	}
+	if f.Slow > 0 {
+		took = time.Duration(float64(took) * f.Slow)
+	}
+	select {
+	case <-time.After(took):
+	case <-ctx.Done():
+	}
+	if s.ended.Load() || r.Context().Err() != nil {
+		panic(http.ErrAbortHandler)
+	}
+	h := w.Header()
+	h.Set(platform.HeaderSignature, strconv.FormatUint(xxhash.Sum64String("seal"+id), 16))
+	h.Set(platform.HeaderLoad, s.load())
+	h.Set("Keep-Alive", fmt.Sprintf("timeout=%d", int(serverIdle.Seconds())))
+	if s.draining.Load() {
+		h.Set("Connection", "close")
+	}
+	status := http.StatusOK
+	switch {
+	case ctx.Err() != nil:
+		status = http.StatusGatewayTimeout
+	case rand.Float64() < f.Fail:
+		status = http.StatusInternalServerError
+	}
+	s.ledger.Finish(id, status)
+	s.answer(w, f, status, Body(id))
+}
+
+// answer writes the answer, spoiled by the fault.
+func (s *Server) answer(w http.ResponseWriter, f ServerFault, status int, body []byte) {
+	dice := rand.Float64()
+	if dice >= f.Lose+f.Cut+f.Extra {
+		w.Header().Set("Content-Length", strconv.Itoa(len(body)))
+		w.WriteHeader(status)
+		_, _ = w.Write(body)
+		return
+	}
+	c, buf, err := w.(http.Hijacker).Hijack()
+	if err != nil {
+		return
+	}
+	defer func() { _ = c.Close() }()
+	if dice < f.Lose {
+		return
+	}
+	var out strings.Builder
+	fmt.Fprintf(&out, "HTTP/1.1 %d %s\r\nContent-Length: %d\r\n", status, http.StatusText(status), len(body))
+	_ = w.Header().Write(&out)
+	out.WriteString("\r\n")
+	if dice < f.Lose+f.Cut {
+		body = body[:len(body)/2]
+	}
+	out.Write(body)
+	if dice >= f.Lose+f.Cut {
+		fmt.Fprintf(&out, "HTTP/1.1 200 OK\r\n%s: other\r\n%s: 0\r\nContent-Length: 2\r\n\r\nno", platform.HeaderRequestID, platform.HeaderSignature)
+	}
+	_, _ = buf.WriteString(out.String())
+	_ = buf.Flush()
+	if dice >= f.Lose+f.Cut {
+		// The connection stays open for a while: whoever keeps it finds the extra answer.
+		time.Sleep(time.Second)
+	}
+}
--- a/standin/internal/stage/stage.go
+++ b/standin/internal/stage/stage.go
@@ -41,12 +41,18 @@
 
 // Start starts a program under a name. Its output goes to a file of the name.
 func (s *Stage) Start(name, program string, args ...string) error {
+	return s.StartWith(nil, name, program, args...)
+}
+
+// StartWith starts a program with more variables in its environment.
+func (s *Stage) StartWith(env []string, name, program string, args ...string) error {
 	out, err := os.OpenFile(filepath.Join(s.Dir, name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o644)
 	if err != nil {
 		return errors.Wrapf(err, "start %s", name)
 	}
 	cmd := exec.Command(filepath.Join(s.Bin, program), args...)
 	cmd.Stdout, cmd.Stderr = out, out
+	cmd.Env = append(os.Environ(), env...)
 	// The kernel ends the process when this one dies, however it dies.
 	cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL, Setpgid: true}
 	if err := cmd.Start(); err != nil {
--- a/standin/internal/store/store.go
+++ b/standin/internal/store/store.go
@@ -3,6 +3,7 @@
 
 import (
 	"io"
+	"net"
 	"net/http"
 	"net/url"
 	"sync"
@@ -22,13 +23,38 @@
 type Server struct {
 	store *mem.Store
 
-	mu    sync.Mutex
-	saved *mem.Store
-	// rate is the number of calls that are served in a second, 0 for all.
-	rate, calls int
-	second      int64
+	mu     sync.Mutex
+	saved  *mem.Store
+	faults Fault
+	// calls counts those of the present second.
+	calls  int
+	second int64
 }
 
+// Fault is what is wrong with the platform. The zero value is a healthy one.
+type Fault struct {
+	mem.Fault
+	// CallsPerSecond is the number of calls that are served in a second, 0 for all.
+	CallsPerSecond int
+	// TurnAway holds the status that each client of an IP address gets instead
+	// of an answer, 0 for a cut connection.
+	TurnAway map[string]int
+}
+
+// Set changes what is wrong with the platform.
+func (s *Server) Set(f Fault) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.faults = f
+	s.store.SetFault(f.Fault)
+}
+
+// Compact makes the store forget its history.
+func (s *Server) Compact() { s.store.Compact() }
+
+// Drop removes a row whatever is wrong with the store, as one that lapses.
+func (s *Server) Drop(table, key string) { s.store.Drop(row{Table: table, Key: key}.id()) }
+
 // New returns an empty platform.
 func New() *Server { return &Server{store: mem.New()} }
 
@@ -72,13 +98,30 @@
 // limit refuses the calls over the rate.
 func (s *Server) limit(next echo.HandlerFunc) echo.HandlerFunc {
 	return func(c echo.Context) error {
-		if !s.allow(time.Now()) {
+		ip, _, err := net.SplitHostPort(c.Request().RemoteAddr)
+		if err != nil {
+			return errors.Wrap(err, "address of the client")
+		}
+		status, turned := s.turnedAway(ip)
+		switch {
+		case turned && status == 0:
+			panic(http.ErrAbortHandler)
+		case turned:
+			return c.NoContent(status)
+		case !s.allow(time.Now()):
 			return echo.ErrTooManyRequests
 		}
 		return next(c)
 	}
 }
 
+func (s *Server) turnedAway(ip string) (status int, turned bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	status, turned = s.faults.TurnAway[ip]
+	return status, turned
+}
+
 // allow counts a call in the present second.
 func (s *Server) allow(now time.Time) bool {
 	s.mu.Lock()
@@ -87,7 +130,7 @@
 		s.second, s.calls = n, 0
 	}
 	s.calls++
-	return s.rate == 0 || s.calls <= s.rate
+	return s.faults.CallsPerSecond == 0 || s.calls <= s.faults.CallsPerSecond
 }
 
 func (s *Server) load(c echo.Context) error {
@@ -118,9 +161,14 @@
 type faultRequest struct {
 	Down        bool `json:"down"`
 	LoseCommits int  `json:"loseCommits"`
-	DelayMs     int  `json:"delayMs"`
+	// LateMs makes lost commits take effect so much later.
+	LateMs  int `json:"lateMs"`
+	DelayMs int `json:"delayMs"`
 	// CallsPerS is the number of calls that are served in a second, 0 for all.
 	CallsPerS int `json:"callsPerS"`
+	// TurnAway holds a status for each client's IP address that isn't served,
+	// 0 to cut its connections.
+	TurnAway map[string]int `json:"turnAway"`
 }
 
 func (s *Server) fault(c echo.Context) error {
@@ -128,13 +176,12 @@
 	if err := c.Bind(&in); err != nil {
 		return err
 	}
-	s.mu.Lock()
-	s.rate = in.CallsPerS
-	s.mu.Unlock()
-	s.store.SetFault(mem.Fault{
-		Down:        in.Down,
-		LoseCommits: in.LoseCommits,
-		Delay:       time.Duration(in.DelayMs) * time.Millisecond,
+	s.Set(Fault{
+		Fault: mem.Fault{
+			Down: in.Down, LoseCommits: in.LoseCommits, LateBy: time.Duration(in.LateMs) * time.Millisecond,
+			Delay: time.Duration(in.DelayMs) * time.Millisecond,
+		},
+		CallsPerSecond: in.CallsPerS, TurnAway: in.TurnAway,
 	})
 	return c.NoContent(http.StatusNoContent)
 }
--- a/standin/internal/store/store_test.go
+++ b/standin/internal/store/store_test.go
@@ -155,3 +155,33 @@
 		t.Errorf("%d of 5 calls refused, want at least 3 over the rate", refused)
 	}
 }
+
+func TestLostWriteTakesEffectLater(t *testing.T) {
+	c, post := open(t)
+	post("/standin/fault", `{"loseCommits":1,"lateMs":100}`)
+	if err := c.Put(t.Context(), "op", "a", []byte("1")); !errors.Is(err, plat.ErrUnknown) {
+		t.Fatalf("error = %v, want unknown", err)
+	}
+	rows, version, err := c.Rows(t.Context(), "op")
+	if err != nil || len(rows) != 0 {
+		t.Errorf("rows = %v, error = %v, want none yet", rows, err)
+	}
+	rows, _, err = c.Changes(t.Context(), "op", version, 10*time.Second)
+	if err != nil || len(rows) != 1 || rows[0].Key != "a" {
+		t.Errorf("changes = %v, error = %v, want the late write", rows, err)
+	}
+}
+
+func TestTurnAway(t *testing.T) {
+	c, post := open(t)
+	for _, status := range []int{503, 429, 0} {
+		post("/standin/fault", fmt.Sprintf(`{"turnAway":{"127.0.0.1":%d}}`, status))
+		if _, _, err := c.Rows(t.Context(), "op"); !errors.Is(err, plat.ErrDown) {
+			t.Errorf("status %d: error = %v, want down", status, err)
+		}
+	}
+	post("/standin/fault", `{"turnAway":{"127.0.0.2":503}}`)
+	if _, _, err := c.Rows(t.Context(), "op"); err != nil {
+		t.Errorf("another client is turned away: error = %v", err)
+	}
+}
--- a/standin/main.go
+++ b/standin/main.go
@@ -21,6 +21,7 @@
 	Caller   callerCommand   `command:"caller" description:"send requests and check their answers"`
 	Demo     demoCommand     `command:"demo" description:"run a small deployment and check its outcomes"`
 	Measure  measureCommand  `command:"measure" description:"measure what hosts without callers cost"`
+	Soak     soakCommand     `command:"soak" description:"run many hosts under random faults and check what they promise"`
 	Trace    traceCommand    `command:"trace" description:"draw and record a trace"`
 }
 
@@ -28,7 +29,7 @@
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
 	var o options
-	o.Platform.ctx, o.Upstream.ctx, o.Caller.ctx, o.Demo.ctx, o.Measure.ctx = ctx, ctx, ctx, ctx, ctx
+	o.Platform.ctx, o.Upstream.ctx, o.Caller.ctx, o.Demo.ctx, o.Measure.ctx, o.Soak.ctx = ctx, ctx, ctx, ctx, ctx, ctx
 	p := flags.NewParser(&o, flags.Default)
 	if _, err := p.Parse(); err != nil {
 		var fe *flags.Error
