slots: run the Tick that fell due before another call

When the hold of a take-over ended, a request that came before the timer's Tick set the timer anew; Next looked for events after the present only, found none and stopped the timer. Change: Next goes by the time of the last Tick, so that an event which is past stays due. TestDueTickIsNotLost failed before.

--- a/hitchd/internal/keep/cell.go
+++ b/hitchd/internal/keep/cell.go
@@ -192,7 +192,7 @@
 
 // arm sets the timer to the next event that no call brings. The lock is held.
 func (c *cell) arm(now time.Time) {
-	at, ok := c.slots.Next(now)
+	at, ok := c.slots.Next()
 	switch {
 	case !ok && c.timer != nil:
 		c.timer.Stop()
--- a/steer/slots/cell.go
+++ b/steer/slots/cell.go
@@ -50,6 +50,8 @@
 	// handover on servers that joined later.
 	takenUntil time.Time
 	unknown    []unknownHold
+	// ticked is the time of the last Tick.
+	ticked time.Time
 	// starts is the memory of the last Wake.
 	starts []Start
 }
@@ -156,6 +158,7 @@
 
 // Tick returns the queued requests whose wait is over now.
 func (c *Cell) Tick(now time.Time) Wake {
+	c.ticked = now
 	for _, s := range c.order {
 		s.release(now)
 	}
@@ -167,22 +170,23 @@
 	return w
 }
 
-// Next returns when Tick may have something to do without another call. It
-// reports false while nothing is queued.
-func (c *Cell) Next(now time.Time) (time.Time, bool) {
+// Next returns when Tick may have something to do without another call, also
+// when that time is past and no Tick came since. It reports false while nothing
+// is queued.
+func (c *Cell) Next() (time.Time, bool) {
 	if c.lines.size() == 0 {
 		return time.Time{}, false
 	}
 	var at time.Time
 	sooner := func(t time.Time) {
-		if t.After(now) && (at.IsZero() || t.Before(at)) {
+		if t.After(c.ticked) && (at.IsZero() || t.Before(at)) {
 			at = t
 		}
 	}
 	for _, s := range c.order {
 		sooner(s.ejected)
 		sooner(s.reported.Add(reportLife))
-		if t, ok := s.nextStep(now, c.slowStart()); ok {
+		if t, ok := s.nextStep(c.ticked, c.slowStart()); ok {
 			sooner(t)
 		}
 		for _, h := range s.held {
--- a/steer/slots/cell_test.go
+++ b/steer/slots/cell_test.go
@@ -73,7 +73,7 @@
 	w := newWorld(1)
 	w.cell.order[0].ramp = w.now
 	w.fill(2)
-	at, ok := w.cell.Next(w.now)
+	at, ok := w.cell.Next()
 	if want := w.now.Add(500 * time.Millisecond); !ok || !at.Equal(want) {
 		t.Fatalf("got next event %v (%v), want %v", at, ok, want)
 	}
@@ -307,3 +307,33 @@
 		}
 	}
 }
+
+// A request that comes when a hold has just ended, before the Tick that the
+// end calls for, must not make the cell forget that Tick.
+func TestDueTickIsNotLost(t *testing.T) {
+	for _, late := range []time.Duration{0, time.Millisecond, time.Second} {
+		w := newWorld(1)
+		until := w.now.Add(3 * time.Second)
+		w.cell.TakeOver(w.now, until)
+		submit := func(now time.Time, id uint64) Decision {
+			return w.cell.Submit(now, Request{ID: id, Class: config.ClassInteractive, Deadline: now.Add(time.Minute)})
+		}
+		if d := submit(until.Add(-time.Millisecond), 1); !d.Queued {
+			t.Fatalf("request before the end of the hold: %+v, want it queued", d)
+		}
+		now := until.Add(late)
+		if d := submit(now, 2); !d.Queued {
+			t.Fatalf("request behind a queued one: %+v, want it queued", d)
+		}
+		at, ok := w.cell.Next()
+		if !ok || at.After(now) {
+			t.Errorf("%s after the hold: next Tick at %s, %v, want it now", late, at, ok)
+		}
+		if got := len(w.cell.Tick(now).Starts); got != 2 {
+			t.Errorf("%s after the hold: %d requests started, want 2", late, got)
+		}
+		if at, ok := w.cell.Next(); ok && !at.After(now) {
+			t.Errorf("%s after the hold: next Tick at %s again, want none that is due", late, at)
+		}
+	}
+}
--- a/steer/slots/sim_test.go
+++ b/steer/slots/sim_test.go
@@ -281,7 +281,7 @@
 		s.finish(s.queued[f.ID], "refused")
 		delete(s.queued, f.ID)
 	}
-	at, ok := s.cell.Next(s.now)
+	at, ok := s.cell.Next()
 	if !ok || s.tick.After(s.now) && !at.Before(s.tick) {
 		return
 	}
