relay: ask seeds while the hosts' table can't be read

Change: the edge role serves control, so that settings carry seeds; a host without the hosts' table asks them for their copies. Tries to write the host's row back off, since refused calls count too. Metrics have a fixed port that the deploy file names. Ruled out: waiting longer before a connection is taken (outages last for seconds). TestStartWhileTheStoreIsDown was written with the code.

--- a/hitchd/edge.go
+++ b/hitchd/edge.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"os"
 	"os/signal"
+	"slices"
 	"syscall"
 	"time"
 
@@ -58,6 +59,8 @@
 // listeners are the sockets of an edge host.
 type listeners struct {
 	caller, ready, lookup, peer net.Listener
+	// metrics is nil when its port was taken, control when the settings name none.
+	metrics, control net.Listener
 }
 
 // startEdge runs the daemon with the platform's settings and returns the exit code.
@@ -90,7 +93,7 @@
 }
 
 func serveEdge(ctx context.Context, s platform.Settings, path string, reload <-chan os.Signal, log hclog.Logger) error {
-	l, err := bindEdge(s)
+	l, err := bindEdge(s, log)
 	if err != nil {
 		return err
 	}
@@ -100,6 +103,7 @@
 	addLoop(&g, h.relay.Run)
 	addLoop(&g, h.relay.RunGuard)
 	addLoop(&g, h.relay.RunExchange)
+	addLoop(&g, h.relay.RunSeeds)
 	addLoop(&g, h.relay.Register)
 	addLoop(&g, func(ctx context.Context) error { return h.watch.RunOperator(ctx, platform.OperatorTable) })
 	addLoop(&g, func(ctx context.Context) error { return h.watch.RunServers(ctx, platform.ServerTable) })
@@ -110,6 +114,12 @@
 	addListener(&g, &http.Server{Handler: h.entry()}, l.ready)
 	addListener(&g, &http.Server{Handler: h.entry()}, l.lookup)
 	addListener(&g, &http.Server{Handler: h.relay.Handler()}, l.peer)
+	if l.control != nil {
+		addListener(&g, &http.Server{Handler: h.relay.Handler()}, l.control)
+	}
+	if l.metrics != nil {
+		addListener(&g, &http.Server{Handler: h.entry()}, l.metrics)
+	}
 	addEdgeStop(ctx, &g, h, callers)
 	log.Info("started", "caller", s.Listen.Caller, "lookup", s.Listen.Lookup, "peer", s.Listen.Peer, "store", s.Store)
 	err = g.Run()
@@ -160,7 +170,7 @@
 }
 
 // bindEdge takes the ports of the settings.
-func bindEdge(s platform.Settings) (*listeners, error) {
+func bindEdge(s platform.Settings, log hclog.Logger) (*listeners, error) {
 	l := &listeners{}
 	for _, p := range []struct {
 		to   *net.Listener
@@ -172,6 +182,20 @@
 		}
 		*p.to = at
 	}
+	if s.Listen.Control != "" {
+		at, err := net.Listen("tcp4", s.Listen.Control)
+		if err != nil {
+			return nil, errors.Wrapf(err, "listen on %s", s.Listen.Control)
+		}
+		l.control = at
+	}
+	at, err := net.Listen("tcp4", s.Listen.Metrics)
+	if err != nil {
+		// Requests are served all the same, and the look-up's port has the metrics too.
+		log.Warn("metrics port is not available", "address", s.Listen.Metrics, "error", err)
+		return l, nil
+	}
+	l.metrics = at
 	return l, nil
 }
 
@@ -183,7 +207,7 @@
 		Capacity: s.Cores, Incarnation: uint64(time.Now().UnixNano()),
 	}
 	deaths := edge.NewDeaths(s.Host, log.Named("deaths"))
-	h.relay = relay.New(self, h.store, hostsTable, deaths, log.Named("relay"))
+	h.relay = relay.New(self, h.store, hostsTable, deaths, log.Named("relay"), relay.WithSeeds(seedsOf(s)...))
 	h.watch = watch.New(h.store, watch.Codec{
 		Config:    platform.DecodeConfig,
 		ConfigKey: platform.ConfigKey,
@@ -207,6 +231,11 @@
 	return h
 }
 
+// seedsOf returns the seeds but this host's own address.
+func seedsOf(s platform.Settings) []string {
+	return slices.DeleteFunc(slices.Clone(s.Seeds), func(addr string) bool { return addr == s.Listen.Control })
+}
+
 // doubtUntil returns until when the servers' records are doubted: a host that
 // starts beside running servers can't know which of them restarted with it.
 func doubtUntil(s platform.Settings) time.Time {
--- a/hitchd/internal/relay/doc.go
+++ b/hitchd/internal/relay/doc.go
@@ -10,6 +10,9 @@
 // host whose copy gets too old reads the store itself until the source is
 // good again.
 //
+// A host that starts while the store is down knows no other one. It asks the
+// seeds of its settings until one of them has told it the hosts' table.
+//
 // # Members
 //
 // A poll shows that the host which sends it lives. The source lists the hosts
--- a/hitchd/internal/relay/relay.go
+++ b/hitchd/internal/relay/relay.go
@@ -36,6 +36,9 @@
 	staleOperator = 3200 * time.Millisecond
 	// startPatience is how long a starting host waits for a source that starts too.
 	startPatience = 700 * time.Millisecond
+	// seedInterval is the time between two rounds of asking the seeds. It is a few
+	// round trips between regions.
+	seedInterval = 250 * time.Millisecond
 	// rowsPatience is how long a starting host waits for the hosts' table.
 	rowsPatience = 250 * time.Millisecond
 )
@@ -47,8 +50,11 @@
 	// deaths are passed on with the copies.
 	deaths Deaths
 	table  string
-	log    hclog.Logger
-	start  time.Time
+	// seeds are the addresses of a few hosts that are asked while the hosts' table
+	// can't be read.
+	seeds []string
+	log   hclog.Logger
+	start time.Time
 
 	mu      sync.Mutex
 	self    member.Host
@@ -64,12 +70,23 @@
 	read bool
 }
 
+// Option changes a relay.
+type Option func(*Relay)
+
+// WithSeeds names hosts to ask while the hosts' table can't be read, as at a
+// start while the store is down.
+func WithSeeds(addrs ...string) Option { return func(r *Relay) { r.seeds = addrs } }
+
 // New returns the relay of a host. The table has a row for each host.
-func New(self member.Host, store plat.Feed, table string, deaths Deaths, log hclog.Logger) *Relay {
-	return &Relay{
+func New(self member.Host, store plat.Feed, table string, deaths Deaths, log hclog.Logger, options ...Option) *Relay {
+	r := &Relay{
 		store: store, table: table, deaths: deaths, log: log, start: clock.Now(), self: self, members: NewMembers(self),
 		rows: make(map[string]row), avoided: make(map[string]avoided),
 	}
+	for _, o := range options {
+		o(r)
+	}
+	return r
 }
 
 // Deaths are the requests with which servers crashed, told from host to host.
--- a/hitchd/internal/relay/relay_test.go
+++ b/hitchd/internal/relay/relay_test.go
@@ -121,8 +121,8 @@
 func (noDeaths) Reports(time.Time) []crash.Report   { return nil }
 func (noDeaths) Told(_ time.Time, _ []crash.Report) {}
 
-func newRelay(self member.Host) *Relay {
-	r := New(self, noStore{}, "hosts", noDeaths{}, hclog.NewNullLogger())
+func newRelay(self member.Host, options ...Option) *Relay {
+	r := New(self, noStore{}, "hosts", noDeaths{}, hclog.NewNullLogger(), options...)
 	r.Attach(watch.New(noStore{}, watch.Codec{
 		ConfigKey: "config",
 		Config: func(value []byte) (*routes.Table, error) {
@@ -171,6 +171,39 @@
 	}
 }
 
+// A host that starts while the store is down learns everything from a seed,
+// also when another one is down.
+func TestStartWhileTheStoreIsDown(t *testing.T) {
+	old := newRelay(host("a", "y"))
+	s := httptest.NewServer(old.Handler())
+	defer s.Close()
+	addr := strings.TrimPrefix(s.URL, "http://")
+	a := host("a", "y")
+	a.PeerAddr = addr
+	old.watch.Adopt(clock.Now(), watch.Copy{
+		Operator: watch.Part{Version: 9, Whole: true, Rows: []plat.Change{{Row: plat.Row{Key: "config", Version: 8, Value: []byte("xyz")}}}},
+		Servers:  watch.Part{Version: 9, Whole: true, Rows: []plat.Change{{Row: plat.Row{Key: "s1", Version: 7}}}},
+		Hosts:    watch.Part{Version: 9, Whole: true, Rows: []plat.Change{hostRow(a, 3)}},
+	})
+	r := newRelay(host("b", "x"), WithSeeds("127.0.0.1:1", addr))
+	ctx, cancel := context.WithCancel(t.Context())
+	done := make(chan error)
+	go func() { done <- r.RunSeeds(ctx) }()
+	for !r.knowsRows() {
+		time.Sleep(time.Millisecond)
+	}
+	cancel()
+	if err := <-done; err != nil {
+		t.Error(err)
+	}
+	if st := r.watch.State(); !st.Ready() || st.Table.Version != 3 {
+		t.Errorf("state = %+v, want the seed's configuration and servers", st)
+	}
+	if got := names(r.sources(clock.Now(), "y")); !slices.Equal(got, []string{"a"}) {
+		t.Errorf("hosts of y = %v, want a", got)
+	}
+}
+
 // A host that doesn't answer is passed over for a while, and the next one is
 // the source.
 func TestSourceThatDoesNotAnswer(t *testing.T) {
--- a/hitchd/internal/relay/rows.go
+++ b/hitchd/internal/relay/rows.go
@@ -13,8 +13,10 @@
 )
 
 const (
-	// registerInterval is the time between two tries to write this host's row.
-	registerInterval = 100 * time.Millisecond
+	// registerFirst and registerMax bound the time between two tries to write this
+	// host's row, which doubles: a store that is down counts refused calls as well.
+	registerFirst = 100 * time.Millisecond
+	registerMax   = 1600 * time.Millisecond
 	// rowLife is how long the row of a silent host stays in the table.
 	rowLife = 30 * time.Second
 )
@@ -55,6 +57,7 @@
 // Register writes this host's row unless the table already has it.
 func (r *Relay) Register(ctx context.Context) error {
 	self := r.Self()
+	pause := registerFirst
 	for {
 		if r.registered(self) {
 			r.log.Info("row of this host stands")
@@ -64,12 +67,13 @@
 		if r.knowsRows() {
 			if err := r.register(ctx, self); err != nil {
 				r.log.Warn("row of this host not written", "error", err)
+				pause = min(registerMax, 2*pause)
 			}
 		}
 		select {
 		case <-ctx.Done():
 			return nil
-		case <-time.After(registerInterval):
+		case <-time.After(pause):
 		}
 	}
 }
--- a/hitchd/internal/relay/source.go
+++ b/hitchd/internal/relay/source.go
@@ -1,6 +1,7 @@
 package relay
 
 import (
+	"context"
 	"time"
 
 	"magnoliahitch/steer/member"
@@ -46,6 +47,32 @@
 	return out
 }
 
+// RunSeeds asks the seeds for their copies until the hosts' table is known or
+// the context ends. A host that starts beside a healthy store knows it before.
+func (r *Relay) RunSeeds(ctx context.Context) error {
+	r.awaitRows(ctx)
+	t := time.NewTicker(seedInterval)
+	defer t.Stop()
+	for !r.knowsRows() && ctx.Err() == nil {
+		for _, addr := range r.seeds {
+			if err := r.poll(ctx, member.Host{Name: addr, PeerAddr: addr}); err != nil {
+				r.log.Info("seed doesn't answer", "address", addr, "error", err)
+				continue
+			}
+			if r.knowsRows() {
+				r.log.Info("hosts learned from a seed", "address", addr)
+				break
+			}
+		}
+		select {
+		case <-ctx.Done():
+		case <-t.C:
+		}
+	}
+	<-ctx.Done()
+	return nil
+}
+
 // domains returns the other failure domains of the region.
 func (r *Relay) domains() []string {
 	r.mu.Lock()
