soak: give hosts seeds and a control address

Change: hosts that start while the store is down or turns them away can learn from others, as on the platform.

--- a/standin/internal/soak/host.go
+++ b/standin/internal/soak/host.go
@@ -21,6 +21,7 @@
 	frontPort  = 8641
 	readyPort  = 8640
 	lookupPort = 8644
+	seedPort   = 8649
 	peerPort   = 7620
 )
 
@@ -52,7 +53,8 @@
 region: %q
 ip: %q
 zones: {%s}
-listen: {front: "%s:%d", readiness: "%s:%d", directory: "%s:%d"}
+listen: {front: "%s:%d", readiness: "%s:%d", directory: "%s:%d", control: "%s:%d"}
+seeds: [%s]
 internal_ports: [%d, %d]
 bootstrap: false
 limits: {cpu_share: 1, cores: 1, memory_mb: 206}
@@ -61,13 +63,13 @@
 `
 
 // write writes the host's settings.
-func (h *Host) write(dir string, domains []domain, b Bounds) error {
+func (h *Host) write(dir string, domains []domain, seeds []string, b Bounds) error {
 	var zones []string
 	for _, d := range domains {
 		zones = append(zones, fmt.Sprintf("%s: %s", d.name, d.region))
 	}
 	text := fmt.Sprintf(settingsForm, h.Name, h.Domain, h.Region, h.IP, strings.Join(zones, ", "), h.IP, frontPort, h.IP, readyPort, h.IP, lookupPort,
-		peerPort, peerPort+1, b.Stop.Seconds(), b.RetryShare, b.ColdOverrun, b.ColdSlack, h.store.Addr())
+		h.IP, seedPort, strings.Join(seeds, ", "), peerPort, peerPort+1, b.Stop.Seconds(), b.RetryShare, b.ColdOverrun, b.ColdSlack, h.store.Addr())
 	h.settings = filepath.Join(dir, h.Name+".yaml")
 	if err := os.WriteFile(h.settings, []byte(text), 0o644); err != nil {
 		return errors.Wrap(err, "write settings of "+h.Name)
--- a/standin/internal/soak/world.go
+++ b/standin/internal/soak/world.go
@@ -175,7 +175,16 @@
 		return err
 	}
 	w.hosts = append(w.hosts, h)
-	return h.write(w.options.Dir, domains, w.bounds)
+	return h.write(w.options.Dir, domains, w.seeds(), w.bounds)
+}
+
+// seeds returns the addresses of the first hosts of three failure domains.
+func (w *World) seeds() []string {
+	var out []string
+	for i := range 3 {
+		out = append(out, fmt.Sprintf("%q", fmt.Sprintf("%s:%d", w.ip(i+1, 1), seedPort)))
+	}
+	return out
 }
 
 // Logs returns the file of a host's log lines.
