routes: keep one splitter for each route in one place

Cause: the caller port and the edge of the platform's path each had a copy of the map from routes to splitters. Change: routes.Splitters serves both. No effect on behaviour; tests of both callers and TestSplittersKeepRoutesApart pass.

--- a/hitchd/internal/edge/edge.go
+++ b/hitchd/internal/edge/edge.go
@@ -49,7 +49,7 @@
 
 	mu       sync.Mutex
 	services map[string]*service
-	splits   map[string]*routes.Splitter
+	parts    routes.Splitters
 }
 
 // service is what this host keeps for each service.
@@ -81,7 +81,7 @@
 func New(d Dialect, home pick.Home, state func() *watch.State, sponsor pick.Sponsor, log hclog.Logger, options ...Option) *Edge {
 	e := &Edge{
 		dialect: d, home: home, retries: defaultRetries, state: state, sponsor: sponsor, pool: conns.New(d.Words), log: log,
-		services: make(map[string]*service), splits: make(map[string]*routes.Splitter),
+		services: make(map[string]*service),
 	}
 	for _, o := range options {
 		o(e)
@@ -131,21 +131,6 @@
 	return s
 }
 
-// part chooses the part of the route for a request of the object.
-func (e *Edge) part(r *routes.Route, object string) string {
-	if len(r.Parts) == 1 {
-		return r.Parts[0].Service
-	}
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	s := e.splits[r.Name]
-	if s == nil {
-		s = &routes.Splitter{}
-		e.splits[r.Name] = s
-	}
-	return s.Choose(r.Parts, object).Service
-}
-
 // count counts a request for the service's retry budget.
 func (s *service) count(now time.Time) {
 	s.mu.Lock()
--- a/hitchd/internal/edge/serve.go
+++ b/hitchd/internal/edge/serve.go
@@ -76,7 +76,7 @@
 		r.Body = http.MaxBytesReader(w, r.Body, limit)
 	}
 	x.object = e.dialect.Object(r.Header)
-	x.service = e.part(x.route, x.object)
+	x.service = e.parts.Service(x.route, x.object)
 	patience, told := e.dialect.Patience(r.Header)
 	if !told {
 		patience = defaultPatience
--- a/hitchd/internal/front/request.go
+++ b/hitchd/internal/front/request.go
@@ -115,7 +115,7 @@
 	}
 	object := objectOf(r, req.Header)
 	return target{
-		service: f.routing.service(r, object), path: path, object: object, scope: r.Host, regions: r.Regions, timeout: r.Timeout,
+		service: f.routing.parts.Service(r, object), path: path, object: object, scope: r.Host, regions: r.Regions, timeout: r.Timeout,
 	}, nil
 }
 
--- a/hitchd/internal/front/routed.go
+++ b/hitchd/internal/front/routed.go
@@ -4,7 +4,6 @@
 	"net/http"
 	"net/url"
 	"strings"
-	"sync"
 	"sync/atomic"
 
 	"magnoliahitch/steer/config"
@@ -14,10 +13,7 @@
 // routing finds the routes of requests that name no service in their path.
 type routing struct {
 	current atomic.Pointer[routingTable]
-
-	mu sync.Mutex
-	// splits are the splitters of the routes by their names.
-	splits map[string]*routes.Splitter
+	parts   routes.Splitters
 }
 
 // routingTable is the table of a configuration.
@@ -36,24 +32,6 @@
 	return next.Table
 }
 
-// service returns the part of the route that serves the next request of the object.
-func (t *routing) service(r *routes.Route, object string) string {
-	if len(r.Parts) == 1 {
-		return r.Parts[0].Service
-	}
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	if t.splits == nil {
-		t.splits = make(map[string]*routes.Splitter)
-	}
-	s := t.splits[r.Name]
-	if s == nil {
-		s = &routes.Splitter{}
-		t.splits[r.Name] = s
-	}
-	return s.Choose(r.Parts, object).Service
-}
-
 // find returns the route of the request, or nil.
 func (t *routing) find(c *config.Config, req *http.Request) *routes.Route {
 	return t.table(c).Find(req.Host, req.URL.EscapedPath())
--- a/steer/routes/routes_test.go
+++ b/steer/routes/routes_test.go
@@ -125,3 +125,24 @@
 		t.Errorf("main service of an unknown host = %q, want none", got)
 	}
 }
+
+func TestSplittersKeepRoutesApart(t *testing.T) {
+	var s Splitters
+	one := &Route{Name: "one", Parts: []Part{{"a", 1}}}
+	two := &Route{Name: "two", Parts: []Part{{"a", 1}, {"b", 1}}}
+	other := &Route{Name: "other", Parts: []Part{{"c", 1}, {"d", 3}}}
+	counts := make(map[string]int)
+	for range 80 {
+		for _, r := range []*Route{one, two, other} {
+			counts[r.Name+" "+s.Service(r, "")]++
+		}
+	}
+	if counts["one a"] != 80 {
+		t.Errorf("counts = %v, want 80 for the only part", counts)
+	}
+	for key, want := range map[string]int{"two a": 40, "two b": 40, "other c": 20, "other d": 60} {
+		if got := counts[key]; got < want-2 || got > want+2 {
+			t.Errorf("%s: got %d, want %d", key, got, want)
+		}
+	}
+}
--- a/steer/routes/split.go
+++ b/steer/routes/split.go
@@ -1,6 +1,10 @@
 package routes
 
-import "github.com/cespare/xxhash/v2"
+import (
+	"sync"
+
+	"github.com/cespare/xxhash/v2"
+)
 
 // Bounds of a [Splitter].
 const (
@@ -74,3 +78,28 @@
 		s.total += s.counts[n]
 	}
 }
+
+// Splitters has a splitter for each route. The zero value is ready, and it is
+// safe for concurrent use.
+type Splitters struct {
+	mu      sync.Mutex
+	byRoute map[string]*Splitter
+}
+
+// Service returns the service for the route's next request of the object.
+func (s *Splitters) Service(r *Route, object string) string {
+	if len(r.Parts) == 1 {
+		return r.Parts[0].Service
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.byRoute == nil {
+		s.byRoute = make(map[string]*Splitter)
+	}
+	x := s.byRoute[r.Name]
+	if x == nil {
+		x = &Splitter{}
+		s.byRoute[r.Name] = x
+	}
+	return x.Choose(r.Parts, object).Service
+}
