front: look hosts up by a route's host name without a detour

Change: the look-up chooses the service before it is checked, in place of rewriting the request's parameter; a service goes before a host name of the same text. Only the look-up of the product's own interface; TestLookupByHostName and the other tests of front pass.

--- a/hitchd/internal/front/lookup.go
+++ b/hitchd/internal/front/lookup.go
@@ -1,6 +1,7 @@
 package front
 
 import (
+	"cmp"
 	"net/http"
 	"net/netip"
 	"slices"
@@ -35,12 +36,12 @@
 
 func (f *Front) lookup(c echo.Context) error {
 	conf := f.view.Config()
-	if name := f.routing.table(conf).Main(c.Param("service")); name != "" {
-		// A host name of routes, whose callers use the hosts of its main service.
-		c.SetParamNames("service")
-		c.SetParamValues(name)
+	service := c.Param("service")
+	if _, named := conf.Services[service]; !named {
+		// Callers of a route's host name use the hosts of its main service.
+		service = cmp.Or(f.routing.table(conf).Main(service), service)
 	}
-	service, s, err := f.service(c, conf)
+	s, err := f.service(service, conf)
 	if err != nil {
 		return err
 	}
--- a/hitchd/internal/front/request.go
+++ b/hitchd/internal/front/request.go
@@ -87,11 +87,11 @@
 // request's host name and path.
 func (f *Front) target(c echo.Context, conf *config.Config) (target, error) {
 	req := c.Request()
-	if c.Param("service") == "" {
+	name := c.Param("service")
+	if name == "" {
 		return f.routed(req, conf)
 	}
-	name, _, err := f.service(c, conf)
-	if err != nil {
+	if _, err := f.service(name, conf); err != nil {
 		return target{}, err
 	}
 	path, ok := tail(req.URL)
@@ -123,20 +123,19 @@
 	return result.Refuse(reason, step, f.members.Self().Name)
 }
 
-// service returns the service that the path names.
-func (f *Front) service(c echo.Context, conf *config.Config) (string, config.Service, error) {
-	name := c.Param("service")
+// service returns the named service.
+func (f *Front) service(name string, conf *config.Config) (config.Service, error) {
 	if !serviceForm.MatchString(name) {
-		return "", config.Service{}, f.refuse(result.ReasonBadRequest, "read name of service")
+		return config.Service{}, f.refuse(result.ReasonBadRequest, "read name of service")
 	}
 	s, ok := conf.Services[name]
 	switch {
 	case ok:
-		return name, s, nil
+		return s, nil
 	case conf.Revision == 0:
-		return "", s, f.refuse(result.ReasonNoConfig, "find service "+name)
+		return s, f.refuse(result.ReasonNoConfig, "find service "+name)
 	}
-	return "", s, f.refuse(result.ReasonNoService, "find service "+name)
+	return s, f.refuse(result.ReasonNoService, "find service "+name)
 }
 
 // tail returns the path behind "/service/NAME" as the caller encoded it. It
