hitchctl: list and remove routes

Cause: a route could be applied and not removed. Change: route list and route remove; the commands that cancel drains and moves and remove routes are one.

--- a/hitchctl/client/drain.go
+++ b/hitchctl/client/drain.go
@@ -14,7 +14,7 @@
 	return []Command{
 		{"declare", "take a server, failure domain or region out of work", &drainDeclare{submit: submit{session: s}}},
 		{"list", "list drains and their progress", &drainList{session: s}},
-		{"cancel", "give a drained target work again", &drainCancel{submit: submit{session: s}}},
+		{"cancel", "give a drained target work again", &removeCommand{submit: submit{session: s}, kind: config.KindDrain}},
 	}
 }
 
@@ -103,17 +103,3 @@
 	}
 	return c.session.print(a.Drains, func() { c.session.printDrains(a.Drains) })
 }
-
-type drainCancel struct {
-	submit
-	Args nameArgument `positional-args:"true"`
-}
-
-// Execute cancels the drain.
-func (c *drainCancel) Execute([]string) error {
-	a, err := c.session.current()
-	if err != nil {
-		return err
-	}
-	return c.send(a.Revision, config.Records{}, []config.Ref{{Kind: config.KindDrain, Name: c.Args.Name}})
-}
--- a/hitchctl/client/move.go
+++ b/hitchctl/client/move.go
@@ -16,7 +16,7 @@
 		{"list", "list moves", &moveList{session: s}},
 		{"pause", "hold a move at its present step", &movePause{submit: submit{session: s}, paused: true}},
 		{"resume", "let a paused move go on", &movePause{submit: submit{session: s}}},
-		{"cancel", "end a move; its traffic goes back", &moveCancel{submit: submit{session: s}}},
+		{"cancel", "end a move; its traffic goes back", &removeCommand{submit: submit{session: s}, kind: config.KindMove}},
 	}
 }
 
@@ -86,17 +86,3 @@
 	m.Paused = c.paused
 	return c.send(a.Revision, config.Records{Moves: []config.Move{m}}, nil)
 }
-
-type moveCancel struct {
-	submit
-	Args nameArgument `positional-args:"true"`
-}
-
-// Execute cancels the move.
-func (c *moveCancel) Execute([]string) error {
-	a, err := c.session.current()
-	if err != nil {
-		return err
-	}
-	return c.send(a.Revision, config.Records{}, []config.Ref{{Kind: config.KindMove, Name: c.Args.Name}})
-}
--- a/hitchctl/client/run.go
+++ b/hitchctl/client/run.go
@@ -138,6 +138,7 @@
 		{"profile", "list, show, diff, apply and trace profiles", profileCommands(s)},
 		{"drain", "declare, list and cancel drains", drainCommands(s)},
 		{"move", "declare, list, pause, resume and cancel moves", moveCommands(s)},
+		{"route", "list and remove routes; apply adds and changes them", routeCommands(s)},
 	}
 	for _, g := range groups {
 		parent, err := p.AddCommand(g.name, g.description, "", &struct{}{})
--- a/hitchctl/client/submit.go
+++ b/hitchctl/client/submit.go
@@ -78,3 +78,19 @@
 	s.printDifferences(a.Differences)
 	fmt.Fprintf(s.out, "revision %d accepted, write id %s\n", a.Revision, a.WriteID)
 }
+
+// removeCommand removes a record of a kind: it cancels a drain or a move.
+type removeCommand struct {
+	submit
+	kind config.Kind
+	Args nameArgument `positional-args:"true"`
+}
+
+// Execute removes the record.
+func (c *removeCommand) Execute([]string) error {
+	a, err := c.session.current()
+	if err != nil {
+		return err
+	}
+	return c.send(a.Revision, config.Records{}, []config.Ref{{Kind: c.kind, Name: c.Args.Name}})
+}
--- a/hitchd/internal/admin/admin_test.go
+++ b/hitchd/internal/admin/admin_test.go
@@ -136,6 +136,10 @@
 		{`drain declare a --domain norte-b --reason r`, client.ExitConflict},
 		{`drain declare b --domain litoral-a --reason r`, client.ExitRefused},
 		{`drain cancel a --reason r`, client.ExitOK},
+		{`route list`, client.ExitOK},
+		{`route remove west-notes --reason r`, client.ExitRefused},
+		{`apply --file west-notes.ini --reason r`, client.ExitOK},
+		{`route remove west-notes --reason r`, client.ExitOK},
 		{`drain declare c --region litoral --reason r`, client.ExitRefused},
 		{`drain declare c --region litoral --cap-rate 1 --cap-mbps 1 --reason r`, client.ExitOK},
 		{`move declare m --service care --from norte --to litoral --share 1 --cap-rate 1 --cap-mbps 1 --reason r`, client.ExitRefused},
@@ -164,6 +168,18 @@
 	}
 }
 
+func TestRouteList(t *testing.T) {
+	newSite(t)
+	for _, line := range []string{"apply --file records.ini --reason r", "apply --file west-notes.ini --reason r"} {
+		if code, out := hitchctl(words(line)...); code != client.ExitOK {
+			t.Fatalf("%s: got code %d and %s", line, code, out)
+		}
+	}
+	if code, out := hitchctl("route", "list"); code != client.ExitOK || !strings.Contains(out, "west-notes: cloths.example/notes/west/ to care, regions litoral, affinity X-Cloth") {
+		t.Errorf("got code %d and %s, want the route", code, out)
+	}
+}
+
 func TestPlatformDownIsTold(t *testing.T) {
 	s := newSite(t)
 	s.store.SetFault(mem.Fault{Down: true})
--- a/hitchd/internal/admin/pages_test.go
+++ b/hitchd/internal/admin/pages_test.go
@@ -125,7 +125,10 @@
 	a := New(func() string { return token }, v, s, s.spread, hclog.NewNullLogger(), append([]Option{WithReporter(s), WithChecks(shift.Faults)}, options...)...)
 	s.server = httptest.NewServer(a.Server().Handler)
 	t.Cleanup(s.server.Close)
-	for name, text := range map[string]string{"operator.token": token + "\n", "records.ini": recordsText, "latency.ini": "[profile latency]\nqueueWaitMs = 100\n"} {
+	for name, text := range map[string]string{
+		"operator.token": token + "\n", "records.ini": recordsText, "latency.ini": "[profile latency]\nqueueWaitMs = 100\n",
+		"west-notes.ini": "[route west-notes]\nhost = cloths.example\nprefix = /notes/west/\nparts = care\nregions = litoral\naffinity = X-Cloth\n",
+	} {
 		if err := os.WriteFile(filepath.Join(s.dir, name), []byte(text), 0o600); err != nil {
 			t.Fatal(err)
 		}
