--- a/standin/internal/soak/doc.go
+++ b/standin/internal/soak/doc.go
@@ -11,7 +11,7 @@
 // # Checks
 //
 // The [Ledger] joins what callers sent with what servers ran, by the request's
-// id, and reports a [Violation] as soon as a promise is broken. Promises with a
+// id, and reports a [Violation] as soon as an [Invariant] is broken. Those with a
 // bound in time hold for hosts that were undisturbed for a while: the ledger
 // keeps for each host, server and the store when it was disturbed.
 package soak
--- a/standin/internal/soak/promise.go
+++ b/standin/internal/soak/invariant.go
@@ -2,7 +2,7 @@
 
 import "time"
 
-// Bounds are the figures of the promises, as the platform's pages state them.
+// Bounds are the figures of the invariants. The platform's owners state them.
 type Bounds struct {
 	// Contact is how long a host must have been undisturbed for bounds in time to hold.
 	Contact time.Duration
@@ -68,50 +68,50 @@
 	}
 }
 
-// Promise names what must hold.
-type Promise string
+// Invariant names what must hold at all times.
+type Invariant string
 
-// Promises.
+// Invariants, as callers and upstream servers see them.
 const (
-	// WholeAnswer promises a caller the whole answer to its own request.
-	WholeAnswer Promise = "wholeAnswer"
-	// OwnRequest promises that servers run what callers sent, unchanged.
-	OwnRequest Promise = "ownRequest"
-	// AtMostOnce promises that unsafe work runs at most once.
-	AtMostOnce Promise = "atMostOnce"
-	// RefusedNotRun promises that what was refused as not run never runs.
-	RefusedNotRun Promise = "refusedNotRun"
-	// RightService promises that only services run a request to which a
+	// WholeAnswer: a caller gets the whole answer to its own request.
+	WholeAnswer Invariant = "wholeAnswer"
+	// OwnRequest: servers run what callers sent, unchanged.
+	OwnRequest Invariant = "ownRequest"
+	// AtMostOnce: unsafe work runs at most once.
+	AtMostOnce Invariant = "atMostOnce"
+	// RefusedNotRun: what was refused as not run never runs.
+	RefusedNotRun Invariant = "refusedNotRun"
+	// RightService: only services run a request to which a
 	// configuration sends it.
-	RightService Promise = "rightService"
-	// NoWorkAfterDrain promises that leaving servers get nothing new.
-	NoWorkAfterDrain Promise = "noWorkAfterDrain"
-	// NoWorkEvacuated promises that evacuated failure domains get nothing.
-	NoWorkEvacuated Promise = "noWorkEvacuated"
-	// ConfigInForce promises that configurations are in force in time.
-	ConfigInForce Promise = "configInForce"
-	// ConfigNeverReverts promises that a host never goes back to an older one.
-	ConfigNeverReverts Promise = "configNeverReverts"
-	// PlannedStopCutsNothing promises whole answers around planned stops.
-	PlannedStopCutsNothing Promise = "plannedStopCutsNothing"
-	// NothingCut promises that undisturbed hosts close no connection on a request.
-	NothingCut Promise = "nothingCut"
-	// ColdRate promises that servers which warm up get few requests.
-	ColdRate Promise = "coldRate"
-	// RetryBudget promises that little is sent again.
-	RetryBudget Promise = "retryBudget"
-	// Attempts promises at most the route's number of attempts.
-	Attempts Promise = "attempts"
-	// DeadlineKept promises servers no more time than callers have.
-	DeadlineKept Promise = "deadlineKept"
-	// AnsweredInTime promises a final answer at the route's time-out.
-	AnsweredInTime Promise = "answeredInTime"
-	// GoneCaller promises that nothing is sent on for a caller that left.
-	GoneCaller Promise = "goneCaller"
-	// LiveHosts promises that look-ups name no dead hosts.
-	LiveHosts Promise = "liveHosts"
-	// NoFalseError promises that no proper request is answered with a 4xx.
-	NoFalseError Promise = "noFalseError"
-	// Recovered promises that hosts serve again after the faults.
-	Recovered Promise = "recovered"
+	RightService Invariant = "rightService"
+	// NoWorkAfterDrain: leaving servers get nothing new.
+	NoWorkAfterDrain Invariant = "noWorkAfterDrain"
+	// NoWorkEvacuated: evacuated failure domains get nothing.
+	NoWorkEvacuated Invariant = "noWorkEvacuated"
+	// ConfigInForce: configurations are in force in time.
+	ConfigInForce Invariant = "configInForce"
+	// ConfigNeverReverts: a host never goes back to an older one.
+	ConfigNeverReverts Invariant = "configNeverReverts"
+	// PlannedStopCutsNothing: requests around planned stops are answered.
+	PlannedStopCutsNothing Invariant = "plannedStopCutsNothing"
+	// NothingCut: undisturbed hosts close no connection on a request.
+	NothingCut Invariant = "nothingCut"
+	// ColdRate: servers which warm up get few requests.
+	ColdRate Invariant = "coldRate"
+	// RetryBudget: little is sent again.
+	RetryBudget Invariant = "retryBudget"
+	// Attempts: a request runs on at most the route's number of attempts.
+	Attempts Invariant = "attempts"
+	// DeadlineKept: servers are given no more time than callers have.
+	DeadlineKept Invariant = "deadlineKept"
+	// AnsweredInTime: a request has its final answer at the route's time-out.
+	AnsweredInTime Invariant = "answeredInTime"
+	// GoneCaller: nothing is sent on for a caller that left.
+	GoneCaller Invariant = "goneCaller"
+	// LiveHosts: look-ups name no dead hosts.
+	LiveHosts Invariant = "liveHosts"
+	// NoFalseError: no proper request is answered with a 4xx.
+	NoFalseError Invariant = "noFalseError"
+	// Recovered: hosts serve again after the faults.
+	Recovered Invariant = "recovered"
 )
--- a/standin/internal/soak/ledger.go
+++ b/standin/internal/soak/ledger.go
@@ -7,10 +7,10 @@
 	"time"
 )
 
-// Violation is a promise that was broken.
+// Violation is a broken invariant.
 type Violation struct {
-	At      time.Time
-	Promise Promise
+	At        time.Time
+	Invariant Invariant
 	// Request is the id of the caller's attempt, "" where none is concerned.
 	Request string
 	Host    string
@@ -65,7 +65,7 @@
 	recent []time.Time
 }
 
-// Ledger joins what callers and servers see and checks the promises. It is
+// Ledger joins what callers and servers see and checks the invariants. It is
 // safe for concurrent use.
 type Ledger struct {
 	bounds Bounds
@@ -79,7 +79,7 @@
 	configs    []config
 	seen       map[string]effect
 	services   map[string]*traffic
-	few        map[Promise]int
+	few        map[Invariant]int
 	arrivals   int
 	violations []Violation
 }
@@ -88,7 +88,7 @@
 func NewLedger(b Bounds, calm *Calm) *Ledger {
 	return &Ledger{
 		bounds: b, calm: calm, attempts: make(map[string]*record), upstreams: make(map[string]*Upstream),
-		evacuated: make(map[string]time.Time), seen: make(map[string]effect), services: make(map[string]*traffic), few: make(map[Promise]int),
+		evacuated: make(map[string]time.Time), seen: make(map[string]effect), services: make(map[string]*traffic), few: make(map[Invariant]int),
 	}
 }
 
@@ -102,23 +102,23 @@
 func partPlanned(name string) string { return "planned/" + name }
 func partLink(addr string) string    { return "link/" + addr }
 
-// Violations returns the broken promises so far.
+// Violations returns the broken invariants so far.
 func (l *Ledger) Violations() []Violation {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	return slices.Clone(l.violations)
 }
 
-func (l *Ledger) broken(now time.Time, p Promise, r *record, format string, args ...any) {
-	v := Violation{At: now, Promise: p, Detail: fmt.Sprintf(format, args...)}
+func (l *Ledger) broken(now time.Time, p Invariant, r *record, format string, args ...any) {
+	v := Violation{At: now, Invariant: p, Detail: fmt.Sprintf(format, args...)}
 	if r != nil {
 		v.Request, v.Host = r.ID, r.Host
 	}
 	l.violations = append(l.violations, v)
 }
 
-// rarely counts what may happen a few times, and breaks the promise beyond.
-func (l *Ledger) rarely(now time.Time, p Promise, r *record, format string, args ...any) {
+// rarely counts what may happen a few times, and is a violation beyond.
+func (l *Ledger) rarely(now time.Time, p Invariant, r *record, format string, args ...any) {
 	l.few[p]++
 	if l.few[p] > l.bounds.Few {
 		l.broken(now, p, r, format, args...)
--- a/standin/internal/soak/ledger_test.go
+++ b/standin/internal/soak/ledger_test.go
@@ -42,10 +42,10 @@
 
 func whole(id string) Answer { return Answer{Status: 200, ID: id, Signed: true, Sum: Sum(Body(id))} }
 
-func TestPromises(t *testing.T) {
+func TestInvariants(t *testing.T) {
 	tests := []struct {
 		name string
-		want Promise
+		want Invariant
 		do   func(l *Ledger, calm *Calm)
 	}{
 		{"whole answer", "", func(l *Ledger, _ *Calm) {
@@ -157,12 +157,12 @@
 	for _, x := range tests {
 		l, calm := book()
 		x.do(l, calm)
-		var got Promise
+		var got Invariant
 		if v := l.Violations(); len(v) > 0 {
-			got = v[0].Promise
+			got = v[0].Invariant
 		}
 		if got != x.want {
-			t.Errorf("%s: broken promise %q, want %q", x.name, got, x.want)
+			t.Errorf("%s: broken invariant %q, want %q", x.name, got, x.want)
 		}
 	}
 }
@@ -177,7 +177,7 @@
 	}
 	got := l.Violations()
 	// 2.8 times 1.5 and 5 more are tolerated, so that the tenth is too much.
-	if len(got) == 0 || got[0].Promise != ColdRate || got[0].Request != "j" {
+	if len(got) == 0 || got[0].Invariant != ColdRate || got[0].Request != "j" {
 		t.Errorf("violations = %v, want the tenth request to break %s", got, ColdRate)
 	}
 }
@@ -209,11 +209,11 @@
 		l.Unanswered(at(12.5), id)
 	}
 	l.Close(at(40), at(-10))
-	var got []Promise
+	var got []Invariant
 	for _, v := range l.Violations() {
-		got = append(got, v.Promise)
+		got = append(got, v.Invariant)
 	}
 	if len(got) != 2 || got[0] != AnsweredInTime || got[1] != Recovered {
-		t.Errorf("broken promises %v, want %s and %s", got, AnsweredInTime, Recovered)
+		t.Errorf("broken invariants %v, want %s and %s", got, AnsweredInTime, Recovered)
 	}
 }
--- a/standin/internal/soak/outcome.go
+++ b/standin/internal/soak/outcome.go
@@ -17,9 +17,9 @@
 	Sum uint64
 }
 
-// isPromise reports whether the status says that the request has not run and
+// isRefusal reports whether the status says that the request has not run and
 // never will.
-func isPromise(status int) bool {
+func isRefusal(status int) bool {
 	switch status {
 	case http.StatusServiceUnavailable, http.StatusTooManyRequests, http.StatusRequestTimeout, http.StatusMisdirectedRequest:
 		return true
@@ -39,7 +39,7 @@
 	case a.Status/100 == 2:
 		r.success = true
 		l.checkSuccess(now, r, a)
-	case isPromise(a.Status):
+	case isRefusal(a.Status):
 		r.refused = true
 		if r.Unsafe && len(r.runs) > 0 {
 			l.broken(now, RefusedNotRun, r, "was refused with %d and had run on %v", a.Status, r.runs)
--- a/standin/main.go
+++ b/standin/main.go
@@ -21,7 +21,7 @@
 	Caller   callerCommand   `command:"caller" description:"send requests and check their answers"`
 	Demo     demoCommand     `command:"demo" description:"run a small deployment and check its outcomes"`
 	Measure  measureCommand  `command:"measure" description:"measure what hosts without callers cost"`
-	Soak     soakCommand     `command:"soak" description:"run many hosts under random faults and check what they promise"`
+	Soak     soakCommand     `command:"soak" description:"run many hosts under random faults and check their invariants"`
 	Trace    traceCommand    `command:"trace" description:"draw and record a trace"`
 }
 
--- a/standin/soak.go
+++ b/standin/soak.go
@@ -24,10 +24,10 @@
 	ctx     context.Context
 }
 
-// errBroken reports that a promise was broken.
-var errBroken = errors.New("promises were broken")
+// errBroken reports that an invariant was broken.
+var errBroken = errors.New("invariants were broken")
 
-// Execute runs each seed and prints the promises that were broken.
+// Execute runs each seed and prints the invariants that were broken.
 func (c *soakCommand) Execute([]string) error {
 	if len(c.Seed) == 0 {
 		c.Seed = []uint64{uint64(time.Now().UnixNano())}
@@ -50,7 +50,7 @@
 			return errors.Wrapf(err, "seed %d", seed)
 		}
 		for _, v := range violations {
-			fmt.Printf("broken %s at %s: request %s, host %s: %s\n", v.Promise, v.At.Format("15:04:05.000"), v.Request, v.Host, v.Detail)
+			fmt.Printf("broken %s at %s: request %s, host %s: %s\n", v.Invariant, v.At.Format("15:04:05.000"), v.Request, v.Host, v.Detail)
 		}
 		fmt.Printf("seed %d: %+v\n", seed, totals)
 		broken = broken || len(violations) > 0
