watch: remove servers that left during a cut within 4 s of its end

Cause: a read of the store that was in flight when a cut ended lasted up to 1.9 s (its wait of 700 ms and a margin of 1.2 s). Records that were missing after it got a grace time of 2 s, and their removal waited for the next read or tick, up to 0.7 s: 4.6 s together, where 4 s are allowed.

TestServerThatLeftDuringCut replays the cut at 24 phases of the reads; it failed before (servers 3.5 s after a cut of 9 s = [a b]). It runs on virtual time, for which clock.Now can be replaced.

--- a/hitchd/internal/watch/follow.go
+++ b/hitchd/internal/watch/follow.go
@@ -145,15 +145,21 @@
 	var err error
 	read := clock.Now()
 	full := f.full || since == 0
+	wait := f.wait
+	if f.down {
+		// The timeout of a call includes its wait. Without a wait, a call that a cut
+		// swallowed ends sooner, and the next one can succeed.
+		wait = 0
+	}
 	if full {
 		rows, version, err = w.store.Rows(ctx, f.table)
 	} else {
-		rows, version, err = w.store.Changes(ctx, f.table, since, f.wait)
+		rows, version, err = w.store.Changes(ctx, f.table, since, wait)
 	}
 	if err != nil {
 		return err
 	}
-	if f.wait > 0 {
+	if wait > 0 {
 		// A long poll returns the state at its response, not at its request.
 		read = clock.Now()
 	}
--- a/hitchd/internal/watch/watch.go
+++ b/hitchd/internal/watch/watch.go
@@ -163,6 +163,10 @@
 	w.applyServerRows(now, rows, full, w.fleet.RecordMissing)
 	w.servers.confirm(version, read)
 	w.publish()
+	if wait := w.fleet.UntilSettled(now); wait > 0 {
+		// Servers that left during an outage are removed as soon as that is certain.
+		time.AfterFunc(wait, func() { w.Tick(clock.Now()) })
+	}
 }
 
 func (w *Watch) applyServerRows(now time.Time, rows []plat.Change, full bool, remove func(time.Time, string)) {
--- a/hitchd/internal/watch/watch_test.go
+++ b/hitchd/internal/watch/watch_test.go
@@ -28,8 +28,14 @@
 	floor int64
 	fail  error
 	calls int
+	// silent makes calls end with an error after their wait and silentMargin, also
+	// when the store responds again meanwhile.
+	silent bool
 }
 
+// silentMargin is the timeout of a call beyond its wait.
+const silentMargin = time.Second
+
 func newStore() *store { return &store{rows: make(map[string]map[string]plat.Change)} }
 
 func (s *store) set(table, key, value string) {
@@ -61,12 +67,30 @@
 	return out, s.version, nil
 }
 
+// swallows reports whether the store is silent. If so, it first waits for the
+// timeout of a call whose wait ends after the duration.
+func (s *store) swallows(wait time.Duration) bool {
+	s.mu.Lock()
+	silent := s.silent
+	s.mu.Unlock()
+	if silent {
+		time.Sleep(wait + silentMargin)
+	}
+	return silent
+}
+
 func (s *store) Rows(_ context.Context, table string) ([]plat.Change, int64, error) {
+	if s.swallows(0) {
+		return nil, 0, plat.ErrDown
+	}
 	return s.read(table, 0, false)
 }
 
 func (s *store) Changes(ctx context.Context, table string, after int64, wait time.Duration) ([]plat.Change, int64, error) {
 	for end := time.Now().Add(wait); ; {
+		if s.swallows(time.Until(end)) {
+			return nil, 0, plat.ErrDown
+		}
 		rows, version, err := s.read(table, after, true)
 		if err != nil || len(rows) > 0 || !time.Now().Before(end) || ctx.Err() != nil {
 			return rows, version, err
@@ -228,6 +252,41 @@
 	})
 }
 
+// A host that was cut off from the store must not use a server that left meanwhile
+// later than 4 s after the cut, whenever in its sequence of reads the cut ends: the
+// read that was in flight fails late, and records that are missing get a grace time.
+// Half a second of the 4 s is left for requests that were on their way by then.
+func TestServerThatLeftDuringCut(t *testing.T) {
+	const contact = 3500 * time.Millisecond
+	for phase := time.Duration(0); phase < 3*time.Second; phase += 130 * time.Millisecond {
+		synctest.Test(t, func(t *testing.T) {
+			defer clock.Replace(time.Now)()
+			s := newStore()
+			s.set("servers", "a", "ready")
+			s.set("servers", "b", "ready")
+			w := newWatch(s)
+			cut := 9*time.Second + phase
+			go func() {
+				time.Sleep(time.Second)
+				s.mu.Lock()
+				s.silent = true
+				delete(s.rows["servers"], "a")
+				s.version++
+				s.floor = s.version
+				s.mu.Unlock()
+				time.Sleep(cut)
+				s.mu.Lock()
+				s.silent = false
+				s.mu.Unlock()
+			}()
+			run(t, w, time.Second+cut+contact)
+			if got, want := ids(w), []string{"b"}; !slices.Equal(got, want) {
+				t.Errorf("servers %v after a cut of %v = %v, want %v", contact, cut, got, want)
+			}
+		})
+	}
+}
+
 // A host that doesn't read the store gets the complete tables from one that does,
 // then only changes. An older update is ignored.
 func TestAdopt(t *testing.T) {
--- a/links/clock/clock.go
+++ b/links/clock/clock.go
@@ -3,6 +3,7 @@
 package clock
 
 import (
+	"sync/atomic"
 	"time"
 
 	"golang.org/x/sys/unix"
@@ -15,7 +16,22 @@
 // Now returns the present time. The difference between two results includes
 // suspension and isn't affected by steps of the wall clock. The result has no
 // monotonic clock reading.
-func Now() time.Time { return epoch.Add(sinceBoot()) }
+func Now() time.Time {
+	if f := replaced.Load(); f != nil {
+		return (*f)()
+	}
+	return epoch.Add(sinceBoot())
+}
+
+// replaced is the function that [Replace] has set.
+var replaced atomic.Pointer[func() time.Time]
+
+// Replace makes [Now] return the results of f until restore is called, for tests on
+// virtual time.
+func Replace(f func() time.Time) (restore func()) {
+	replaced.Store(&f)
+	return func() { replaced.Store(nil) }
+}
 
 func sinceBoot() time.Duration {
 	var t unix.Timespec
--- a/steer/fleet/fleet.go
+++ b/steer/fleet/fleet.go
@@ -86,6 +86,15 @@
 	return !inLongOutage && (f.outageEnd.IsZero() || now.Sub(f.outageEnd) >= returnGrace)
 }
 
+// UntilSettled returns the time until the servers whose records disappeared are
+// removed, 0 if there are none.
+func (f *Fleet) UntilSettled(now time.Time) time.Duration {
+	if len(f.missing) == 0 {
+		return 0
+	}
+	return max(0, f.outageEnd.Add(returnGrace).Sub(now))
+}
+
 // Put adds or replaces a record, unless a newer record of the same id is or was
 // present. It reports whether the record was accepted.
 func (f *Fleet) Put(s Server) bool {
