pipe: serve pipelined requests at a time, in order, from their arrival

Cause: net/http reads the next request of a connection when it has answered the previous one. A request that waited kept its whole deadline, a byte of a further request hid the caller's close, and a caller that never reads held its request for ever. Its shutdown takes a connection for idle until the header of a request is parsed.

Change: both caller ports accept through package pipe. It reads ahead within bounds, gives net/http one request at a time, and runs safe requests of idempotent routes beside those before them with responses held in order. Deadlines count from arrival. A planned stop drains connections.

On bare net/http these of the new tests fail: TestResponsesInOrder, TestUnsafeRequestRunsAlone, TestArrivalOfWaitingRequest, six of seven cases of TestCallerCloses, TestMalformedRequestBehindGoodOnes and TestCallerThatNeverReads. TestRandomStreams, TestClosingResponse, TestBrokenResponse, TestLanesAreReturned and TestDrainUnderLoad pass there too. TestStopClosesConnections and TestPlannedStopCutsNoRequest use the new listener with the same checks.

--- a/hitchd/edge.go
+++ b/hitchd/edge.go
@@ -18,6 +18,7 @@
 	"magnoliahitch/hitchd/internal/conns"
 	"magnoliahitch/hitchd/internal/edge"
 	"magnoliahitch/hitchd/internal/lines"
+	"magnoliahitch/hitchd/internal/pipe"
 	"magnoliahitch/hitchd/internal/relay"
 	"magnoliahitch/hitchd/internal/watch"
 	"magnoliahitch/links/clock"
@@ -102,6 +103,8 @@
 	}
 	h := newEdgeHost(s, log)
 	callers := &http.Server{Handler: h.edge, IdleTimeout: callerIdleTimeout, ReadHeaderTimeout: headerTimeout, ErrorLog: httpErrorLog(log)}
+	port := pipe.New(l.caller, pipe.WithConcurrent(h.edge.RunsConcurrently))
+	port.Attach(callers)
 	var g run.Group
 	addLoop(&g, h.relay.Run)
 	addLoop(&g, h.relay.RunAgeCheck)
@@ -113,7 +116,7 @@
 	addLoop(&g, func(ctx context.Context) error { return h.watch.RunHosts(ctx, hostsTable) })
 	addLoop(&g, h.tick)
 	addLoop(&g, func(ctx context.Context) error { return h.reload(ctx, path, reload) })
-	addListener(&g, callers, l.caller, h.awaitReady)
+	addListener(&g, callers, port, h.awaitReady)
 	addListener(&g, &http.Server{Handler: h.entryHandler()}, l.ready)
 	addListener(&g, &http.Server{Handler: h.entryHandler()}, l.lookup)
 	addListener(&g, &http.Server{Handler: h.relay.Handler()}, l.peer)
@@ -123,7 +126,7 @@
 	if l.metrics != nil {
 		addListener(&g, &http.Server{Handler: h.entryHandler()}, l.metrics)
 	}
-	addEdgeStop(ctx, &g, h, callers)
+	addEdgeStop(ctx, &g, h, callers, port)
 	log.Info("started", "caller", s.Listen.Caller, "lookup", s.Listen.Lookup, "peer", s.Listen.Peer, "store", s.Store)
 	err = g.Run()
 	if ctx.Err() != nil {
--- a/hitchd/edgestop.go
+++ b/hitchd/edgestop.go
@@ -9,6 +9,7 @@
 	"github.com/hashicorp/go-hclog"
 	"github.com/oklog/run"
 
+	"magnoliahitch/hitchd/internal/pipe"
 	"magnoliahitch/links/clock"
 )
 
@@ -24,13 +25,13 @@
 
 // addEdgeStop adds the planned stop to the group. It begins when the context ends;
 // the group ends after it.
-func addEdgeStop(ctx context.Context, g *run.Group, h *edgeHost, callers *http.Server) {
+func addEdgeStop(ctx context.Context, g *run.Group, h *edgeHost, callers *http.Server, port *pipe.Listener) {
 	ended := make(chan struct{})
 	g.Add(func() error {
 		select {
 		case <-ended:
 		case <-ctx.Done():
-			h.stop(callers)
+			h.stop(callers, port)
 		}
 		return nil
 	}, func(error) { close(ended) })
@@ -38,15 +39,21 @@
 
 // stop removes this host from lookup responses, serves new requests until callers
 // no longer use the host, and waits for the requests in flight.
-func (h *edgeHost) stop(callers *http.Server) {
+func (h *edgeHost) stop(callers *http.Server, port *pipe.Listener) {
 	began := clock.Now()
 	h.log.Info("leaving", "running", h.edge.InFlight())
-	h.edge.CloseConnections()
+	port.CloseConnections()
 	ctx, cancel := context.WithTimeout(context.Background(), h.settings.Bounds.StopTimeout-exitMargin)
 	defer cancel()
 	h.relay.Leave(ctx)
 	time.Sleep(acceptTime)
-	if err := callers.Shutdown(ctx); err != nil {
+	// The server's own shutdown closes connections that it takes for idle although
+	// a request has just been read from them, so these are drained first.
+	err := port.Drain(ctx)
+	if err == nil {
+		err = callers.Shutdown(ctx)
+	}
+	if err != nil {
 		h.log.Warn("requests not completed before the stop timeout", "running", h.edge.InFlight(), "error", err)
 	}
 	h.log.Info("left", "afterMs", clock.Now().Sub(began).Milliseconds())
--- a/hitchd/internal/edge/edge.go
+++ b/hitchd/internal/edge/edge.go
@@ -47,8 +47,7 @@
 	crashes      *CrashReports
 	log          hclog.Logger
 
-	stopping atomic.Bool
-	running  atomic.Int64
+	running atomic.Int64
 
 	mu        sync.Mutex
 	services  map[string]*service
@@ -97,10 +96,6 @@
 	return e
 }
 
-// CloseConnections adds "Connection: close" to every further response, so that
-// callers close their connections.
-func (e *Edge) CloseConnections() { e.stopping.Store(true) }
-
 // InFlight returns the number of requests in progress.
 func (e *Edge) InFlight() int64 { return e.running.Load() }
 
--- a/hitchd/internal/edge/edge_test.go
+++ b/hitchd/internal/edge/edge_test.go
@@ -14,6 +14,7 @@
 	"github.com/hashicorp/go-hclog"
 
 	"magnoliahitch/hitchd/internal/conns"
+	"magnoliahitch/hitchd/internal/pipe"
 	"magnoliahitch/hitchd/internal/watch"
 	"magnoliahitch/links/clock"
 	"magnoliahitch/steer/fleet"
@@ -38,6 +39,7 @@
 // fixture is an edge in front of upstream servers with the same handler.
 type fixture struct {
 	front *httptest.Server
+	port  *pipe.Listener
 	edge  *Edge
 	runs  atomic.Int64
 }
@@ -61,7 +63,11 @@
 	st := &watch.State{Table: table, Fleet: view, ServersRead: clock.Now()}
 	s.edge = New(codec, pick.Location{Region: "north"}, func() *watch.State { return st },
 		func(*fleet.Server) (float64, float64) { return 100, 100 }, hclog.NewNullLogger(), WithRetryShare(0.2))
-	s.front = httptest.NewServer(s.edge)
+	s.front = httptest.NewUnstartedServer(s.edge)
+	s.port = pipe.New(s.front.Listener, pipe.WithConcurrent(s.edge.RunsConcurrently))
+	s.front.Listener = s.port
+	s.port.Attach(s.front.Config)
+	s.front.Start()
 	t.Cleanup(s.front.Close)
 	return s
 }
@@ -283,7 +289,7 @@
 
 func TestStopClosesConnections(t *testing.T) {
 	s := newFixture(t, 1, routes.Route{MaxAttempts: 1, Timeout: time.Second}, signed(200, "ok"))
-	s.edge.CloseConnections()
+	s.port.CloseConnections()
 	if res, _ := s.do(t, http.MethodGet, "/a/x", ""); res.StatusCode != http.StatusOK || !res.Close {
 		t.Errorf("status %d, close %v, want 200 and a response that closes the connection", res.StatusCode, res.Close)
 	}
--- a/hitchd/internal/edge/serve.go
+++ b/hitchd/internal/edge/serve.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"magnoliahitch/hitchd/internal/conns"
+	"magnoliahitch/hitchd/internal/pipe"
 	"magnoliahitch/links/clock"
 	"magnoliahitch/steer/crash"
 	"magnoliahitch/steer/pick"
@@ -25,7 +26,8 @@
 
 // exchange is a caller's request in progress.
 type exchange struct {
-	id          string
+	id string
+	// start is when the request arrived.
 	start       time.Time
 	route       *routes.Route
 	service     string
@@ -49,9 +51,12 @@
 func (e *Edge) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	e.running.Add(1)
 	defer e.running.Add(-1)
-	x := &exchange{id: r.Header.Get(e.codec.Headers.RequestID), start: clock.Now()}
-	if e.stopping.Load() {
-		w.Header().Set("Connection", "close")
+	x := &exchange{id: r.Header.Get(e.codec.Headers.RequestID)}
+	// A request that waited behind another one on its connection has used up that
+	// time of its deadline.
+	var known bool
+	if x.start, known = pipe.Arrived(r.Context()); !known {
+		x.start = clock.Now()
 	}
 	st := e.state()
 	if !st.Ready() {
@@ -87,7 +92,7 @@
 	if t := x.route.Timeout; t > 0 {
 		timeout = min(timeout, t)
 	}
-	ctx, cancel := context.WithTimeout(r.Context(), timeout)
+	ctx, cancel := context.WithTimeout(r.Context(), timeout-clock.Now().Sub(x.start))
 	defer cancel()
 	x.request = conns.Request{
 		ID: x.id, Method: r.Method, Target: target, Host: r.Host, Header: r.Header,
@@ -106,6 +111,22 @@
 	e.forward(ctx, w, x)
 }
 
+// RunsConcurrently reports whether a request without a body may run beside others of
+// its connection: its method is safe and its route idempotent, since callers repeat
+// requests behind a response that closes the connection.
+func (e *Edge) RunsConcurrently(method, host, target string) bool {
+	if method != http.MethodGet && method != http.MethodHead && method != http.MethodOptions {
+		return false
+	}
+	st := e.state()
+	if !st.Ready() {
+		return false
+	}
+	path, _, _ := strings.Cut(target, "?")
+	r := st.Table.Find(host, path)
+	return r != nil && r.Idempotent
+}
+
 // readBody buffers the body for retries. The part beyond maxBufferedBody is left
 // to be streamed.
 func (x *exchange) readBody(r *http.Request) error {
--- a/hitchd/internal/front/front.go
+++ b/hitchd/internal/front/front.go
@@ -11,6 +11,7 @@
 
 import (
 	"context"
+	"net"
 	"net/http"
 	"time"
 
@@ -18,6 +19,7 @@
 	"github.com/labstack/echo/v4"
 
 	"magnoliahitch/hitchd/internal/call"
+	"magnoliahitch/hitchd/internal/pipe"
 	"magnoliahitch/hitchd/internal/setup"
 	"magnoliahitch/links/clock"
 	"magnoliahitch/steer/config"
@@ -108,6 +110,19 @@
 	}
 }
 
+// Listen returns the listener through which the server accepts the connections of
+// raw, and attaches the server to it.
+func (f *Front) Listen(raw net.Listener, s *http.Server) *pipe.Listener {
+	l := pipe.New(raw, pipe.WithConcurrent(isConcurrent), pipe.WithStall(f.limits.StallTimeout))
+	l.Attach(s)
+	return l
+}
+
+// isConcurrent reports whether a request may run beside others of its connection.
+func isConcurrent(method, _, _ string) bool {
+	return method == http.MethodGet || method == http.MethodHead || method == http.MethodOptions
+}
+
 // serve forwards a request to the next stage and writes the response of the
 // upstream.
 func (f *Front) serve(c echo.Context) error {
--- a/hitchd/internal/front/front_test.go
+++ b/hitchd/internal/front/front_test.go
@@ -221,7 +221,7 @@
 		t.Fatal(err)
 	}
 	s := f.Server()
-	go s.Serve(l)
+	go s.Serve(f.Listen(l, s))
 	t.Cleanup(func() { s.Close() })
 	c, err := net.Dial("tcp", l.Addr().String())
 	if err != nil {
--- a/hitchd/internal/front/request.go
+++ b/hitchd/internal/front/request.go
@@ -12,6 +12,7 @@
 	"github.com/labstack/echo/v4"
 
 	"magnoliahitch/hitchd/internal/call"
+	"magnoliahitch/hitchd/internal/pipe"
 	"magnoliahitch/links/clock"
 	"magnoliahitch/steer/config"
 	"magnoliahitch/steer/place"
@@ -223,7 +224,8 @@
 }
 
 // deadline returns the earliest of three deadlines: the service's, that of the
-// route's timeout, if above 0, and the one in the caller's header, if present.
+// route's timeout, if above 0, and the one in the caller's header, if present. They
+// count from the arrival of the request, which may have waited behind another one.
 func (f *Front) deadline(req *http.Request, s config.Service, timeout time.Duration) (time.Time, error) {
 	ms := s.DeadlineMs
 	if timeout > 0 {
@@ -236,5 +238,9 @@
 		}
 		ms = min(ms, n)
 	}
-	return clock.Now().Add(time.Duration(ms) * time.Millisecond), nil
+	start, known := pipe.Arrived(req.Context())
+	if !known {
+		start = clock.Now()
+	}
+	return start.Add(time.Duration(ms) * time.Millisecond), nil
 }
--- a/hitchd/serve.go
+++ b/hitchd/serve.go
@@ -25,7 +25,9 @@
 		return err
 	}
 	n := newNode(s, keys, log)
-	callers := n.front().Server()
+	f := n.front()
+	callers := f.Server()
+	port := f.Listen(ports.Caller, callers)
 
 	var g run.Group
 	n.addLoops(&g)
@@ -33,8 +35,8 @@
 	addLoop(&g, func(ctx context.Context) error { return runLevel(ctx, log) })
 	addLoop(&g, func(ctx context.Context) error { return keys.run(ctx, s.Keys.Reload) })
 	addLoop(&g, func(ctx context.Context) error { return n.peers.Serve(ctx, ports.Peer) })
-	addServer(&g, callers, ports.Caller, s.Daemon.StopTimeout)
-	addStop(ctx, &g, &stopper{hosts: n.hosts, view: n.view, callers: callers, peers: n.peers, settings: s, log: log.Named("stop")})
+	addServer(&g, callers, port, s.Daemon.StopTimeout)
+	addStop(ctx, &g, &stopper{hosts: n.hosts, view: n.view, callers: callers, port: port, peers: n.peers, settings: s, log: log.Named("stop")})
 	addServer(&g, n.admin(keys.Token).Server(), ports.Operator, s.Daemon.StopTimeout)
 	log.Info("started", "caller", s.Listen.Caller, "peer", s.Listen.Peer, "operator", s.Listen.Operator)
 	err = g.Run()
--- a/hitchd/stop.go
+++ b/hitchd/stop.go
@@ -8,6 +8,7 @@
 	"github.com/hashicorp/go-hclog"
 	"github.com/oklog/run"
 
+	"magnoliahitch/hitchd/internal/pipe"
 	"magnoliahitch/hitchd/internal/setup"
 	"magnoliahitch/steer/config"
 )
@@ -43,6 +44,7 @@
 	hosts    cellHolder
 	view     configSource
 	callers  *http.Server
+	port     *pipe.Listener
 	peers    shutdowner
 	settings setup.Settings
 	log      hclog.Logger
@@ -72,12 +74,21 @@
 	time.Sleep(ttl + settleDelay)
 	s.runStep(handoverTimeout, "hand over cells", s.hosts.HandOver)
 	time.Sleep(settleDelay)
-	s.callers.SetKeepAlivesEnabled(false)
-	s.runStep(s.settings.Daemon.StopTimeout, "finish callers' requests", s.callers.Shutdown)
+	s.runStep(s.settings.Daemon.StopTimeout, "finish callers' requests", s.finishCallers)
 	s.runStep(s.settings.Daemon.StopTimeout, "finish hosts' requests", s.peers.Shutdown)
 	s.log.Info("stopped", "after", time.Since(began))
 }
 
+// finishCallers waits for the callers' requests. The server's own shutdown closes
+// connections that it takes for idle although a request has just been read from
+// them, so these are drained first.
+func (s *stopper) finishCallers(ctx context.Context) error {
+	if err := s.port.Drain(ctx); err != nil {
+		return err
+	}
+	return s.callers.Shutdown(ctx)
+}
+
 // runStep runs one step of the stop within the timeout and logs its error.
 func (s *stopper) runStep(timeout time.Duration, step string, f func(context.Context) error) {
 	ctx, cancel := context.WithTimeout(context.Background(), timeout)
--- a/hitchd/stop_test.go
+++ b/hitchd/stop_test.go
@@ -13,6 +13,7 @@
 	"github.com/hashicorp/go-hclog"
 	"github.com/oklog/run"
 
+	"magnoliahitch/hitchd/internal/pipe"
 	"magnoliahitch/hitchd/internal/setup"
 	"magnoliahitch/steer/config"
 )
@@ -91,15 +92,17 @@
 			once.Do(func() { close(warm) })
 		}
 	})}
+	port := pipe.New(listener)
+	port.Attach(server)
 	ctx, stop := context.WithCancel(t.Context())
 	l, peers := &fakeCellHolder{}, &fakeShutdowner{}
 	s := &stopper{
-		hosts: l, view: fixedView{&config.Config{}}, callers: server, peers: peers,
+		hosts: l, view: fixedView{&config.Config{}}, callers: server, port: port, peers: peers,
 		settings: setup.Settings{Caller: setup.Caller{LookupTTL: stopTTL}, Daemon: setup.Daemon{StopTimeout: time.Minute}},
 		log:      hclog.NewNullLogger(),
 	}
 	var g run.Group
-	addServer(&g, server, listener, time.Minute)
+	addServer(&g, server, port, time.Minute)
 	addStop(ctx, &g, s)
 	done := make(chan error)
 	go func() { done <- g.Run() }()
