soak: let callers pipeline requests

Cause: the soak's callers sent one request at a time, so that nothing of package pipe was met by faults.

Change: a quarter of the exchanges has up to five more safe requests behind the first. A new invariant: requests behind a response that closes the connection reach no server.

--- a/standin/internal/soak/caller.go
+++ b/standin/internal/soak/caller.go
@@ -39,11 +39,15 @@
 	// stickyShare is the share of callers that use an open connection until it
 	// ends, even when lookups no longer return its host.
 	stickyShare = 0.5
+	// pipelineShare is the share of exchanges in which further safe requests follow
+	// before the first response, up to maxPipelined in all.
+	pipelineShare = 0.25
+	maxPipelined  = 6
 	// lateWait is how long after the timeout a caller still waits for a late response.
 	lateWait = time.Second
 )
 
-// caller sends requests one at a time over a single connection.
+// caller sends requests over a single connection, one at a time or pipelined.
 type caller struct {
 	world  *World
 	name   string
@@ -78,7 +82,7 @@
 	}
 }
 
-// call sends one request. It returns without one when no host accepts a connection.
+// call sends one request, or several pipelined ones. It returns without one when no host accepts a connection.
 func (c *caller) call(ctx context.Context) {
 	c.resolve(ctx)
 	if c.conn != nil && !c.sticky && !slices.Contains(c.addrs, c.host.Addr) {
@@ -87,9 +91,11 @@
 	if c.conn == nil && !c.connect() {
 		return
 	}
-	a, body := c.nextRequest()
-	c.world.ledger.Send(a)
-	c.exchange(a, body)
+	count := 1
+	if c.rand.Float64() < pipelineShare {
+		count = 2 + c.rand.IntN(maxPipelined-1)
+	}
+	c.exchange(count, c.nextRequest)
 }
 
 // resolve queries a nearby host for the hosts to use, once the last result's
@@ -157,10 +163,14 @@
 	return true
 }
 
-// nextRequest draws the next request and its body.
-func (c *caller) nextRequest() (Attempt, []byte) {
+// nextRequest draws a request and its body. One that is pipelined behind others is
+// safe.
+func (c *caller) nextRequest(pipelined bool) (Attempt, []byte) {
 	c.count++
 	route := c.world.route(c.rand)
+	for pipelined && route.unsafe {
+		route = c.world.route(c.rand)
+	}
 	a := Attempt{
 		ID: fmt.Sprintf("%s-%d", c.name, c.count), Host: c.host.Name, Incarnation: c.hostStart, Route: route.prefix, Method: http.MethodGet,
 		Target: fmt.Sprintf("%sitem/%d?of=%d", route.prefix, c.rand.IntN(objects), c.count), Unsafe: route.unsafe, Timeout: callerTimeout,
@@ -178,35 +188,65 @@
 	return a, body
 }
 
-// exchange sends the request, waits for its response and records the outcome in the ledger.
-func (c *caller) exchange(a Attempt, body []byte) {
+// exchange sends the requests that next returns one after the other, then reads
+// their responses in order and records the outcomes in the ledger.
+func (c *caller) exchange(count int, next func(pipelined bool) (Attempt, []byte)) {
 	leave := c.rand.Float64() < cancelShare
-	wait := a.EffectiveTimeout + lateWait
-	if leave {
-		wait = time.Duration(c.rand.Int64N(int64(100 * time.Millisecond)))
+	var sent []Attempt
+	for i := range count {
+		a, body := next(i > 0)
+		c.world.ledger.Send(a)
+		sent = append(sent, a)
+		_ = c.conn.SetDeadline(a.Sent.Add(connectTimeout))
+		if err := c.write(a, body); err != nil {
+			// The read fails too, but for a response that came before.
+			break
+		}
+		if c.rand.IntN(3) == 0 {
+			time.Sleep(time.Duration(c.rand.Int64N(int64(10 * time.Millisecond))))
+		}
 	}
-	_ = c.conn.SetDeadline(a.Sent.Add(wait))
-	err := c.write(a, body)
-	var out Response
-	closing := true
-	if err == nil {
-		out, closing, err = c.read(a)
+	left := time.Now().Add(time.Duration(c.rand.Int64N(int64(100 * time.Millisecond))))
+	for i, a := range sent {
+		end := a.Sent.Add(a.EffectiveTimeout + lateWait)
+		if leave {
+			end = left
+		}
+		_ = c.conn.SetDeadline(end)
+		out, closing, err := c.read(a)
+		if err != nil {
+			c.failed(sent[i:], err, leave)
+			return
+		}
+		c.world.ledger.Responded(time.Now(), a.ID, out)
+		if closing {
+			c.close()
+			for _, behind := range sent[i+1:] {
+				c.world.ledger.Unread(time.Now(), behind.ID)
+			}
+			return
+		}
 	}
-	now := time.Now()
-	var slow net.Error
-	switch {
-	case err == nil:
-		c.world.ledger.Responded(now, a.ID, out)
-	case errors.As(err, &slow) && slow.Timeout() && leave:
+	if c.in.Buffered() > 0 {
 		c.close()
-		c.world.ledger.Cancelled(time.Now(), a.ID)
-	case errors.As(err, &slow) && slow.Timeout():
-		c.world.ledger.TimedOut(now, a.ID)
-	default:
-		c.world.ledger.ConnectionClosed(now, a.ID, err.Error())
 	}
-	if closing {
-		c.close()
+}
+
+// failed closes the connection and records the outcome of the attempts that have no
+// response.
+func (c *caller) failed(rest []Attempt, err error, leave bool) {
+	c.close()
+	now := time.Now()
+	var slow net.Error
+	for _, a := range rest {
+		switch {
+		case errors.As(err, &slow) && slow.Timeout() && leave:
+			c.world.ledger.Cancelled(now, a.ID)
+		case errors.As(err, &slow) && slow.Timeout():
+			c.world.ledger.TimedOut(now, a.ID)
+		default:
+			c.world.ledger.ConnectionClosed(now, a.ID, err.Error())
+		}
 	}
 }
 
@@ -233,8 +273,7 @@
 	return err
 }
 
-// read returns the response and whether the connection must be closed, either
-// because the host says so or because bytes follow the response.
+// read returns the response and whether it closes the connection.
 func (c *caller) read(a Attempt) (Response, bool, error) {
 	res, err := http.ReadResponse(c.in, &http.Request{Method: a.Method})
 	if err != nil {
@@ -247,5 +286,5 @@
 	out := Response{
 		Status: res.StatusCode, ID: res.Header.Get(platform.HeaderRequestID), Signed: res.Header.Get(platform.HeaderSignature) != "", Checksum: Checksum(body),
 	}
-	return out, res.Close || c.in.Buffered() > 0, nil
+	return out, res.Close, nil
 }
--- a/standin/internal/soak/invariant.go
+++ b/standin/internal/soak/invariant.go
@@ -99,6 +99,9 @@
 	PlannedStopCutsNothing Invariant = "plannedStopCutsNothing"
 	// NoConnectionClosed: hosts without a fault close no connection before the response is complete.
 	NoConnectionClosed Invariant = "nothingCut"
+	// NothingBehindClose: requests behind a response that closes the connection reach
+	// no server.
+	NothingBehindClose Invariant = "nothingBehindClose"
 	// ColdRate: the rate of requests to a server in warm-up is limited.
 	ColdRate Invariant = "coldRate"
 	// RetryBudget: the retries of a service's requests stay within a budget.
--- a/standin/internal/soak/ledger.go
+++ b/standin/internal/soak/ledger.go
@@ -45,6 +45,8 @@
 	cancelled time.Time
 	ended     time.Time
 	success   bool
+	// unread is set when the response to a request before it closed the connection.
+	unread bool
 }
 
 // arrival is a request that reached a server.
@@ -183,6 +185,9 @@
 		l.addViolation(now, OwnRequest, nil, "server %s received request %q, which no caller sent", server, id)
 		return
 	}
+	if r.unread {
+		l.addViolation(now, NothingBehindClose, r, "reached server %s after the response before it had closed the connection", server)
+	}
 	l.arrivals++
 	r.arrivals = append(r.arrivals, arrival{server, now})
 	l.checkLeaving(now, r, u)
--- a/standin/internal/soak/ledger_test.go
+++ b/standin/internal/soak/ledger_test.go
@@ -61,6 +61,20 @@
 			recordRun(l, "r", "s1", 10)
 			l.Responded(at(10.1), "r", complete("q"))
 		}},
+		{"unread request behind a closing response", "", func(l *Ledger, _ *Disturbances) {
+			recordAttempt(l, "r", 10, true)
+			l.Unread(at(10.1), "r")
+		}},
+		{"request behind a closing response reached a server", NothingBehindClose, func(l *Ledger, _ *Disturbances) {
+			recordAttempt(l, "r", 10, false)
+			recordRun(l, "r", "s1", 10)
+			l.Unread(at(10.1), "r")
+		}},
+		{"request behind a closing response reaches a server later", NothingBehindClose, func(l *Ledger, _ *Disturbances) {
+			recordAttempt(l, "r", 10, false)
+			l.Unread(at(10.1), "r")
+			recordRun(l, "r", "s1", 10.2)
+		}},
 		{"truncated response", CompleteResponse, func(l *Ledger, _ *Disturbances) {
 			recordAttempt(l, "r", 10, false)
 			recordRun(l, "r", "s1", 10)
--- a/standin/internal/soak/operator.go
+++ b/standin/internal/soak/operator.go
@@ -171,10 +171,10 @@
 	}
 	c.count++
 	prefix := fmt.Sprintf("%s%d/", versionPrefix, version)
-	a := Attempt{
-		ID: fmt.Sprintf("%s-%d", c.name, c.count), Host: c.host.Name, Incarnation: c.hostStart, Route: prefix, Method: http.MethodGet,
-		Target: prefix + "probe", Checksum: Checksum(nil), Sent: time.Now(), Timeout: callerTimeout, EffectiveTimeout: routeTimeout,
-	}
-	c.world.ledger.Send(a)
-	c.exchange(a, nil)
+	c.exchange(1, func(bool) (Attempt, []byte) {
+		return Attempt{
+			ID: fmt.Sprintf("%s-%d", c.name, c.count), Host: c.host.Name, Incarnation: c.hostStart, Route: prefix, Method: http.MethodGet,
+			Target: prefix + "probe", Checksum: Checksum(nil), Sent: time.Now(), Timeout: callerTimeout, EffectiveTimeout: routeTimeout,
+		}, nil
+	})
 }
--- a/standin/internal/soak/outcome.go
+++ b/standin/internal/soak/outcome.go
@@ -99,6 +99,18 @@
 	}
 }
 
+// Unread records that the request was sent behind one whose response closed the
+// connection. It must not reach a server: its caller sends it again.
+func (l *Ledger) Unread(now time.Time, id string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	r := l.attempts[id]
+	r.ended, r.unread = now, true
+	if len(r.arrivals) > 0 {
+		l.addViolation(now, NothingBehindClose, r, "reached %d servers, and the response before it closed the connection", len(r.arrivals))
+	}
+}
+
 // TimedOut records that no response came while the caller waited, which is past the route's timeout.
 func (l *Ledger) TimedOut(now time.Time, id string) {
 	l.mu.Lock()
