conns: bound what a server may send, and ask for a request's id

Cause: heads, skipped responses and bodies of servers were read without bound (1 GB in 3 s, 4 GB of memory held), and a response without an id on a reused connection counted as the response to the request.

Change: 64 KiB for a header with the informational responses before it, 64 KiB for the body of a response to another request, 1 GiB for a body, whose time the deadline bounds. Past a bound the connection is closed and the outcome is unknown. A response without an id only counts on a connection that has carried no other request; servers repeat the id. The body of a refusal is dropped with its connection. Responses to HEAD keep their length.

--- a/hitchd/internal/conns/pool.go
+++ b/hitchd/internal/conns/pool.go
@@ -68,7 +68,9 @@
 // conn is a connection to one server.
 type conn struct {
 	net.Conn
-	addr   string
+	addr string
+	// in bounds what reader reads.
+	in     *bounded
 	reader *bufio.Reader
 	// idleSince is when the connection became idle. idleTimeout is how long it may
 	// stay idle: the time that keepAliveTimeout returned for the server's latest
@@ -103,7 +105,24 @@
 	if err != nil {
 		return nil, closed, err
 	}
-	return &conn{Conn: raw, addr: addr, reader: bufio.NewReaderSize(raw, bufferSize), idleTimeout: idleMax}, closed, nil
+	in := &bounded{conn: raw}
+	return &conn{Conn: raw, addr: addr, in: in, reader: bufio.NewReaderSize(in, bufferSize), idleTimeout: idleMax}, closed, nil
+}
+
+// bounded reads at most left bytes from the connection.
+type bounded struct {
+	conn net.Conn
+	left int64
+}
+
+// Read reads from the connection. It returns errTooLong at the bound.
+func (b *bounded) Read(p []byte) (int, error) {
+	if b.left <= 0 {
+		return 0, errTooLong
+	}
+	n, err := b.conn.Read(p[:min(int64(len(p)), b.left)])
+	b.left -= int64(n)
+	return n, err
 }
 
 func (p *Pool) take(addr string) *conn {
--- a/hitchd/internal/conns/read.go
+++ b/hitchd/internal/conns/read.go
@@ -36,8 +36,8 @@
 
 // read returns the response to this request. It skips up to maxSkipped responses
 // with the id of another request, such as a late second response to an earlier
-// one; the connection is not reused then. A response without an id counts as the
-// response to this request.
+// one; the connection is not reused then. A response without an id can only belong
+// to this request on a connection that has carried no other.
 func (x *exchange) read() (*Response, error) {
 	for skipped := 0; ; skipped++ {
 		res, err := x.readHeader()
@@ -45,12 +45,18 @@
 			return nil, err
 		}
 		id := res.Header.Get(x.pool.headers.RequestID)
-		if id == "" || id == x.request.ID {
+		switch {
+		case id == x.request.ID:
 			return x.readBody(res, skipped > 0)
+		case id == "" && (x.reused || skipped > 0):
+			return nil, errNoID
+		case id == "":
+			return x.readBody(res, false)
 		}
 		if skipped == maxSkipped || res.ContentLength < 0 && len(res.TransferEncoding) == 0 {
 			return nil, errOtherRequest
 		}
+		x.conn.in.left = maxSkippedBody
 		if _, err := io.Copy(io.Discard, res.Body); err != nil {
 			return nil, errors.Wrap(err, "skip response to another request")
 		}
@@ -60,6 +66,7 @@
 // readHeader reads the header of the next final response and skips informational
 // ones.
 func (x *exchange) readHeader() (*http.Response, error) {
+	x.conn.in.left = maxResponseHeader
 	for {
 		res, err := http.ReadResponse(x.conn.reader, &http.Request{Method: x.request.Method})
 		if err != nil {
@@ -78,6 +85,10 @@
 	if n := keepAliveTimeout(res.Header); n > 0 {
 		x.conn.idleTimeout = n
 	}
+	if res.ContentLength > maxResponseBody && x.request.Method != http.MethodHead {
+		return nil, errors.Wrapf(errTooLong, "read body of %d bytes", res.ContentLength)
+	}
+	x.conn.in.left = maxResponseBody
 	body, err := io.ReadAll(io.LimitReader(res.Body, maxBufferedResponse))
 	if err != nil {
 		return nil, errors.Wrapf(err, "read body after %d bytes", len(body))
@@ -87,7 +98,9 @@
 		a.Stream = &stream{Reader: res.Body, onEnd: func(err error) { x.release(reusable && err == nil) }}
 		return a, nil
 	}
-	a.Length = int64(len(body))
+	if x.request.Method != http.MethodHead {
+		a.Length = int64(len(body))
+	}
 	x.release(reusable)
 	return a, nil
 }
@@ -119,6 +132,11 @@
 	case x.request.Check:
 		return a, result.Done, nil
 	case a.Header.Get(w.NotRun) != "" || a.Status == http.StatusMisdirectedRequest:
+		if a.Stream != nil {
+			// Such a response isn't passed on, so its body isn't read to the end.
+			_ = a.Stream.Close()
+			a.Stream = nil
+		}
 		return a, result.NotRun, nil
 	case a.Status >= 200 && a.Status < 300 && !a.Signed(w):
 		return nil, result.Unknown, errUnsigned
--- a/hitchd/internal/conns/send.go
+++ b/hitchd/internal/conns/send.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"strconv"
 	"strings"
+	"sync/atomic"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -32,10 +33,17 @@
 	Load string
 }
 
-// Sizes of messages in bytes.
+// Sizes of messages in bytes. A server in trouble may send without end, and an
+// exchange must take less than 1 MB of memory.
 const (
-	// maxResponseHeader is a limit for the header of a response. It is not enforced.
+	// maxResponseHeader bounds the header of a response together with the
+	// informational responses before it.
 	maxResponseHeader = 64 << 10
+	// maxResponseBody bounds the body of a response. Bodies are streamed, so that it
+	// is far above the length of any body that arrives before a deadline.
+	maxResponseBody = 1 << 30
+	// maxSkippedBody bounds the body of a response to another request.
+	maxSkippedBody = 64 << 10
 	// maxBufferedResponse is the number of body bytes that are read before a
 	// response is returned. A body of this length or more is streamed.
 	maxBufferedResponse = 256 << 10
@@ -50,6 +58,8 @@
 // Errors of attempts.
 var (
 	errOtherRequest = errors.New("answer belongs to another request")
+	errNoID         = errors.New("answer on a reused connection has no request id")
+	errTooLong      = errors.New("answer exceeds its limit")
 	errUnsigned     = errors.New("success without the server's signature")
 	errEncoded      = errors.New("response has a Content-Encoding header; want an unencoded body")
 )
@@ -81,7 +91,8 @@
 	// Body is the complete body, or its start when Stream has the rest.
 	Body   []byte
 	Stream io.ReadCloser
-	// Length is the length of the complete body in bytes, -1 if it isn't known.
+	// Length is the length of the complete body in bytes, -1 if it isn't known. That of
+	// a response to HEAD is the one that the server announced.
 	Length int64
 	// StaleClosed reports that the server had closed idle connections before their
 	// idle timeout.
@@ -124,6 +135,8 @@
 	written      chan struct{}
 	writeErr     error
 	bytesWritten int64
+	// streamErr is the error of reading the rest of the body, or of writing it.
+	streamErr atomic.Pointer[error]
 }
 
 func (x *exchange) run(ctx context.Context, id string) (*Response, result.Outcome, error) {
@@ -147,6 +160,9 @@
 	}
 	a, err := x.read()
 	if err != nil {
+		if cause := x.streamErr.Load(); cause != nil {
+			err = *cause
+		}
 		return nil, result.Unknown, err
 	}
 	return x.classify(a)
@@ -164,6 +180,7 @@
 	if err != nil {
 		x.writeErr = errors.Wrap(err, "write request")
 		if rest != nil {
+			x.streamErr.Store(&x.writeErr)
 			_ = x.conn.Close()
 		}
 	}
--- a/hitchd/internal/relay/poll.go
+++ b/hitchd/internal/relay/poll.go
@@ -23,6 +23,8 @@
 	pollPath = "/poll"
 	// maxResponse bounds the size of a response in bytes.
 	maxResponse = 16 << 20
+	// maxResponseHeader bounds the header of a response in bytes.
+	maxResponseHeader = 16 << 10
 	// peerIdle is how long an idle connection to another host is kept.
 	peerIdle = 10 * time.Second
 )
@@ -60,7 +62,7 @@
 }
 
 var client = &http.Client{Timeout: pollTimeout, Transport: &http.Transport{
-	DialContext: conns.Dialer().DialContext, MaxIdleConnsPerHost: 1, IdleConnTimeout: peerIdle, DisableCompression: true,
+	DialContext: conns.Dialer().DialContext, MaxIdleConnsPerHost: 1, IdleConnTimeout: peerIdle, DisableCompression: true, MaxResponseHeaderBytes: maxResponseHeader,
 }}
 
 // poll requests the changes that this host lacks from the host h and applies them.
