edge: pass ready responses on whole, and no broken one as complete

A response that broke off was complete for a caller of HTTP/1.0, whose framing ends with the connection. The stream of a 5xx over 256 KiB was closed before its retry, so that it was cut when the retry got none. A ready 5xx was replaced by 504 when the deadline ended its retry. A server whose long response broke off counted as good. A streamed body over the limit got 200 or 502.

Change: the response of an earlier attempt is kept until a better one comes, also past the deadline; pipe resets the connection of a handler that panics in HTTP/1.0; picks record broken streams; 413 for a body that turns out too long. Ports for probes, lookups and other hosts bound headers and time.

--- a/Makefile
+++ b/Makefile
@@ -12,11 +12,13 @@
 PORT := 17000
 # Seeds of the fault soak; a fresh one is drawn when there are none.
 SEEDS :=
+# Length of a fuzz run of each target, as a number of inputs (x) or a time.
+FUZZTIME := 3000x
 # What --version prints.
 VERSION := $(shell git describe --tags --always --dirty 2>/dev/null || echo development)
 export GOFLAGS :=
 
-.PHONY: all build tools gopls test fmt lint unit bench demo soak clean
+.PHONY: all build tools gopls test fmt lint unit fuzz bench demo soak clean
 
 all: build
 
@@ -49,6 +51,10 @@
 unit:
 	@.ci/unit $(MODULES)
 
+fuzz:
+	cd hitchd && go test -run '^$$' -fuzz FuzzResponse -fuzztime $(FUZZTIME) -fuzzminimizetime 5x ./internal/conns
+	cd hitchd && go test -run '^$$' -fuzz FuzzFraming -fuzztime $(FUZZTIME) -fuzzminimizetime 5x ./internal/pipe
+
 bench:
 	@set -e; for m in $(MODULES); do (cd $$m && go test -run '^$$' -bench . -benchmem ./...); done
 
--- a/hitchd/edge.go
+++ b/hitchd/edge.go
@@ -37,6 +37,11 @@
 	callerIdleTimeout = 2 * time.Minute
 	// headerTimeout bounds the time to read a request's header.
 	headerTimeout = 10 * time.Second
+	// maxCallerHeader bounds a caller's request header in bytes, above any limit that
+	// operators set. maxOtherHeader bounds the headers of probes, lookups and other
+	// hosts, which have few.
+	maxCallerHeader = 256 << 10
+	maxOtherHeader  = 16 << 10
 	// readyTimeout is the maximum wait of callers' connections for a starting host.
 	// Callers abandon a host that has not read their request after one second.
 	readyTimeout = 800 * time.Millisecond
@@ -102,7 +107,7 @@
 		return err
 	}
 	h := newEdgeHost(s, log)
-	callers := &http.Server{Handler: h.edge, IdleTimeout: callerIdleTimeout, ReadHeaderTimeout: headerTimeout, ErrorLog: httpErrorLog(log)}
+	callers := &http.Server{Handler: h.edge, IdleTimeout: callerIdleTimeout, ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: maxCallerHeader, ErrorLog: httpErrorLog(log)}
 	port := pipe.New(l.caller, pipe.WithConcurrent(h.edge.RunsConcurrently))
 	port.Attach(callers)
 	var g run.Group
@@ -117,14 +122,14 @@
 	addLoop(&g, h.tick)
 	addLoop(&g, func(ctx context.Context) error { return h.reload(ctx, path, reload) })
 	addListener(&g, callers, port, h.awaitReady)
-	addListener(&g, &http.Server{Handler: h.entryHandler()}, l.ready)
-	addListener(&g, &http.Server{Handler: h.entryHandler()}, l.lookup)
-	addListener(&g, &http.Server{Handler: h.relay.Handler()}, l.peer)
+	addListener(&g, boundedServer(h.entryHandler()), l.ready)
+	addListener(&g, boundedServer(h.entryHandler()), l.lookup)
+	addListener(&g, boundedServer(h.relay.Handler()), l.peer)
 	if l.control != nil {
-		addListener(&g, &http.Server{Handler: h.relay.Handler()}, l.control)
+		addListener(&g, boundedServer(h.relay.Handler()), l.control)
 	}
 	if l.metrics != nil {
-		addListener(&g, &http.Server{Handler: h.entryHandler()}, l.metrics)
+		addListener(&g, boundedServer(h.entryHandler()), l.metrics)
 	}
 	addEdgeStop(ctx, &g, h, callers, port)
 	log.Info("started", "caller", s.Listen.Caller, "lookup", s.Listen.Lookup, "peer", s.Listen.Peer, "store", s.Store)
@@ -135,6 +140,12 @@
 	return err
 }
 
+// boundedServer returns a server for probes, lookups and other hosts. Their requests
+// are read completely within headerTimeout.
+func boundedServer(handler http.Handler) *http.Server {
+	return &http.Server{Handler: handler, ReadTimeout: headerTimeout, IdleTimeout: callerIdleTimeout, MaxHeaderBytes: maxOtherHeader}
+}
+
 // addListener adds an HTTP server to the group. It runs the functions in before,
 // then serves until the group ends. A server that a planned stop has shut down
 // doesn't end the group.
--- a/hitchd/internal/edge/response.go
+++ b/hitchd/internal/edge/response.go
@@ -25,7 +25,7 @@
 
 // writeResponse passes the server's response on unchanged, without the headers
 // that concern only the connection to the server.
-func (e *Edge) writeResponse(w http.ResponseWriter, x *exchange, a *conns.Response) {
+func (e *Edge) writeResponse(w http.ResponseWriter, s *service, x *exchange, a received) {
 	h := w.Header()
 	perConnection := conns.ConnectionHeaders(a.Header)
 	for name, values := range a.Header {
@@ -42,12 +42,19 @@
 		h.Set("Content-Length", fmt.Sprint(a.Length))
 	}
 	w.WriteHeader(a.Status)
-	_, err := io.Copy(w, a.Reader())
-	if a.Stream != nil {
-		_ = a.Stream.Close()
+	_, err := w.Write(a.Body)
+	var broken error
+	if err == nil && a.Stream != nil {
+		rest := &bodyReader{Reader: a.Stream}
+		_, err = io.Copy(w, rest)
+		broken = rest.err
 	}
+	a.discard()
 	if err != nil {
 		x.lastErr = err
+		if broken != nil && clock.Now().Before(x.request.Deadline) {
+			s.picker.RecordBroken(clock.Now(), a.server)
+		}
 		e.record(x, a.Status, result.ReasonUpstream)
 		// Aborts the connection, so that the caller doesn't take a truncated body
 		// for a complete one.
@@ -56,6 +63,21 @@
 	e.record(x, a.Status, "")
 }
 
+// bodyReader reads a server's body and keeps the error that broke it off.
+type bodyReader struct {
+	io.Reader
+	err error
+}
+
+// Read reads from the body.
+func (b *bodyReader) Read(p []byte) (int, error) {
+	n, err := b.Reader.Read(p)
+	if err != nil && err != io.EOF {
+		b.err = err
+	}
+	return n, err
+}
+
 // refuse responds with status 503 and Retry-After to a request that has not run.
 func (e *Edge) refuse(w http.ResponseWriter, x *exchange, reason result.Reason) {
 	w.Header().Set("Retry-After", e.codec.RetryAfter(minRetryAfter+rand.N(retryAfterSpread)))
@@ -98,6 +120,6 @@
 	return metrics.GetOrCreateHistogram(fmt.Sprintf(`hitch_edge_request_seconds{service=%q}`, service))
 }
 
-func attempts(service string, r pick.Result) *metrics.Counter {
+func attemptResults(service string, r pick.Result) *metrics.Counter {
 	return metrics.GetOrCreateCounter(fmt.Sprintf(`hitch_edge_attempts_total{service=%q,result=%q}`, service, r))
 }
--- a/hitchd/internal/edge/run.go
+++ b/hitchd/internal/edge/run.go
@@ -25,45 +25,68 @@
 
 // forward sends the request to servers until one responds or a retry is not
 // allowed. An idempotent request is also retried after a 5xx response; the last
-// response is passed on if no retry gets one below 500.
+// response is passed on if no retry gets one below 500, also after the deadline.
 func (e *Edge) forward(ctx context.Context, w http.ResponseWriter, x *exchange) {
 	s := e.service(x.service)
-	var response *conns.Response
+	response := e.attempts(ctx, s, x)
+	switch {
+	case errors.Is(ctx.Err(), context.Canceled):
+		response.discard()
+		e.record(x, 0, result.ReasonCanceled)
+		panic(http.ErrAbortHandler)
+	case response.Response != nil:
+		e.writeResponse(w, s, x, response)
+	case x.expired:
+		e.endExpired(w, x)
+	default:
+		e.fail(w, x)
+	}
+}
+
+// received is a response with the server that sent it.
+type received struct {
+	*conns.Response
+	server string
+}
+
+// discard closes the connection of a response that isn't passed on.
+func (a received) discard() {
+	if a.Response != nil && a.Stream != nil {
+		_ = a.Stream.Close()
+	}
+}
+
+// attempts sends the request to servers and returns the response to pass on, if
+// there is one. It sets x.expired if it ends because of the deadline.
+func (e *Edge) attempts(ctx context.Context, s *service, x *exchange) (response received) {
 	for dials := 0; ; dials++ {
 		now := clock.Now()
 		if ctx.Err() != nil || x.request.Deadline.Sub(now) < minRemaining && x.attempts > 0 {
-			e.endExpired(ctx, w, x)
-			return
+			x.expired = true
+			return response
 		}
 		c := s.picker.Choose(now, e.state().Fleet, pick.Request{Service: x.service, Object: x.object, Regions: x.route.Regions, Tried: x.tried})
 		e.check(ctx, s, c.Check)
 		if c.Reason != pick.Chosen {
-			break
+			return response
 		}
 		a, outcome, sent := e.attempt(ctx, s, x, c)
 		x.mayHaveRun = x.mayHaveRun || outcome == result.Unknown
-		if ctx.Err() != nil && (a == nil || outcome == result.NotRun) {
-			e.endExpired(ctx, w, x)
-			return
-		}
 		if a != nil && outcome == result.Done {
-			response = a
+			response.discard()
+			response = received{a, c.Server.ID}
 			if a.Status < http.StatusInternalServerError || !x.route.Idempotent {
-				break
+				return response
 			}
 		}
-		if !e.mayRetry(s, x, outcome, sent, dials) {
-			break
+		if ctx.Err() != nil {
+			x.expired = true
+			return response
 		}
-		if response != nil && response.Stream != nil {
-			_ = response.Stream.Close()
+		if !e.mayRetry(s, x, outcome, sent, dials) {
+			return response
 		}
 	}
-	if response != nil {
-		e.writeResponse(w, x, response)
-		return
-	}
-	e.fail(w, x)
 }
 
 // mayRetry reports whether the request may be sent to another server after an
@@ -109,7 +132,7 @@
 	if res == pick.ConnectionLost {
 		go e.crashes.ConnectionLost(context.WithoutCancel(ctx), x.fingerprint, c.Server.ID, c.Server.Addr)
 	}
-	attempts(x.service, res).Inc()
+	attemptResults(x.service, res).Inc()
 	if res != pick.Succeeded {
 		e.log.Info("attempt failed", "request", x.id, "server", c.Server.ID, "address", c.Server.Addr, "result", res.String(),
 			"outcome", outcome.String(), "tookMs", ms(took), "rank", c.Rank, "load", c.Load, "usable", c.Usable, "error", err)
@@ -136,14 +159,9 @@
 	return pick.Succeeded
 }
 
-// endExpired ends a request whose deadline passed or is too close for a retry, or
-// whose caller closed the connection. After a deadline, a request that no server
-// received is refused with status 503, and all others get status 504.
-func (e *Edge) endExpired(ctx context.Context, w http.ResponseWriter, x *exchange) {
-	if errors.Is(ctx.Err(), context.Canceled) {
-		e.record(x, 0, result.ReasonCanceled)
-		panic(http.ErrAbortHandler)
-	}
+// endExpired responds to a request whose deadline passed or is too close for a
+// retry: status 503 if no server received it, else 504.
+func (e *Edge) endExpired(w http.ResponseWriter, x *exchange) {
 	if !x.mayHaveRun && x.attempts == 0 {
 		e.refuse(w, x, result.ReasonDeadline)
 		return
@@ -152,9 +170,13 @@
 	http.Error(w, "no server answered in time", http.StatusGatewayTimeout)
 }
 
-// fail responds to a request without a server's response: status 503 if it has
-// not run, else 502.
+// fail responds to a request without a server's response: status 413 if its streamed
+// body is longer than the limit, 503 if it has not run, else 502.
 func (e *Edge) fail(w http.ResponseWriter, x *exchange) {
+	if tooLong := (*http.MaxBytesError)(nil); errors.As(x.lastErr, &tooLong) {
+		e.rejectBody(w, x, tooLong)
+		return
+	}
 	if !x.mayHaveRun {
 		reason := result.ReasonNoServer
 		if x.attempts > 0 {
--- a/hitchd/internal/edge/serve.go
+++ b/hitchd/internal/edge/serve.go
@@ -38,8 +38,9 @@
 	// the server may have received the request.
 	tried    []string
 	attempts int
-	// mayHaveRun is set once an attempt had an unknown outcome.
-	mayHaveRun bool
+	// mayHaveRun is set once an attempt had an unknown outcome, expired when the
+	// attempts ended because of the deadline.
+	mayHaveRun, expired bool
 	// lastChoice is the server selection of the last attempt, lastErr its error.
 	lastChoice pick.Choice
 	lastErr    error
--- a/hitchd/internal/pipe/caller.go
+++ b/hitchd/internal/pipe/caller.go
@@ -65,9 +65,9 @@
 	// idleTime is the duration of the latest read deadline when it was set.
 	idleTime time.Duration
 	// err is why the connection has no more requests. closed is set once the
-	// connection is closed.
-	err    error
-	closed bool
+	// connection is closed, reset if that must not look like an orderly end.
+	err           error
+	closed, reset bool
 	// writeDeadlineSet is when the write deadline was last set. Only the writer whose
 	// turn it is uses it.
 	writeDeadlineSet time.Time
@@ -555,13 +555,29 @@
 	c.closed = true
 	c.end(net.ErrClosed)
 	c.listener.forget(c)
-	if c.err == net.ErrClosed && (c.pipelined || c.listener.isDraining()) {
+	if c.err == net.ErrClosed && !c.reset && (c.pipelined || c.listener.isDraining()) {
 		go linger(c.raw, time.Now())
 		return
 	}
 	_ = c.raw.Close()
 }
 
+// resetOnPanic makes a handler that panics reset the connection. A response in
+// HTTP/1.0 may end with its connection, and an orderly close would make one that
+// broke off complete.
+func (c *caller) resetOnPanic() {
+	cause := recover()
+	if cause == nil {
+		return
+	}
+	if t, ok := c.raw.(interface{ SetLinger(sec int) error }); ok && t.SetLinger(0) == nil {
+		c.mu.Lock()
+		c.reset = true
+		c.mu.Unlock()
+	}
+	panic(cause)
+}
+
 // linger ends the responses and closes the connection when the caller has closed
 // its side, or after lingerTime.
 func linger(raw net.Conn, now time.Time) {
--- a/hitchd/internal/pipe/listen.go
+++ b/hitchd/internal/pipe/listen.go
@@ -112,6 +112,9 @@
 			if l.stopping.Load() {
 				w = &closer{ResponseWriter: w, lane: x}
 			}
+			if !r.ProtoAtLeast(1, 1) {
+				defer x.caller.resetOnPanic()
+			}
 		}
 		next.ServeHTTP(w, r)
 	})
--- a/steer/pick/done.go
+++ b/steer/pick/done.go
@@ -105,3 +105,24 @@
 func (r Result) String() string {
 	return [...]string{"answered", "shed", "misdirected", "refused", "broken", "failed", "abandoned"}[r]
 }
+
+// RecordBroken records that the server's response broke off after [Picker.Done] had
+// counted it as a success.
+func (p *Picker) RecordBroken(now time.Time, server string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if st := p.states[server]; st != nil {
+		st.suspectRestart(now)
+		st.recordFailure(now)
+	}
+}
+
+// FailureRate returns the share of recent attempts on the server that failed.
+func (p *Picker) FailureRate(server string) float64 {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if st := p.states[server]; st != nil {
+		return st.failureRate
+	}
+	return 0
+}
