edge, pause: choose again after a pause of the process

Cause: a host that was stopped or starved for seconds went on with the servers' table from before, and with a server that it had chosen before. A response of the store that waited in its socket meanwhile counted as read at the wake, so that the table looked fresh, also to other hosts.

Change: steer/pause detects a pause at the first call after it. A request then waits up to 500 ms for the table, a choice from before the pause is not sent, and a long poll's response that comes late counts from its request.

--- a/hitchd/internal/conns/conns_test.go
+++ b/hitchd/internal/conns/conns_test.go
@@ -12,6 +12,8 @@
 	"testing"
 	"time"
 
+	"github.com/go-faster/errors"
+
 	"magnoliahitch/links/clock"
 	"magnoliahitch/steer/result"
 )
@@ -191,6 +193,19 @@
 	}
 }
 
+// A choice that became invalid while the connection was opened is not sent.
+func TestFencedRequestIsNotSent(t *testing.T) {
+	u := listen(t, func(c net.Conn, _ *bufio.Reader, _ string) {
+		t.Error("request reached the server")
+		_ = c.Close()
+	})
+	r := request("1")
+	r.Fenced = func() bool { return true }
+	if _, got, err := send(t, New(headers), r, u.addr); got != result.NotRun || !errors.Is(err, ErrFenced) {
+		t.Errorf("outcome %v, error %v, want notRun and ErrFenced", got, err)
+	}
+}
+
 // A response without a length ends when the server closes the connection.
 func TestUnframedResponse(t *testing.T) {
 	u := listen(t, func(c net.Conn, _ *bufio.Reader, _ string) {
--- a/hitchd/internal/conns/send.go
+++ b/hitchd/internal/conns/send.go
@@ -55,6 +55,9 @@
 	maxSkipped = 2
 )
 
+// ErrFenced is the error of an attempt that [Request.Fenced] stopped.
+var ErrFenced = errors.New("process was paused after the server was chosen")
+
 // Errors of attempts.
 var (
 	errOtherRequest = errors.New("answer belongs to another request")
@@ -79,6 +82,9 @@
 	Deadline time.Time
 	// Check marks a health check, whose response has no signature.
 	Check bool
+	// Fenced reports that the choice of the server is no longer valid; nil means never.
+	// It is called right before the first byte is written.
+	Fenced func() bool
 	// NonIdempotent marks a request that isn't idempotent. It only reuses
 	// connections that were idle for a short time.
 	NonIdempotent bool
@@ -143,6 +149,9 @@
 	if ctx.Err() != nil {
 		return nil, result.NotRun, ctx.Err()
 	}
+	if x.request.Fenced != nil && x.request.Fenced() {
+		return nil, result.NotRun, ErrFenced
+	}
 	// A body of unknown length is sent in chunks. The head then includes the chunk of
 	// the buffered bytes.
 	head := x.encodeHead(id)
--- a/hitchd/internal/edge/edge.go
+++ b/hitchd/internal/edge/edge.go
@@ -11,6 +11,7 @@
 	"magnoliahitch/hitchd/internal/conns"
 	"magnoliahitch/hitchd/internal/watch"
 	"magnoliahitch/links/clock"
+	"magnoliahitch/steer/pause"
 	"magnoliahitch/steer/pick"
 	"magnoliahitch/steer/retry"
 	"magnoliahitch/steer/routes"
@@ -48,6 +49,8 @@
 	log          hclog.Logger
 
 	running atomic.Int64
+	// pauses detects that this process didn't run for a while.
+	pauses pause.Detector
 
 	mu        sync.Mutex
 	services  map[string]*service
@@ -102,6 +105,7 @@
 // Tick closes connections that were idle for too long, and removes the
 // connections and statistics of servers that no longer have a record.
 func (e *Edge) Tick() {
+	e.pauses.Tick(clock.Now())
 	st := e.state()
 	if st.Table == nil {
 		return
--- a/hitchd/internal/edge/edge_test.go
+++ b/hitchd/internal/edge/edge_test.go
@@ -42,15 +42,19 @@
 	port  *pipe.Listener
 	edge  *Edge
 	runs  atomic.Int64
+	// runsOf counts the runs of each server.
+	runsOf []atomic.Int64
+	state  atomic.Pointer[watch.State]
 }
 
 func newFixture(t *testing.T, count int, route routes.Route, serve http.HandlerFunc) *fixture {
 	t.Helper()
-	s := &fixture{}
+	s := &fixture{runsOf: make([]atomic.Int64, count)}
 	f := fleet.New()
 	for i := range count {
 		u := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 			s.runs.Add(1)
+			s.runsOf[i].Add(1)
 			w.Header().Set("X-Id", r.Header.Get("X-Id"))
 			serve(w, r)
 		}))
@@ -60,8 +64,8 @@
 	route.Host, route.Prefix, route.Parts = "127.0.0.1", "/a/", []routes.Part{{Service: "loans", Weight: 1}}
 	view, _ := f.View()
 	table := routes.NewTable(1, routes.Limits{BodyBytes: 1 << 20}, []routes.Service{{Name: "loans"}}, []routes.Route{route})
-	st := &watch.State{Table: table, Fleet: view, ServersRead: clock.Now()}
-	s.edge = New(codec, pick.Location{Region: "north"}, func() *watch.State { return st },
+	s.state.Store(&watch.State{Table: table, Fleet: view, ServersRead: clock.Now()})
+	s.edge = New(codec, pick.Location{Region: "north"}, s.state.Load,
 		func(*fleet.Server) (float64, float64) { return 100, 100 }, hclog.NewNullLogger(), WithRetryShare(0.2))
 	s.front = httptest.NewUnstartedServer(s.edge)
 	s.port = pipe.New(s.front.Listener, pipe.WithConcurrent(s.edge.RunsConcurrently))
@@ -72,6 +76,15 @@
 	return s
 }
 
+// served returns the number of runs of the server with the id.
+func (s *fixture) served(id string) int64 {
+	i, err := strconv.Atoi(strings.TrimPrefix(id, "s"))
+	if err != nil {
+		return -1
+	}
+	return s.runsOf[i].Load()
+}
+
 func (s *fixture) do(t *testing.T, method, path, body string) (*http.Response, string) {
 	t.Helper()
 	req, err := http.NewRequestWithContext(t.Context(), method, s.front.URL+path, strings.NewReader(body))
--- a/hitchd/internal/edge/run.go
+++ b/hitchd/internal/edge/run.go
@@ -21,6 +21,10 @@
 	// didn't reach a server, for example because the connection was refused, isn't
 	// retried any more. Retries after such attempts don't use the retry budget.
 	maxDials = 4
+	// refreshTime is how long a request waits for the servers' table after a pause of
+	// this process. The store or another host responds within it, unless it is down.
+	refreshTime     = 500 * time.Millisecond
+	refreshInterval = 10 * time.Millisecond
 )
 
 // forward sends the request to servers until one responds or a retry is not
@@ -60,11 +64,15 @@
 // there is one. It sets x.expired if it ends because of the deadline.
 func (e *Edge) attempts(ctx context.Context, s *service, x *exchange) (response received) {
 	for dials := 0; ; dials++ {
+		e.awaitFresh(ctx, x)
 		now := clock.Now()
-		if ctx.Err() != nil || x.request.Deadline.Sub(now) < minRemaining && x.attempts > 0 {
+		// The context's timer stands still while the process is suspended.
+		left := x.request.Deadline.Sub(now)
+		if ctx.Err() != nil || left <= 0 || left < minRemaining && x.attempts > 0 {
 			x.expired = true
 			return response
 		}
+		x.request.Fenced = func() bool { return e.pauses.Since(clock.Now(), now) }
 		c := s.picker.Choose(now, e.state().Fleet, pick.Request{Service: x.service, Object: x.object, Regions: x.route.Regions, Tried: x.tried})
 		e.check(ctx, s, c.Check)
 		if c.Reason != pick.Chosen {
@@ -89,6 +97,21 @@
 	}
 }
 
+// awaitFresh waits until the servers' table was read after the latest pause of this
+// process, but at most for refreshTime from its end: servers may have left meanwhile.
+func (e *Edge) awaitFresh(ctx context.Context, x *exchange) {
+	woke := e.pauses.Woke(clock.Now())
+	waited := false
+	for !woke.IsZero() && e.state().ServersRead.Before(woke) && clock.Now().Sub(woke) < refreshTime && ctx.Err() == nil {
+		time.Sleep(refreshInterval)
+		waited = true
+	}
+	if waited {
+		now, read := clock.Now(), e.state().ServersRead
+		e.log.Info("waited for the servers' table after a pause", "request", x.id, "sincePauseMs", ms(now.Sub(woke)), "serversAgeMs", ms(now.Sub(read)), "fresh", !read.Before(woke))
+	}
+}
+
 // mayRetry reports whether the request may be sent to another server after an
 // attempt with the outcome. A body that isn't completely buffered can be sent only
 // once, and a request that isn't idempotent is retried only if it has not run.
@@ -115,6 +138,11 @@
 	now := clock.Now()
 	took := now.Sub(start)
 	x.lastErr = err
+	if errors.Is(err, conns.ErrFenced) {
+		s.picker.Done(now, c.Server.ID, pick.Abandoned, took, pick.Report{})
+		e.log.Info("server is chosen again after a pause", "request", x.id, "server", c.Server.ID, "tookMs", ms(took))
+		return nil, outcome, false
+	}
 	x.tried = append(x.tried, c.Server.ID)
 	sent = a != nil || outcome != result.NotRun
 	if sent {
--- a/hitchd/internal/watch/follow.go
+++ b/hitchd/internal/watch/follow.go
@@ -30,6 +30,9 @@
 	// serversWait is how long a read waits for a change of the servers' table. It
 	// saves calls while nothing changes.
 	serversWait = 700 * time.Millisecond
+	// maxResponseDelay is how much longer than its wait a read may take for its
+	// response to count as recent.
+	maxResponseDelay = 500 * time.Millisecond
 	// retryBase is the mean backoff after a failed read. The backoff doubles with
 	// each further failure up to retryMax: in an outage every host reads the store,
 	// and refused calls count as calls too. The limit is retryMaxSourced for a host
@@ -159,9 +162,10 @@
 	if err != nil {
 		return err
 	}
-	if wait > 0 {
-		// A long poll returns the state at its response, not at its request.
-		read = clock.Now()
+	if now := clock.Now(); wait > 0 && now.Sub(read) < wait+maxResponseDelay {
+		// A long poll returns the state at its response, not at its request. A later
+		// response may have waited in this process, which was paused.
+		read = now
 	}
 	reads(f.table, "read").Inc()
 	f.apply(read, rows, full, version)
--- a/hitchd/internal/watch/watch_test.go
+++ b/hitchd/internal/watch/watch_test.go
@@ -287,6 +287,42 @@
 	}
 }
 
+// delayed is a store whose next response reaches the host late, as when the host is
+// paused while the response waits in its socket.
+type delayed struct {
+	*store
+	delay time.Duration
+}
+
+func (s *delayed) Changes(ctx context.Context, table string, after int64, wait time.Duration) ([]plat.Change, int64, error) {
+	rows, version, err := s.store.Changes(ctx, table, after, wait)
+	time.Sleep(s.delay)
+	s.delay = 0
+	return rows, version, err
+}
+
+// What a host reads from its socket after a pause is as old as the pause, not new.
+func TestResponseReadAfterPauseIsOld(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		defer clock.Replace(time.Now)()
+		s := newStore()
+		s.set("servers", "a", "ready")
+		w := newWatch(s)
+		f := &follower{table: "servers", wait: serversWait, replica: &w.servers, apply: w.applyServers}
+		if err := w.read(t.Context(), f); err != nil {
+			t.Fatal(err)
+		}
+		w.store = &delayed{s, 5 * time.Second}
+		start := time.Now()
+		if err := w.read(t.Context(), f); err != nil {
+			t.Fatal(err)
+		}
+		if got := w.State().ServersRead; got.Sub(start) > serversWait {
+			t.Errorf("table counts as read %v after the request, want %v at most: the response waited 5 s", got.Sub(start), serversWait)
+		}
+	})
+}
+
 // A host that doesn't read the store gets the complete tables from one that does,
 // then only changes. An older update is ignored.
 func TestAdopt(t *testing.T) {
