pick: start with the share abroad that slots and hosts of the regions call for

Cause: the initial spillover share corrected half of the imbalance of slots, on the assumption that all regions have the same callers, and then moved by 0.04 a second. A region with a tenth of the servers and a third of the callers queued its first, cold requests for many seconds.

Change: the whole imbalance is corrected, and a region's part of the callers is taken from its part of the hosts, which the hosts' table tells. TestStartUsesTheWholeFleet replays that start (servers of the small region got 113 requests each, want about 60) and TestStartWithFewCallers one of a region with few callers (share 0.35, want 0); both failed before.

--- a/hitchd/edge.go
+++ b/hitchd/edge.go
@@ -249,7 +249,7 @@
 		Load:       platform.Load,
 		WarmUpLeft: platform.WarmUpLeft,
 		RetryAfter: platform.RetryAfter,
-	}, pick.Location{Region: s.Region, Domain: s.Domain}, h.watch.State, h.sponsor, log.Named("edge"), edge.WithRetryShare(retryShare*s.Bounds.RetryRatio), edge.WithCrashReports(crashes), edge.WithSuspectUntil(suspectUntil(s)))
+	}, pick.Location{Region: s.Region, Domain: s.Domain}, h.watch.State, h.sponsor, log.Named("edge"), edge.WithRetryShare(retryShare*s.Bounds.RetryRatio), edge.WithCrashReports(crashes), edge.WithSuspectUntil(suspectUntil(s)), edge.WithDemandShare(h.relay.RegionShare))
 	return h
 }
 
--- a/hitchd/internal/edge/edge.go
+++ b/hitchd/internal/edge/edge.go
@@ -42,11 +42,13 @@
 	// suspectUntil is set by [WithSuspectUntil]: a server whose record was read before
 	// it counts as possibly restarted until a health check verifies the server.
 	suspectUntil time.Time
-	state        func() *watch.State
-	sponsor      pick.Sponsor
-	pool         *conns.Pool
-	crashes      *CrashReports
-	log          hclog.Logger
+	// demandShare is set by [WithDemandShare].
+	demandShare func() float64
+	state       func() *watch.State
+	sponsor     pick.Sponsor
+	pool        *conns.Pool
+	crashes     *CrashReports
+	log         hclog.Logger
 
 	running atomic.Int64
 	// pauses detects that this process didn't run for a while.
@@ -80,6 +82,10 @@
 // running servers can't see in the records which of them have crashed.
 func WithSuspectUntil(until time.Time) Option { return func(e *Edge) { e.suspectUntil = until } }
 
+// WithDemandShare sets a function that returns the share of all callers' requests that
+// is expected in this host's region, 0 if nothing is known.
+func WithDemandShare(f func() float64) Option { return func(e *Edge) { e.demandShare = f } }
+
 // defaultRetryShare is the retry budget without [WithRetryShare], as a share of
 // requests.
 const defaultRetryShare = 0.1
@@ -131,7 +137,7 @@
 	defer e.mu.Unlock()
 	s := e.services[name]
 	if s == nil {
-		s = &service{picker: pick.New(e.location, e.sponsor, pick.WithSuspectUntil(e.suspectUntil)), budget: retry.NewBudget(e.retryShare)}
+		s = &service{picker: pick.New(e.location, e.sponsor, pick.WithSuspectUntil(e.suspectUntil), pick.WithDemandShare(e.demandShare)), budget: retry.NewBudget(e.retryShare)}
 		e.services[name] = s
 	}
 	return s
--- a/hitchd/internal/relay/relay.go
+++ b/hitchd/internal/relay/relay.go
@@ -136,6 +136,24 @@
 	return out
 }
 
+// RegionShare returns the share of the hosts in the table that are in this host's
+// region, 0 while the table isn't known. Hosts are placed where callers are, so that
+// it is the share of requests that is expected here.
+func (r *Relay) RegionShare() float64 {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	local := 0
+	for _, x := range r.rows {
+		if x.host.Region == r.self.Region {
+			local++
+		}
+	}
+	if local == 0 {
+		return 0
+	}
+	return float64(local) / float64(len(r.rows))
+}
+
 // Leave marks this host as about to stop and reports that to its source in a poll.
 // A host without a source reports it to the hosts that poll it.
 func (r *Relay) Leave(ctx context.Context) {
--- a/steer/pick/picker.go
+++ b/steer/pick/picker.go
@@ -123,6 +123,8 @@
 	// suspectUntil is set by [WithSuspectUntil]: servers whose records were read before it
 	// count as possibly restarted.
 	suspectUntil time.Time
+	// demandShare is set by [WithDemandShare].
+	demandShare func() float64
 }
 
 // Option configures a picker.
@@ -133,6 +135,11 @@
 // host was down.
 func WithSuspectUntil(until time.Time) Option { return func(p *Picker) { p.suspectUntil = until } }
 
+// WithDemandShare sets a function that returns the share of all callers' requests that
+// is expected in the host's region, 0 if nothing is known. Without it all regions are
+// expected to get the same.
+func WithDemandShare(f func() float64) Option { return func(p *Picker) { p.demandShare = f } }
+
 // New returns a picker for a host at the location.
 func New(location Location, sponsor Sponsor, options ...Option) *Picker {
 	p := &Picker{location: location, sponsor: sponsor, states: make(map[string]*state), serviceTime: defaultServiceTime}
@@ -307,12 +314,23 @@
 	switch {
 	case u.localSlots == 0:
 	case p.spillover.updatedAt.IsZero():
-		p.spillover.start(now, u.localSlots, u.totalSlots, len(u.regions))
+		p.spillover.start(now, u.localSlots, u.totalSlots, p.expectedDemand(len(u.regions)))
 	default:
 		p.spillover.update(now, u.localLoad/u.localSlots)
 	}
 }
 
+// expectedDemand returns the share of all callers' requests that is expected in the
+// host's region, of the given number of regions with servers.
+func (p *Picker) expectedDemand(regions int) float64 {
+	if p.demandShare != nil {
+		if share := p.demandShare(); share > 0 {
+			return share
+		}
+	}
+	return 1 / float64(max(1, regions))
+}
+
 // cost estimates the time until the candidate's response. The rank is the candidate's
 // position in the object's order within its group.
 func (p *Picker) cost(now time.Time, c *candidate, rank int, object string) time.Duration {
--- a/steer/pick/spill.go
+++ b/steer/pick/spill.go
@@ -18,9 +18,6 @@
 	// utilisationWeight is the weight per second of the current utilisation in the
 	// moving average.
 	utilisationWeight = 0.7
-	// initialDamping is the part of the imbalance between the regions' slots that the
-	// initial share corrects. It is below 1 because the region may have few callers.
-	initialDamping = 0.5
 	// maxSpilloverShare is the maximum spillover share. It keeps some of each
 	// service's requests on local servers.
 	maxSpilloverShare = 0.9
@@ -56,12 +53,14 @@
 	reroutes    window
 }
 
-// start sets the initial share on the assumption that the callers of all regions
-// need the same capacity. localSlots and totalSlots are the slots of the usable
-// servers in the host's region and in all regions.
-func (s *spillover) start(now time.Time, localSlots, totalSlots float64, regions int) {
-	if totalSlots > 0 && regions > 1 {
-		s.share = min(maxSpilloverShare, initialDamping*max(0, 1-localSlots/totalSlots*float64(regions)))
+// start sets the initial share, for the load of a region that starts with few servers
+// and many callers: no server has an object cached, so that all are busy at once, and
+// the share could only follow slowly. localSlots and totalSlots are the slots of the
+// usable servers in the host's region and in all regions, demandShare the share of
+// all callers' requests that is expected in the region.
+func (s *spillover) start(now time.Time, localSlots, totalSlots, demandShare float64) {
+	if totalSlots > 0 && demandShare > 0 {
+		s.share = min(maxSpilloverShare, max(0, 1-localSlots/totalSlots/demandShare))
 	}
 	s.utilisation = targetUtilisation
 	s.updatedAt = now
--- a/steer/pick/spill_test.go
+++ b/steer/pick/spill_test.go
@@ -5,6 +5,8 @@
 	"math/rand/v2"
 	"testing"
 	"time"
+
+	"magnoliahitch/steer/fleet"
 )
 
 // maxShareChange is the maximum allowed change in the share of a region's requests
@@ -99,7 +101,7 @@
 
 func TestSpilloverFollowsDemand(t *testing.T) {
 	var s spillover
-	s.start(start, 6, 18, 3)
+	s.start(start, 6, 18, 1.0/3)
 	if s.share != 0 {
 		t.Errorf("initial share = %.2f, want 0 for a region with an equal part of the slots", s.share)
 	}
@@ -120,10 +122,41 @@
 	}
 }
 
+// At a start of all regions at once, every request is a miss and all servers are busy.
+// A region with a third of the callers and a tenth of the servers must not queue them
+// on its own: each server of the fleet gets about the same number of requests.
+func TestStartUsesTheWholeFleet(t *testing.T) {
+	counts := map[string]int{"north": 3, "south": 13, "east": 14}
+	v := view(servers(counts, nil))
+	got := make(map[string]float64)
+	for region := range counts {
+		p := New(Location{Region: region}, func(*fleet.Server) (float64, float64) { return 100, 100 })
+		for i := range 600 {
+			// Requests run until the end of the replay.
+			c := p.Choose(at(time.Duration(i)*time.Millisecond), v, Request{Service: "loans", Object: region + fmt.Sprint(i)})
+			got[c.Server.Region]++
+		}
+	}
+	for region, n := range counts {
+		if mean := got[region] / float64(n); mean < 0.6*1800/30 || mean > 1.4*1800/30 {
+			t.Errorf("servers of %s got %.0f requests each, want about %d", region, mean, 1800/30)
+		}
+	}
+}
+
+// A region with few servers and few callers keeps its requests.
+func TestStartWithFewCallers(t *testing.T) {
+	var s spillover
+	s.start(start, 6, 60, 0.1)
+	if s.share > 0.01 {
+		t.Errorf("initial share = %.2f for a tenth of the slots and of the callers, want 0", s.share)
+	}
+}
+
 // The share changes at a bounded rate, also after the host was paused.
 func TestSpilloverRate(t *testing.T) {
 	var s spillover
-	s.start(start, 6, 18, 3)
+	s.start(start, 6, 18, 1.0/3)
 	before := s.share
 	s.update(at(20*time.Second), 9)
 	if got := s.share - before; got > maxShareRate {
