--- a/hitchd/edge.go
+++ b/hitchd/edge.go
@@ -118,7 +118,7 @@
 	addLoop(&g, h.relay.Register)
 	addLoop(&g, func(ctx context.Context) error { return h.watch.RunOperator(ctx, platform.OperatorTable) })
 	addLoop(&g, func(ctx context.Context) error { return h.watch.RunServers(ctx, platform.ServerTable) })
-	addLoop(&g, func(ctx context.Context) error { return h.watch.RunHosts(ctx, hostsTable) })
+	addLoop(&g, func(ctx context.Context) error { return h.watch.RunHosts(ctx, hostsTable, h.relay.StartDelay()) })
 	addLoop(&g, h.tick)
 	addLoop(&g, func(ctx context.Context) error { return h.reload(ctx, path, reload) })
 	addListener(&g, callers, port, h.awaitReady)
@@ -229,7 +229,9 @@
 		Capacity: s.Cores, Incarnation: uint64(time.Now().UnixNano()),
 	}
 	crashes := edge.NewCrashReports(s.Host, log.Named("deaths"))
-	h.relay = relay.New(self, h.store, hostsTable, crashes, log.Named("relay"), relay.WithSeeds(otherSeeds(s)...))
+	operatorWait, serversWait := readWaits(s.Bounds)
+	operatorAge, serversAge := maxAges(s.Bounds)
+	h.relay = relay.New(self, h.store, hostsTable, crashes, log.Named("relay"), relay.WithSeeds(otherSeeds(s)...), relay.WithFirstStart(s.FirstStart), relay.WithMaxAges(operatorAge, serversAge))
 	h.watch = watch.New(h.store, watch.Codec{
 		Config:    platform.DecodeConfig,
 		ConfigKey: platform.ConfigKey,
@@ -237,7 +239,7 @@
 		Server: func(now time.Time, id string, value []byte) (fleet.Server, error) {
 			return platform.DecodeServer(now, id, value, s.Regions)
 		},
-	}, log.Named("watch"), h.relay.SetRows)
+	}, log.Named("watch"), h.relay.SetRows, watch.WithWaits(operatorWait, serversWait))
 	h.relay.Attach(h.watch)
 	h.edge = edge.New(edge.HeaderCodec{
 		Headers: conns.Headers{
--- a/hitchd/internal/relay/relay.go
+++ b/hitchd/internal/relay/relay.go
@@ -31,15 +31,19 @@
 	exchangeInterval = 900 * time.Millisecond
 	// pollTimeout bounds a poll. It is sized for hosts of the same region.
 	pollTimeout = 350 * time.Millisecond
-	// maxServersAge and maxOperatorAge are the ages of the replicas at which a host
-	// reads the store itself. A host must learn within 2.5 s that a server stops;
-	// that time covers the read interval of the first host, a poll and one more
+	// defaultServersAge and defaultOperatorAge are the ages of the replicas at which
+	// a host reads the store itself. A host must learn within 2.5 s that a server
+	// stops; that time covers the read interval of the first host, a poll and one more
 	// read of the store.
-	maxServersAge  = 1600 * time.Millisecond
-	maxOperatorAge = 3200 * time.Millisecond
+	defaultServersAge  = 1600 * time.Millisecond
+	defaultOperatorAge = 3200 * time.Millisecond
 	// startWait is how long a starting host waits for data from its source, which
 	// may be starting too, before it reads the store itself.
 	startWait = 700 * time.Millisecond
+	// settleTime is the time from the first start of the system to the hosts' reads of
+	// their table. All hosts write their rows within it. One that read the table before
+	// would take itself for the first of its domain and read all other tables too.
+	settleTime = 1200 * time.Millisecond
 	// seedInterval is the time between two rounds of polls of the seeds, a few
 	// round-trip times between regions.
 	seedInterval = 250 * time.Millisecond
@@ -74,6 +78,11 @@
 	first atomic.Bool
 	// rowsReceived is set once the hosts' table was read or received.
 	rowsReceived bool
+	// firstStart is set by [WithFirstStart].
+	firstStart bool
+	// serversAge and operatorAge are the ages of the replicas at which this host reads
+	// the store itself.
+	serversAge, operatorAge time.Duration
 }
 
 // Option configures a [Relay].
@@ -83,12 +92,23 @@
 // read, such as at a start during an outage of the store.
 func WithSeeds(addrs ...string) Option { return func(r *Relay) { r.seeds = addrs } }
 
+// WithFirstStart tells that the complete system starts for the first time, so that
+// the hosts' table fills only now.
+func WithFirstStart(first bool) Option { return func(r *Relay) { r.firstStart = first } }
+
+// WithMaxAges sets the ages of the replicas of the operator's and of the servers' table
+// at which this host reads the store itself.
+func WithMaxAges(operator, servers time.Duration) Option {
+	return func(r *Relay) { r.operatorAge, r.serversAge = operator, servers }
+}
+
 // New returns the relay of the host self. Table is the name of the hosts' table,
 // which has a row for each host.
 func New(self member.Host, store plat.Feed, table string, crashes CrashReports, log hclog.Logger, options ...Option) *Relay {
 	r := &Relay{
 		store: store, table: table, crashes: crashes, log: log, start: clock.Now(), self: self, members: NewMembers(self),
 		rows: make(map[string]row), backoffs: make(map[string]backoff),
+		operatorAge: defaultOperatorAge, serversAge: defaultServersAge,
 	}
 	for _, o := range options {
 		o(r)
@@ -225,10 +245,18 @@
 	}
 }
 
+// StartDelay returns the time from the start until the hosts' table is complete.
+func (r *Relay) StartDelay() time.Duration {
+	if r.firstStart {
+		return settleTime
+	}
+	return 0
+}
+
 // awaitRows waits for the hosts' table, which names the possible sources, for at
-// most rowsWait.
+// most rowsWait from the time at which it is complete.
 func (r *Relay) awaitRows(ctx context.Context) {
-	end := time.NewTimer(rowsWait)
+	end := time.NewTimer(r.StartDelay() + rowsWait)
 	defer end.Stop()
 	t := time.NewTicker(rowsWait / 10)
 	defer t.Stop()
@@ -274,9 +302,9 @@
 func (r *Relay) fresh() bool {
 	now, st := clock.Now(), r.watch.State()
 	if !st.Ready() {
-		return now.Sub(r.start) < startWait
+		return now.Sub(r.start) < r.StartDelay()+startWait
 	}
-	return now.Sub(st.ServersRead) < maxServersAge && now.Sub(st.OperatorRead) < maxOperatorAge
+	return now.Sub(st.ServersRead) < r.serversAge && now.Sub(st.OperatorRead) < r.operatorAge
 }
 
 // setSource records the source in use, "" for none.
--- a/hitchd/internal/relay/relay_test.go
+++ b/hitchd/internal/relay/relay_test.go
@@ -5,6 +5,8 @@
 	"net/http/httptest"
 	"slices"
 	"strings"
+	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -123,8 +125,12 @@
 func (noCrashReports) Merge(_ time.Time, _ []crash.Report) {}
 
 func newRelay(self member.Host, options ...Option) *Relay {
-	r := New(self, noStore{}, "hosts", noCrashReports{}, hclog.NewNullLogger(), options...)
-	r.Attach(watch.New(noStore{}, watch.Codec{
+	return newRelayWith(noStore{}, self, options...)
+}
+
+func newRelayWith(store plat.Feed, self member.Host, options ...Option) *Relay {
+	r := New(self, store, "hosts", noCrashReports{}, hclog.NewNullLogger(), options...)
+	r.Attach(watch.New(store, watch.Codec{
 		ConfigKey: "config",
 		Config: func(value []byte) (*routes.Table, error) {
 			return routes.NewTable(uint64(len(value)), routes.Limits{}, nil, nil), nil
@@ -142,6 +148,79 @@
 		`","peerAddr":"` + h.PeerAddr + `","incarnation":1}`)}}
 }
 
+// filling is a store whose hosts' table gets the rows only after a while, as at the
+// first start of a system. It counts the reads of other tables.
+type filling struct {
+	noStore
+	rows   []plat.Change
+	full   time.Time
+	hosts  atomic.Int64
+	others atomic.Int64
+}
+
+func (s *filling) read(table string) ([]plat.Change, int64, error) {
+	if table != "hosts" {
+		s.others.Add(1)
+		return nil, 0, plat.ErrDown
+	}
+	s.hosts.Add(1)
+	if time.Now().Before(s.full) {
+		return nil, 0, nil
+	}
+	return s.rows, 5, nil
+}
+
+func (s *filling) Rows(_ context.Context, table string) ([]plat.Change, int64, error) {
+	return s.read(table)
+}
+
+func (s *filling) Changes(ctx context.Context, table string, _ int64, wait time.Duration) ([]plat.Change, int64, error) {
+	select {
+	case <-ctx.Done():
+	case <-time.After(wait):
+	}
+	return s.read(table)
+}
+func (s *filling) Put(context.Context, string, string, []byte) error { return nil }
+
+// All hosts of a system start at once for the first time. One that knows no others yet
+// must not take itself for the first of its domain: all hosts would read all tables.
+func TestFirstStartReadsFromTheSource(t *testing.T) {
+	hosts := order([]member.Host{host("a", "x"), host("b", "x")})
+	a, b := hosts[0], hosts[1]
+	first := newRelay(a)
+	server := httptest.NewServer(first.Handler())
+	defer server.Close()
+	first.watch.Adopt(clock.Now(), watch.Update{
+		Operator: watch.TableUpdate{Version: 9, Full: true, Rows: []plat.Change{{Row: plat.Row{Key: "config", Version: 8, Value: []byte("xyz")}}}},
+		Servers:  watch.TableUpdate{Version: 9, Full: true, Rows: []plat.Change{{Row: plat.Row{Key: "s1", Version: 7}}}},
+	})
+	a.PeerAddr = strings.TrimPrefix(server.URL, "http://")
+	store := &filling{rows: []plat.Change{hostRow(a, 1), hostRow(b, 2)}, full: time.Now().Add(400 * time.Millisecond)}
+	r := newRelayWith(store, b, WithFirstStart(true), WithMaxAges(time.Minute, time.Minute))
+	ctx, cancel := context.WithCancel(t.Context())
+	var g sync.WaitGroup
+	for _, f := range []func(context.Context) error{
+		r.Run, r.RunAgeCheck, r.Register,
+		func(ctx context.Context) error { return r.watch.RunHosts(ctx, "hosts", r.StartDelay()) },
+		func(ctx context.Context) error { return r.watch.RunServers(ctx, "servers") },
+		func(ctx context.Context) error { return r.watch.RunOperator(ctx, "op") },
+	} {
+		g.Go(func() { _ = f(ctx) })
+	}
+	for end := time.Now().Add(5 * time.Second); !r.watch.State().Ready() && time.Now().Before(end); {
+		time.Sleep(5 * time.Millisecond)
+	}
+	cancel()
+	g.Wait()
+	if !r.watch.State().Ready() {
+		t.Error("host has no tables after 5 s")
+	}
+	if got := store.others.Load(); got != 0 || store.hosts.Load() != 1 {
+		t.Errorf("%d reads of the hosts' table and %d of others, want 1 and 0", store.hosts.Load(), got)
+	}
+}
+
 // A host that can't read the store gets all tables from its source, and both list
 // each other as live.
 func TestPoll(t *testing.T) {
--- a/hitchd/internal/relay/rows.go
+++ b/hitchd/internal/relay/rows.go
@@ -67,7 +67,8 @@
 			<-ctx.Done()
 			return nil
 		}
-		if r.hasRows() {
+		// At the first start of the system the table has no row of an earlier start.
+		if r.firstStart || r.hasRows() {
 			if err := r.register(ctx, self); err != nil {
 				r.log.Warn("could not write the row of this host", "error", err)
 				delay = min(maxRegisterBackoff, 2*delay)
--- a/hitchd/internal/watch/follow.go
+++ b/hitchd/internal/watch/follow.go
@@ -15,10 +15,10 @@
 
 // Intervals and timeouts of reading the tables.
 const (
-	// operatorWait is how long a read waits for a change of the operator's table
-	// (long polling). The read's timeout is a little longer, and detects a
+	// defaultOperatorWait is how long a read waits for a change of the operator's
+	// table (long polling). The read's timeout is a little longer, and detects a
 	// connection without a response.
-	operatorWait = 2 * time.Second
+	defaultOperatorWait = 2 * time.Second
 	// hostsWait is the same for the hosts' table, and hostsInterval the least time
 	// between two reads. The table is only urgent for starting hosts.
 	hostsWait     = 6 * time.Second
@@ -27,9 +27,9 @@
 	// All hosts must learn of a server that stops well within the 2.5 s during
 	// which it continues to serve.
 	serversInterval = 500 * time.Millisecond
-	// serversWait is how long a read waits for a change of the servers' table. It
-	// saves calls while nothing changes.
-	serversWait = 700 * time.Millisecond
+	// defaultServersWait is how long a read waits for a change of the servers' table.
+	// It saves calls while nothing changes.
+	defaultServersWait = 700 * time.Millisecond
 	// maxResponseDelay is how much longer than its wait a read may take for its
 	// response to count as recent.
 	maxResponseDelay = 500 * time.Millisecond
@@ -54,6 +54,8 @@
 	// bootstrap is set for the table that every host reads itself once, since it
 	// names the hosts from which the other tables can be fetched.
 	bootstrap bool
+	// loaded is set once the complete table was read, which may be empty.
+	loaded bool
 	// failures is the number of consecutive failed reads.
 	failures int
 	// full is set when the store has compacted the changes since the replica's
@@ -64,20 +66,26 @@
 
 // RunOperator keeps the operator's table current until the context ends.
 func (w *Watch) RunOperator(ctx context.Context, table string) error {
-	return w.follow(ctx, &follower{table: table, wait: operatorWait, replica: &w.operator, apply: w.applyOperator})
+	return w.follow(ctx, &follower{table: table, wait: w.operatorWait, replica: &w.operator, apply: w.applyOperator})
 }
 
 // RunServers keeps the servers' table current until the context ends.
 func (w *Watch) RunServers(ctx context.Context, table string) error {
-	return w.follow(ctx, &follower{table: table, wait: serversWait, interval: serversInterval, replica: &w.servers, apply: w.applyServers, onFailure: func(now time.Time) {
+	return w.follow(ctx, &follower{table: table, wait: w.serversWait, interval: serversInterval, replica: &w.servers, apply: w.applyServers, onFailure: func(now time.Time) {
 		w.mu.Lock()
 		w.fleet.ReadFailed(now)
 		w.mu.Unlock()
 	}})
 }
 
-// RunHosts keeps the hosts' table current until the context ends.
-func (w *Watch) RunHosts(ctx context.Context, table string) error {
+// RunHosts keeps the hosts' table current until the context ends. Its first read is
+// after the delay.
+func (w *Watch) RunHosts(ctx context.Context, table string, delay time.Duration) error {
+	select {
+	case <-ctx.Done():
+		return nil
+	case <-time.After(delay):
+	}
 	return w.follow(ctx, &follower{table: table, wait: hostsWait, interval: hostsInterval, bootstrap: true, replica: &w.hosts, apply: w.applyHosts})
 }
 
@@ -111,7 +119,7 @@
 func (w *Watch) tableReadable(f *follower) <-chan struct{} {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	if f.bootstrap && f.replica.version == 0 {
+	if f.bootstrap && !f.loaded && f.replica.version == 0 {
 		return closed
 	}
 	return w.readable
@@ -147,7 +155,7 @@
 	var version int64
 	var err error
 	read := clock.Now()
-	full := f.full || since == 0
+	full := f.full || since == 0 && !f.loaded
 	wait := f.wait
 	if f.down {
 		// The timeout of a call includes its wait. Without a wait, a call that a cut
@@ -169,7 +177,7 @@
 	}
 	reads(f.table, "read").Inc()
 	f.apply(read, rows, full, version)
-	f.full, f.failures = false, 0
+	f.full, f.failures, f.loaded = false, 0, true
 	if f.down {
 		f.down = false
 		w.log.Info("store regained", "table", f.table, "version", version)
--- a/hitchd/internal/watch/watch.go
+++ b/hitchd/internal/watch/watch.go
@@ -61,14 +61,30 @@
 	// reports.
 	readable   chan struct{}
 	readsStore bool
+	// operatorWait and serversWait are how long reads wait for changes.
+	operatorWait, serversWait time.Duration
+}
+
+// Option configures a [Watch].
+type Option func(*Watch)
+
+// WithWaits sets how long reads of the operator's and of the servers' table wait for
+// changes. A change ends the wait; without one, the replica gets that much older
+// before it is confirmed.
+func WithWaits(operator, servers time.Duration) Option {
+	return func(w *Watch) { w.operatorWait, w.serversWait = operator, servers }
 }
 
 // New returns a watch of the store. OnHosts is called with all rows of the hosts'
 // table after each read of that table, or when another host sent changes.
-func New(store plat.Feed, codec Codec, log hclog.Logger, onHosts func(map[string]plat.Change)) *Watch {
+func New(store plat.Feed, codec Codec, log hclog.Logger, onHosts func(map[string]plat.Change), options ...Option) *Watch {
 	w := &Watch{
 		store: store, codec: codec, log: log, fleet: fleet.New(), onHosts: onHosts,
 		operator: newReplica(), servers: newReplica(), hosts: newReplica(), readable: make(chan struct{}),
+		operatorWait: defaultOperatorWait, serversWait: defaultServersWait,
+	}
+	for _, o := range options {
+		o(w)
 	}
 	view, _ := w.fleet.View()
 	w.current.Store(&State{Fleet: view})
--- a/hitchd/internal/watch/watch_test.go
+++ b/hitchd/internal/watch/watch_test.go
@@ -28,6 +28,8 @@
 	floor int64
 	fail  error
 	calls int
+	// requests counts the calls, each of which may look at the rows several times.
+	requests int
 	// silent makes calls end with an error after their wait and silentMargin, also
 	// when the store responds again meanwhile.
 	silent bool
@@ -67,6 +69,12 @@
 	return out, s.version, nil
 }
 
+func (s *store) count() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.requests++
+}
+
 // swallows reports whether the store is silent. If so, it first waits for the
 // timeout of a call whose wait ends after the duration.
 func (s *store) swallows(wait time.Duration) bool {
@@ -80,6 +88,7 @@
 }
 
 func (s *store) Rows(_ context.Context, table string) ([]plat.Change, int64, error) {
+	s.count()
 	if s.swallows(0) {
 		return nil, 0, plat.ErrDown
 	}
@@ -87,6 +96,7 @@
 }
 
 func (s *store) Changes(ctx context.Context, table string, after int64, wait time.Duration) ([]plat.Change, int64, error) {
+	s.count()
 	for end := time.Now().Add(wait); ; {
 		if s.swallows(time.Until(end)) {
 			return nil, 0, plat.ErrDown
@@ -142,7 +152,7 @@
 	for _, f := range []func() error{
 		func() error { return w.RunOperator(ctx, "op") },
 		func() error { return w.RunServers(ctx, "servers") },
-		func() error { return w.RunHosts(ctx, "hosts") },
+		func() error { return w.RunHosts(ctx, "hosts", 0) },
 	} {
 		g.Go(func() {
 			if err := f(); err != nil {
@@ -287,6 +297,26 @@
 	}
 }
 
+// All hosts start beside an empty store, before the first configuration. Each must
+// wait for changes, not read the empty tables again and again.
+func TestEmptyStoreIsNotPolled(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		defer clock.Replace(time.Now)()
+		s := newStore()
+		w := newWatch(s)
+		go func() {
+			time.Sleep(3 * time.Second)
+			s.set("op", "config", `{"version":4}`)
+		}()
+		run(t, w, 3500*time.Millisecond)
+		// Three tables are read once, then the operator's each 2 s, the servers' each
+		// 0.7 s and the hosts' each 6 s. One read of each table ends with the change.
+		if got, limit := s.requests, 3+2+5+1+3; got > limit || w.State().Table == nil {
+			t.Errorf("%d reads of an empty store within 3.5 s, want %d at most and a configuration", got, limit)
+		}
+	})
+}
+
 // delayed is a store whose next response reaches the host late, as when the host is
 // paused while the response waits in its socket.
 type delayed struct {
@@ -308,7 +338,7 @@
 		s := newStore()
 		s.set("servers", "a", "ready")
 		w := newWatch(s)
-		f := &follower{table: "servers", wait: serversWait, replica: &w.servers, apply: w.applyServers}
+		f := &follower{table: "servers", wait: defaultServersWait, replica: &w.servers, apply: w.applyServers}
 		if err := w.read(t.Context(), f); err != nil {
 			t.Fatal(err)
 		}
@@ -317,8 +347,8 @@
 		if err := w.read(t.Context(), f); err != nil {
 			t.Fatal(err)
 		}
-		if got := w.State().ServersRead; got.Sub(start) > serversWait {
-			t.Errorf("table counts as read %v after the request, want %v at most: the response waited 5 s", got.Sub(start), serversWait)
+		if got := w.State().ServersRead; got.Sub(start) > defaultServersWait {
+			t.Errorf("table counts as read %v after the request, want %v at most: the response waited 5 s", got.Sub(start), defaultServersWait)
 		}
 	})
 }
