--- a/hitchd/internal/relay/poll.go
+++ b/hitchd/internal/relay/poll.go
@@ -41,18 +41,12 @@
 	Versions watch.Versions    `msgpack:"versions"`
 	Digests  map[string]uint64 `msgpack:"sums"`
 	Crashes  []crash.Report    `msgpack:"deaths"`
-	// Packed reports that the host understands [pollResponse.Packed].
-	Packed bool `msgpack:"packed"`
 }
 
 // pollResponse holds the changes that the polling host lacks.
 type pollResponse struct {
 	Update watch.Update `msgpack:"copy"`
-	// Packed is a complete copy of the operator's and the servers' table, which a
-	// [packer] encoded PackedAge before. Update has neither then.
-	Packed    []byte        `msgpack:"packed,omitempty"`
-	PackedAge time.Duration `msgpack:"packedAge,omitempty"`
-	Lists     []domainList  `msgpack:"lists"`
+	Lists  []domainList `msgpack:"lists"`
 	// Crashes are reports of requests during which servers crashed.
 	Crashes []crash.Report `msgpack:"deaths"`
 }
@@ -67,21 +61,15 @@
 	Age time.Duration `msgpack:"age"`
 }
 
-var client = &http.Client{Transport: &http.Transport{
+var client = &http.Client{Timeout: pollTimeout, Transport: &http.Transport{
 	DialContext: conns.Dialer().DialContext, MaxIdleConnsPerHost: 1, IdleConnTimeout: peerIdle, DisableCompression: true, MaxResponseHeaderBytes: maxResponseHeader,
 }}
 
 // poll requests the changes that this host lacks from the host h and applies them.
 func (r *Relay) poll(ctx context.Context, h member.Host) error {
 	r.mu.Lock()
-	request := pollRequest{Self: r.self, Versions: r.watch.Versions(), Digests: r.members.Digests(), Crashes: r.crashes.Reports(clock.Now()), Packed: true}
+	request := pollRequest{Self: r.self, Versions: r.watch.Versions(), Digests: r.members.Digests(), Crashes: r.crashes.Reports(clock.Now())}
 	r.mu.Unlock()
-	timeout := pollTimeout
-	if needsCopy(request.Versions) {
-		timeout = copyTimeout
-	}
-	ctx, cancel := context.WithTimeout(ctx, timeout)
-	defer cancel()
 	data, err := msgpack.Marshal(request)
 	if err != nil {
 		return errors.Wrap(err, "encode poll")
@@ -107,21 +95,11 @@
 	if err := msgpack.Unmarshal(data, &a); err != nil {
 		return errors.Wrapf(err, "poll %s", h.Name)
 	}
-	if len(a.Packed) > 0 {
-		u, err := unpack(a.Packed)
-		if err != nil {
-			return errors.Wrapf(err, "poll %s", h.Name)
-		}
-		r.watch.Adopt(sentAt.Add(-a.PackedAge), u)
-	}
 	pollsAnswered.Inc()
 	r.apply(sentAt, h, a)
 	return nil
 }
 
-// needsCopy reports whether a host with replicas at the versions needs complete tables.
-func needsCopy(v watch.Versions) bool { return v.Operator == 0 && v.Servers == 0 }
-
 // apply applies the response of the host to a poll that was sent at the time.
 func (r *Relay) apply(sentAt time.Time, h member.Host, a pollResponse) {
 	r.watch.Adopt(sentAt, a.Update)
@@ -149,18 +127,7 @@
 
 func (r *Relay) respond(now time.Time, in pollRequest) pollResponse {
 	r.crashes.Merge(now, in.Crashes)
-	a := pollResponse{Crashes: r.crashes.Reports(now)}
-	if own := r.watch.Versions(); in.Packed && needsCopy(in.Versions) && !needsCopy(own) {
-		data, age, err := r.packer.pack(now, own, r.watch.Since)
-		if err != nil {
-			r.log.Error("could not pack the tables, sending them plain", "peer", in.Self.Name, "error", err)
-		}
-		a.Packed, a.PackedAge = data, age
-	}
-	a.Update = r.watch.Since(in.Versions)
-	if a.Packed != nil {
-		a.Update.Operator, a.Update.Servers = watch.TableUpdate{}, watch.TableUpdate{}
-	}
+	a := pollResponse{Update: r.watch.Since(in.Versions), Crashes: r.crashes.Reports(now)}
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if r.members.RecordPoll(now, in.Self) {
--- a/hitchd/internal/relay/relay.go
+++ b/hitchd/internal/relay/relay.go
@@ -31,9 +31,6 @@
 	exchangeInterval = 900 * time.Millisecond
 	// pollTimeout bounds a poll. It is sized for hosts of the same region.
 	pollTimeout = 350 * time.Millisecond
-	// copyTimeout bounds a poll for complete tables, which a source may send to all
-	// hosts of its domain at once.
-	copyTimeout = 1500 * time.Millisecond
 	// defaultServersAge and defaultOperatorAge are the ages of the replicas at which
 	// a host reads the store itself. A host must learn within 2.5 s that a server
 	// stops; that time covers the read interval of the first host, a poll and one more
@@ -42,7 +39,7 @@
 	defaultOperatorAge = 3200 * time.Millisecond
 	// startWait is how long a starting host waits for data from its source, which
 	// may be starting too, before it reads the store itself.
-	startWait = 1200 * time.Millisecond
+	startWait = 700 * time.Millisecond
 	// settleTime is the time from the first start of the system to the hosts' reads of
 	// their table. All hosts write their rows within it. One that read the table before
 	// would take itself for the first of its domain and read all other tables too.
@@ -68,8 +65,6 @@
 	seeds []string
 	log   hclog.Logger
 	start time.Time
-	// packer encodes complete copies.
-	packer packer
 
 	mu      sync.Mutex
 	self    member.Host
