--- a/hitchd/internal/pipe/listen.go
+++ b/hitchd/internal/pipe/listen.go
@@ -66,11 +66,14 @@
 	ended  chan struct{}
 	closed sync.Once
 
+	// stopping is set when responses close their connections.
 	stopping atomic.Bool
 
-	mu       sync.Mutex
-	callers  map[*caller]struct{}
-	open     int
+	mu      sync.Mutex
+	callers map[*caller]struct{}
+	// open is the number of lanes beside the main ones.
+	open int
+	// draining is set when idle connections are closed and no lane is opened.
 	draining bool
 }
 
