pick, edge, watch: log why a server counts as warming up or warm

A known server that became cold wasn't logged, nor a suspicion, what caused or ended it, and how much a host had sent before. Change: a picker reports each change of a server's phase with its cause, the record behind it and the requests of the last second; the edge logs it, counts attempts by phase and tells the phase of a request. The watch logs records of restarts and of servers that became cold. No decision changes.

--- a/hitchd/internal/edge/edge.go
+++ b/hitchd/internal/edge/edge.go
@@ -137,12 +137,18 @@
 	defer e.mu.Unlock()
 	s := e.services[name]
 	if s == nil {
-		s = &service{picker: pick.New(e.location, e.sponsor, pick.WithSuspectUntil(e.suspectUntil), pick.WithDemandShare(e.demandShare)), budget: retry.NewBudget(e.retryShare)}
+		s = &service{picker: pick.New(e.location, e.sponsor, pick.WithSuspectUntil(e.suspectUntil), pick.WithDemandShare(e.demandShare), pick.WithObserver(e.logPhase)), budget: retry.NewBudget(e.retryShare)}
 		e.services[name] = s
 	}
 	return s
 }
 
+// logPhase logs that this host's view of a server's warm-up changed.
+func (e *Edge) logPhase(c pick.PhaseChange) {
+	e.log.Info("server phase", "server", c.Server, "from", string(c.From), "to", string(c.To), "cause", string(c.Cause),
+		"incarnation", c.Incarnation, "recordAgeMs", ms(c.RecordAge), "sentLastSecond", c.Sent)
+}
+
 // countRequest adds a request to the service's retry budget.
 func (s *service) countRequest(now time.Time) {
 	s.mu.Lock()
--- a/hitchd/internal/edge/response.go
+++ b/hitchd/internal/edge/response.go
@@ -98,7 +98,7 @@
 	c := x.lastChoice
 	args := []any{
 		"request", x.id, "route", name, "service", x.service, "object", x.object, "status", status, "tookMs", ms(took),
-		"attempts", x.attempts, "server", c.Server.ID, "region", c.Server.Region, "rank", c.Rank, "load", c.Load, "expectedMs", ms(c.Cost),
+		"attempts", x.attempts, "server", c.Server.ID, "region", c.Server.Region, "rank", c.Rank, "load", c.Load, "expectedMs", ms(c.Cost), "phase", string(c.Phase),
 		"usable", c.Usable, "abroadShare", c.SpilloverShare, "version", x.version,
 	}
 	if reason != "" {
@@ -123,3 +123,8 @@
 func attemptResults(service string, r pick.Result) *metrics.Counter {
 	return metrics.GetOrCreateCounter(fmt.Sprintf(`hitch_edge_attempts_total{service=%q,result=%q}`, service, r))
 }
+
+// attemptPhases counts attempts by the phase in which the server was selected.
+func attemptPhases(service string, p pick.Phase) *metrics.Counter {
+	return metrics.GetOrCreateCounter(fmt.Sprintf(`hitch_edge_attempt_phases_total{service=%q,phase=%q}`, service, string(p)))
+}
--- a/hitchd/internal/edge/run.go
+++ b/hitchd/internal/edge/run.go
@@ -161,9 +161,10 @@
 		go e.crashes.ConnectionLost(context.WithoutCancel(ctx), x.fingerprint, c.Server.ID, c.Server.Addr)
 	}
 	attemptResults(x.service, res).Inc()
+	attemptPhases(x.service, c.Phase).Inc()
 	if res != pick.Succeeded {
 		e.log.Info("attempt failed", "request", x.id, "server", c.Server.ID, "address", c.Server.Addr, "result", res.String(),
-			"outcome", outcome.String(), "tookMs", ms(took), "rank", c.Rank, "load", c.Load, "usable", c.Usable, "error", err)
+			"outcome", outcome.String(), "tookMs", ms(took), "rank", c.Rank, "load", c.Load, "usable", c.Usable, "phase", string(c.Phase), "error", err)
 	}
 	return a, outcome, sent
 }
--- a/hitchd/internal/watch/watch.go
+++ b/hitchd/internal/watch/watch.go
@@ -196,7 +196,7 @@
 }
 
 func (w *Watch) applyServerRow(now time.Time, r plat.Change, remove func(time.Time, string)) {
-	held, known := w.servers.rows[r.Key]
+	row, known := w.servers.rows[r.Key]
 	if r.Removed {
 		if known {
 			remove(now, r.Key)
@@ -205,7 +205,7 @@
 		}
 		return
 	}
-	if known && held.Version >= r.Version {
+	if known && row.Version >= r.Version {
 		return
 	}
 	w.servers.put(r)
@@ -215,9 +215,10 @@
 		w.log.Warn("server record names no server", "server", r.Key, "version", r.Version, "error", err)
 		return
 	}
-	if w.fleet.Put(s) && (!known || s.Draining) {
+	held, wasHeld := w.fleet.Server(s.ID)
+	if w.fleet.Put(s) && (!wasHeld || s.Draining || s.Incarnation != held.Incarnation || s.Cold(now) && !held.Cold(now)) {
 		w.log.Info("server record", "server", s.ID, "service", s.Service, "domain", s.Domain,
-			"draining", s.Draining, "coldMs", max(0, s.ColdUntil.Sub(now)).Milliseconds(), "version", r.Version)
+			"draining", s.Draining, "coldMs", max(0, s.ColdUntil.Sub(now)).Milliseconds(), "incarnation", s.Incarnation, "version", r.Version)
 	}
 }
 
--- a/steer/fleet/fleet.go
+++ b/steer/fleet/fleet.go
@@ -116,6 +116,12 @@
 	return true
 }
 
+// Server returns the server with the id, and whether there is one.
+func (f *Fleet) Server(id string) (Server, bool) {
+	s, found := f.servers[id]
+	return s, found
+}
+
 // RecordMissing notes that the record of the id disappeared from the store. The
 // server is removed at once if the fleet is settled or the server is draining;
 // otherwise it stays in use until [Fleet.RemoveMissing] is called on a settled
--- a/steer/pick/done.go
+++ b/steer/pick/done.go
@@ -54,10 +54,10 @@
 	case Misdirected:
 		st.eject(now)
 	case ConnectFailed:
-		st.suspectRestart(now)
+		st.suspectRestart(now, Refused)
 		st.eject(now)
 	case ConnectionLost:
-		st.suspectRestart(now)
+		st.suspectRestart(now, Lost)
 		st.recordFailure(now)
 	case Failed:
 		st.recordFailure(now)
@@ -75,7 +75,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if st := p.states[server]; st != nil {
-		st.suspectRestart(now)
+		st.suspectRestart(now, Closed)
 	}
 }
 
@@ -112,7 +112,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if st := p.states[server]; st != nil {
-		st.suspectRestart(now)
+		st.suspectRestart(now, Lost)
 		st.recordFailure(now)
 	}
 }
--- a/steer/pick/picker.go
+++ b/steer/pick/picker.go
@@ -28,10 +28,6 @@
 	// record of a server that counts as joined. Servers with older records may have
 	// been running before.
 	minJoinDelay = 2 * time.Second
-	// suspicionTimeout is how long a host that just started treats servers as possibly
-	// restarted, counted from the time when it read their records. Records of crashed
-	// servers expire within it, after three heartbeats of 1.5 s.
-	suspicionTimeout = 5 * time.Second
 	// maxEjectedShare is the largest share of a service's servers that may be ejected at once.
 	maxEjectedShare = 0.5
 	// failureCost is the cost of a failed attempt as a multiple of the service time.
@@ -97,6 +93,8 @@
 	SpilloverShare float64
 	// Check are servers that may have restarted and are due for a health check.
 	Check []fleet.Server
+	// Phase is the warm-up phase of the selected server.
+	Phase Phase
 }
 
 // Location is the location of a host.
@@ -125,6 +123,8 @@
 	suspectUntil time.Time
 	// demandShare is set by [WithDemandShare].
 	demandShare func() float64
+	// observe is set by [WithObserver].
+	observe func(PhaseChange)
 }
 
 // Option configures a picker.
@@ -140,6 +140,10 @@
 // expected to get the same.
 func WithDemandShare(f func() float64) Option { return func(p *Picker) { p.demandShare = f } }
 
+// WithObserver sets a function that is called for each change of a server's phase. It
+// must not block or call the picker.
+func WithObserver(f func(PhaseChange)) Option { return func(p *Picker) { p.observe = f } }
+
 // New returns a picker for a host at the location.
 func New(location Location, sponsor Sponsor, options ...Option) *Picker {
 	p := &Picker{location: location, sponsor: sponsor, states: make(map[string]*state), serviceTime: defaultServiceTime}
@@ -155,12 +159,9 @@
 	state  *state
 	// score orders the candidates for the object, highest first.
 	score uint64
-	// cold servers are warming up or may have restarted.
-	cold bool
+	phase Phase
 	// remote servers are in another region than the host.
 	remote bool
-	// restartSuspected servers may have restarted since their record was read.
-	restartSuspected bool
 }
 
 // Choose selects the server for the request and counts the request there until
@@ -198,7 +199,7 @@
 	p.spillover.reroutes.add(now, rerouted)
 	best.state.recordSent(now, r.Object, p.networkDelay(&best.candidate))
 	return Choice{
-		Server: *best.server, Reason: Chosen, Rank: best.rank, Load: best.state.load(now) - 1, Cost: best.cost,
+		Server: *best.server, Reason: Chosen, Rank: best.rank, Load: best.state.load(now) - 1, Cost: best.cost, Phase: best.phase,
 		Usable: len(local) + len(remote), SpilloverShare: p.spillover.share, Check: check,
 	}
 }
@@ -231,7 +232,7 @@
 	var out []fleet.Server
 	for i := range order {
 		c := &order[i]
-		if c.restartSuspected && now.Sub(c.state.checkedAt) >= checkInterval {
+		if c.phase == Suspected && now.Sub(c.state.checkedAt) >= checkInterval {
 			c.state.checkedAt = now
 			out = append(out, *c.server)
 		}
@@ -244,7 +245,7 @@
 func (p *Picker) admit(now time.Time, order []rankedCandidate) *rankedCandidate {
 	for i := range order {
 		c := &order[i]
-		if !c.cold || p.admitCold(now, &c.candidate) {
+		if c.phase == Warm || p.admitCold(now, &c.candidate) {
 			return c
 		}
 	}
@@ -275,11 +276,7 @@
 				continue
 			}
 		}
-		suspected := st.restartSuspected(now, s.ReadAt)
-		c := candidate{
-			server: s, state: st, score: score(r.Object, s.ID), remote: s.Region != p.location.Region,
-			restartSuspected: suspected, cold: suspected || s.Cold(now) || now.Before(st.coldUntil),
-		}
+		c := candidate{server: s, state: st, score: score(r.Object, s.ID), phase: p.updatePhase(now, s, st), remote: s.Region != p.location.Region}
 		usage.add(now, &c)
 		if c.remote {
 			remote = append(remote, c)
@@ -335,7 +332,7 @@
 // position in the object's order within its group.
 func (p *Picker) cost(now time.Time, c *candidate, rank int, object string) time.Duration {
 	d := p.networkDelay(c)
-	if c.state.joined && c.state.untried && !c.cold {
+	if c.state.joined && c.state.untried && c.phase == Warm {
 		// The first request to a new server costs no more than the network delay.
 		// Otherwise the server would get no requests for a long time, because all
 		// objects are cached on other servers.
@@ -347,7 +344,7 @@
 	}
 	d += time.Duration(float64(p.serviceTime) * (1 + missCost*c.state.missProbability(object, rank)) * c.state.latencyRatio)
 	d += time.Duration(float64(p.serviceTime) * failureCost * c.state.failureRate)
-	if c.cold {
+	if c.phase != Warm {
 		d += p.serviceTime
 	}
 	return d
@@ -374,13 +371,6 @@
 	p.serviceTime = max(time.Millisecond, time.Duration(float64(p.serviceTime)*(1+step)))
 }
 
-// admitCold reports whether this host is a sponsor of the server and may send it a
-// request now, and counts the request against the host's rate.
-func (p *Picker) admitCold(now time.Time, c *candidate) bool {
-	rate, burst := p.sponsor(c.server)
-	return rate > 0 && c.state.warmUpLimit.take(now, rate, burst)
-}
-
 // state returns the state of the server's current incarnation. When the incarnation
 // changes, everything but the number of running requests is reset.
 func (p *Picker) state(s *fleet.Server) *state {
@@ -389,14 +379,15 @@
 		st = newState(s.Incarnation)
 		st.joined = s.ReadAt.Sub(p.firstRequest) >= minJoinDelay
 		if s.ReadAt.Before(p.suspectUntil) {
-			st.suspectedAt, st.suspicionEnds = s.ReadAt, s.ReadAt.Add(suspicionTimeout)
+			st.suspectRestart(s.ReadAt, HostStarted)
+			st.suspicionEnds = s.ReadAt.Add(suspicionTimeout)
 		}
 		p.states[s.ID] = st
 	}
 	if st.incarnation != s.Incarnation {
-		running := st.running
+		old := *st
 		*st = *newState(s.Incarnation)
-		st.running = running
+		st.running, st.phase, st.sends = old.running, old.phase, old.sends
 	}
 	return st
 }
--- a/steer/pick/picker_test.go
+++ b/steer/pick/picker_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -209,3 +210,28 @@
 		t.Errorf("new server got %d of 60 requests, want 1 to 30", got)
 	}
 }
+
+// The observer receives each change of a server's phase with its cause and the number
+// of requests that were sent before.
+func TestObserverSeesPhases(t *testing.T) {
+	var got []PhaseChange
+	p := New(Location{Region: "north", Domain: "north-a"}, noSponsor, WithObserver(func(c PhaseChange) { got = append(got, c) }))
+	warm := servers(map[string]int{"north": 1}, nil)
+	choose := func(f *fleet.Fleet, after time.Duration) {
+		p.Choose(at(after), view(f), Request{Service: "loans", Object: "x"})
+	}
+	choose(warm, 0)
+	p.Done(at(100*time.Millisecond), "north-0", ConnectionLost, 0, Report{})
+	choose(warm, 200*time.Millisecond)
+	p.RecordHealthCheck(at(300*time.Millisecond), "north-0", 2*time.Second)
+	choose(warm, 400*time.Millisecond)
+	choose(warm, 3*time.Second)
+	want := []PhaseChange{
+		{Server: "north-0", From: Warm, To: Suspected, Cause: Lost, Incarnation: 1, RecordAge: 200 * time.Millisecond, Sent: 1},
+		{Server: "north-0", From: Suspected, To: WarmingUp, Cause: Verified, Incarnation: 1, RecordAge: 400 * time.Millisecond, Sent: 1},
+		{Server: "north-0", From: WarmingUp, To: Warm, Cause: Expired, Incarnation: 1, RecordAge: 3 * time.Second},
+	}
+	if !slices.Equal(got, want) {
+		t.Errorf("changes = %+v, want %+v", got, want)
+	}
+}
--- a/steer/pick/state.go
+++ b/steer/pick/state.go
@@ -70,19 +70,14 @@
 	verifiedAt, checkedAt, coldUntil time.Time
 	// warmUpLimit limits the rate of requests while the server warms up.
 	warmUpLimit tokenBucket
+	// phase is the server's phase at the last selection, and suspicion what made it
+	// [Suspected] the last time.
+	phase     Phase
+	suspicion Cause
+	// sends holds the times of this host's requests to the server in the last second.
+	sends []time.Time
 }
 
-// restartSuspected reports whether the server may have restarted. The suspicion ends
-// with a record that was read or a health check that was sent after it arose, or
-// when it expires.
-func (s *state) restartSuspected(now, recordRead time.Time) bool {
-	return !s.suspectedAt.IsZero() && !recordRead.After(s.suspectedAt) && s.verifiedAt.Before(s.suspectedAt) &&
-		(s.suspicionEnds.IsZero() || now.Before(s.suspicionEnds))
-}
-
-// suspectRestart records that the server may have restarted.
-func (s *state) suspectRestart(now time.Time) { s.suspectedAt, s.suspicionEnds = now, time.Time{} }
-
 // newState returns the state of a server that this host hasn't used yet.
 func newState(incarnation int64) *state {
 	return &state{incarnation: incarnation, untried: true, latencyRatio: 1, lastSent: make(map[string]time.Time)}
@@ -92,6 +87,7 @@
 func (s *state) recordSent(now time.Time, object string, networkDelay time.Duration) {
 	s.running++
 	s.untried = false
+	s.sends = append(s.sendsSince(now.Add(-time.Second)), now)
 	s.networkDelay = networkDelay
 	if object == "" {
 		return
@@ -181,23 +177,3 @@
 }
 
 func (s *state) ejected(now time.Time) bool { return now.Before(s.ejectedUntil) }
-
-// tokenBucket is a token bucket. The zero value is full.
-type tokenBucket struct {
-	used float64
-	last time.Time
-}
-
-// take removes a token from the bucket, which refills at the rate in tokens/s up to
-// burst tokens. It reports whether there was one.
-func (b *tokenBucket) take(now time.Time, rate, burst float64) bool {
-	if !b.last.IsZero() {
-		b.used = max(0, b.used-rate*now.Sub(b.last).Seconds())
-	}
-	b.last = now
-	if b.used+1 > burst {
-		return false
-	}
-	b.used++
-	return true
-}
