pick, fleet: suspect servers after an evacuation until they are known to be warm

Cause: the servers of an evacuated failure domain may become cold before it is used again, without a restart and without a connection that breaks. Hosts learn of the end from the operator's table and of the warm-up from the servers'. When the store is down, or loses writes, while the servers report it, the end comes first, and every host sends without a limit on the strength of a record that is older than the evacuation. Change: a view tells the last evacuation of a domain; its servers count as possibly warming up from the end on, unless they reported a warm-up since the start, until a newer record or a health check, 5 s at most. An end whose start a host missed counts as well.

--- a/hitchd/internal/watch/watch.go
+++ b/hitchd/internal/watch/watch.go
@@ -142,8 +142,11 @@
 	if held, ok := w.operator.rows[r.Key]; ok && held.Version >= r.Version && !r.Removed {
 		return
 	}
+	if r.Removed && w.operator.removed[r.Key] >= r.Version {
+		return
+	}
 	if domain, ok := w.codec.Evacuated(r.Key); ok {
-		w.fleet.Evacuate(domain, !r.Removed)
+		w.fleet.Evacuate(clock.Now(), domain, !r.Removed)
 		w.log.Info("evacuation", "domain", domain, "on", !r.Removed, "row", r.Version)
 	}
 	if r.Key == w.codec.ConfigKey && !r.Removed {
--- a/steer/fleet/fleet.go
+++ b/steer/fleet/fleet.go
@@ -23,18 +23,28 @@
 
 // View is an immutable snapshot of the fleet.
 type View struct {
-	byService map[string][]Server
-	evacuated map[string]bool
-	count     int
+	byService   map[string][]Server
+	evacuations map[string]Evacuation
+	count       int
 }
 
+// Evacuation is the last evacuation of a failure domain as this host learned of it. End
+// is zero while it lasts. The servers of the domain may have become cold meanwhile.
+type Evacuation struct{ Start, End time.Time }
+
 // Servers returns the servers of a service, sorted by id. The caller must not
 // modify the slice.
 func (v *View) Servers(service string) []Server { return v.byService[service] }
 
 // Evacuated reports whether the failure domain is evacuated, so that its
 // servers get no requests.
-func (v *View) Evacuated(domain string) bool { return v.evacuated[domain] }
+func (v *View) Evacuated(domain string) bool { return v.evacuations[domain].lasts() }
+
+// Evacuation returns the last evacuation of the failure domain, zero if this host
+// knows of none.
+func (v *View) Evacuation(domain string) Evacuation { return v.evacuations[domain] }
+
+func (e Evacuation) lasts() bool { return !e.Start.IsZero() && e.End.IsZero() }
 
 // Len returns the number of servers.
 func (v *View) Len() int { return v.count }
@@ -48,8 +58,9 @@
 	missing map[string]bool
 	// removed holds the last record of each removed server, so that an older record
 	// which is read late doesn't add the server again.
-	removed   map[string]Server
-	evacuated map[string]bool
+	removed map[string]Server
+	// evacuations holds the last evacuation of each failure domain.
+	evacuations map[string]Evacuation
 	// outageStart is the start of the current outage, zero without one. outageEnd is
 	// the end of the last outage that lasted at least minExpiryOutage.
 	outageStart, outageEnd time.Time
@@ -59,7 +70,7 @@
 
 // New returns an empty fleet.
 func New() *Fleet {
-	return &Fleet{servers: make(map[string]Server), missing: make(map[string]bool), removed: make(map[string]Server), evacuated: make(map[string]bool), changed: true}
+	return &Fleet{servers: make(map[string]Server), missing: make(map[string]bool), removed: make(map[string]Server), evacuations: make(map[string]Evacuation), changed: true}
 }
 
 // ReadFailed records that a read of the store failed. The first call after a
@@ -167,24 +178,30 @@
 	f.changed = true
 }
 
-// Evacuate sets whether the failure domain is evacuated.
-func (f *Fleet) Evacuate(domain string, on bool) {
-	if f.evacuated[domain] == on {
+// Evacuate records that this host learned of the start of the failure domain's
+// evacuation (on), or of its end. An end whose start wasn't known counts as a complete
+// evacuation, since this host may have missed it.
+func (f *Fleet) Evacuate(now time.Time, domain string, on bool) {
+	e := f.evacuations[domain]
+	switch {
+	case on && e.lasts():
 		return
+	case on:
+		e = Evacuation{Start: now}
+	case e.lasts():
+		e.End = now
+	default:
+		e = Evacuation{Start: now, End: now}
 	}
+	f.evacuations[domain] = e
 	f.changed = true
-	if on {
-		f.evacuated[domain] = true
-		return
-	}
-	delete(f.evacuated, domain)
 }
 
 // View returns a snapshot, and reports whether anything changed since the last call.
 func (f *Fleet) View() (*View, bool) {
 	changed := f.changed
 	f.changed = false
-	v := &View{byService: make(map[string][]Server), evacuated: maps.Clone(f.evacuated), count: len(f.servers)}
+	v := &View{byService: make(map[string][]Server), evacuations: maps.Clone(f.evacuations), count: len(f.servers)}
 	for _, s := range f.servers {
 		v.byService[s.Service] = append(v.byService[s.Service], s)
 	}
--- a/steer/fleet/fleet_test.go
+++ b/steer/fleet/fleet_test.go
@@ -109,12 +109,21 @@
 
 func TestEvacuate(t *testing.T) {
 	f := New()
-	f.Evacuate("a", true)
+	f.Evacuate(at(0), "a", true)
 	if v, changed := f.View(); !changed || !v.Evacuated("a") || v.Evacuated("b") {
 		t.Error("want a changed view in which domain a alone is evacuated")
 	}
-	f.Evacuate("a", false)
+	f.Evacuate(at(time.Second), "a", false)
 	if v, _ := f.View(); v.Evacuated("a") {
 		t.Error("domain a is still evacuated after the evacuation ended")
 	}
+	v, _ := f.View()
+	if got, want := v.Evacuation("a"), (Evacuation{Start: at(0), End: at(time.Second)}); got != want {
+		t.Errorf("evacuation = %v, want %v", got, want)
+	}
+	f.Evacuate(at(5*time.Second), "b", false)
+	v, _ = f.View()
+	if got, want := v.Evacuation("b"), (Evacuation{Start: at(5 * time.Second), End: at(5 * time.Second)}); got != want {
+		t.Errorf("evacuation whose start was missed = %v, want %v", got, want)
+	}
 }
--- a/steer/pick/phase.go
+++ b/steer/pick/phase.go
@@ -8,7 +8,8 @@
 
 // suspicionTimeout is how long a host that just started treats servers as possibly
 // restarted, counted from the time when it read their records. Records of crashed
-// servers expire within it, after three heartbeats of 1.5 s.
+// servers expire within it, after three heartbeats of 1.5 s. It is the same from the end
+// of an evacuation, since a heartbeat within it reports a warm-up.
 const suspicionTimeout = 5 * time.Second
 
 // Phase is what a host assumes about the warm-up of a server.
@@ -20,7 +21,7 @@
 	Warm Phase = "warm"
 	// WarmingUp servers reported that they are warming up.
 	WarmingUp Phase = "warmingUp"
-	// Suspected servers may have restarted and may be warming up.
+	// Suspected servers may have restarted or been evacuated, and may be warming up.
 	Suspected Phase = "suspected"
 )
 
@@ -37,6 +38,8 @@
 	Closed Cause = "idleClosed"
 	// HostStarted means that this host has just started and can't know.
 	HostStarted Cause = "hostStarted"
+	// EvacuationEnded means that the evacuation of the server's failure domain ended.
+	EvacuationEnded Cause = "evacuationEnded"
 	// RecordRead means that the server's record decided.
 	RecordRead Cause = "record"
 	// Verified means that a health check decided.
@@ -60,7 +63,8 @@
 }
 
 // updatePhase returns the server's present phase and reports a change to the observer.
-func (p *Picker) updatePhase(now time.Time, s *fleet.Server, st *state) Phase {
+func (p *Picker) updatePhase(now time.Time, v *fleet.View, s *fleet.Server, st *state) Phase {
+	st.noteEvacuation(v.Evacuation(s.Domain), s)
 	phase, cause := st.currentPhase(now, s)
 	if st.phase == phase {
 		return phase
@@ -76,6 +80,21 @@
 	return phase
 }
 
+// noteEvacuation raises the suspicion that the server became cold during an evacuation
+// that has ended. The record that would tell may arrive later than the end, so only a
+// warm-up that was reported since the start makes the suspicion needless.
+func (s *state) noteEvacuation(e fleet.Evacuation, record *fleet.Server) {
+	if !e.End.After(s.suspectedAt) || !e.End.After(s.evacuationEnd) {
+		return
+	}
+	s.evacuationEnd = e.End
+	if record.ReadAt.After(e.Start) && record.Cold(record.ReadAt) {
+		return
+	}
+	s.suspectRestart(e.End, EvacuationEnded)
+	s.suspicionEnds = e.End.Add(suspicionTimeout)
+}
+
 // currentPhase returns the server's phase and what decided it.
 func (s *state) currentPhase(now time.Time, record *fleet.Server) (Phase, Cause) {
 	switch {
@@ -103,8 +122,12 @@
 		(s.suspicionEnds.IsZero() || now.Before(s.suspicionEnds))
 }
 
-// suspectRestart records that the server may have restarted.
+// suspectRestart records that the server may have restarted, unless a later suspicion is
+// recorded.
 func (s *state) suspectRestart(now time.Time, cause Cause) {
+	if now.Before(s.suspectedAt) {
+		return
+	}
 	s.suspectedAt, s.suspicionEnds, s.suspicion = now, time.Time{}, cause
 }
 
--- a/steer/pick/picker.go
+++ b/steer/pick/picker.go
@@ -276,7 +276,7 @@
 				continue
 			}
 		}
-		c := candidate{server: s, state: st, score: score(r.Object, s.ID), phase: p.updatePhase(now, s, st), remote: s.Region != p.location.Region}
+		c := candidate{server: s, state: st, score: score(r.Object, s.ID), phase: p.updatePhase(now, v, s, st), remote: s.Region != p.location.Region}
 		usage.add(now, &c)
 		if c.remote {
 			remote = append(remote, c)
--- a/steer/pick/picker_test.go
+++ b/steer/pick/picker_test.go
@@ -66,7 +66,7 @@
 
 func TestUnusableServers(t *testing.T) {
 	f := servers(map[string]int{"north": 1, "south": 1, "east": 1}, func(s *fleet.Server) { s.Draining = s.Region == "north" })
-	f.Evacuate("south-a", true)
+	f.Evacuate(start, "south-a", true)
 	p := newPicker()
 	c := p.Choose(start, view(f), Request{Service: "loans", Object: "x"})
 	if got, want := c.Server.ID, "east-0"; got != want {
--- a/steer/pick/state.go
+++ b/steer/pick/state.go
@@ -57,9 +57,9 @@
 	ejections int
 	// ejectedUntil is the end of the current ejection.
 	ejectedUntil time.Time
-	// suspectedAt is when a connection was refused or lost, or when a host that just
-	// started read the record; zero for never. The server may have restarted since
-	// and may be warming up.
+	// suspectedAt is when a connection was refused or lost, when a host that just
+	// started read the record, or when an evacuation ended; zero for never. The server
+	// may have restarted since and may be warming up.
 	suspectedAt time.Time
 	// suspicionEnds is when the suspicion expires, zero if it needs a newer record or
 	// a health check.
@@ -70,6 +70,8 @@
 	verifiedAt, checkedAt, coldUntil time.Time
 	// warmUpLimit limits the rate of requests while the server warms up.
 	warmUpLimit tokenBucket
+	// evacuationEnd is the end of the last evacuation that was taken into account.
+	evacuationEnd time.Time
 	// phase is the server's phase at the last selection, and suspicion what made it
 	// [Suspected] the last time.
 	phase     Phase
