conns, edge: choose again when a server has closed all idle connections

Cause: a request was admitted as one to a warm server, found the host's idle connections closed by a restart, opened a new one and was sent all the same. The picker learned of it with the response. So did each request that waited for a connection while another one met the restart. Change: an attempt that finds only closed idle connections sends nothing, the server counts as possibly restarted and the request is placed again; a request to a warm server is placed again if that suspicion arose since. Health checks are sent as before. Connections with unexpected bytes don't count as closed.

--- a/hitchd/internal/conns/conns_test.go
+++ b/hitchd/internal/conns/conns_test.go
@@ -297,3 +297,33 @@
 		t.Errorf("body = %q, want %q", got, want)
 	}
 }
+
+// Idle connections that the server closed tell of a restart before anything is sent.
+// Health checks, which find out, are sent all the same.
+func TestIdleConnectionsClosed(t *testing.T) {
+	u := listen(t, func(c net.Conn, _ *bufio.Reader, h string) {
+		_, _ = io.WriteString(c, response("1", "one"))
+		if !strings.Contains(h, "check") {
+			_ = c.Close()
+		}
+	})
+	p := New(headers)
+	for _, check := range []bool{false, true} {
+		if _, _, err := send(t, p, request("1"), u.addr); err != nil {
+			t.Fatal(err)
+		}
+		time.Sleep(50 * time.Millisecond)
+		r := request("1")
+		r.Check = check
+		if check {
+			r.Target = "/check"
+		}
+		_, outcome, err := send(t, p, r, u.addr)
+		if check && err != nil {
+			t.Errorf("health check: error %v, want a response", err)
+		}
+		if !check && (!errors.Is(err, ErrIdleClosed) || outcome != result.NotRun) {
+			t.Errorf("request: outcome %v, error %v, want notRun and %v", outcome, err, ErrIdleClosed)
+		}
+	}
+}
--- a/hitchd/internal/conns/pool.go
+++ b/hitchd/internal/conns/pool.go
@@ -81,10 +81,10 @@
 	reused bool
 }
 
-// get returns an idle connection to the address, or a new one. Closed reports
-// that an idle connection was closed by the server, or had unexpected bytes,
-// before its idle timeout; the server may have restarted.
-func (p *Pool) get(ctx context.Context, now time.Time, addr string, nonIdempotent bool) (c *conn, closed bool, err error) {
+// idleConn returns an idle connection to the address, nil if there is none. Closed
+// reports that the server closed an idle connection before its idle timeout, dirty
+// that one had unexpected bytes.
+func (p *Pool) idleConn(now time.Time, addr string, nonIdempotent bool) (c *conn, closed, dirty bool) {
 	maxIdle := idleMax
 	if nonIdempotent {
 		maxIdle = idleNonIdempotent
@@ -92,21 +92,28 @@
 	for {
 		c := p.take(addr)
 		if c == nil {
-			break
+			return nil, closed, dirty
 		}
-		idle, usable := now.Sub(c.idleSince), c.usable()
-		if idle < maxIdle && idle < c.idleTimeout && usable {
-			return c, closed, nil
+		idle, state := now.Sub(c.idleSince), c.idleState()
+		if idle < maxIdle && idle < c.idleTimeout && state == stateUsable {
+			return c, closed, dirty
+		}
+		if idle < c.idleTimeout {
+			closed = closed || state == stateClosed
+			dirty = dirty || state == stateDirty
 		}
-		closed = closed || !usable && idle < c.idleTimeout
 		_ = c.Close()
 	}
+}
+
+// dial opens a connection to the address.
+func (p *Pool) dial(ctx context.Context, addr string) (*conn, error) {
 	raw, err := p.dialer.DialContext(ctx, "tcp", addr)
 	if err != nil {
-		return nil, closed, err
+		return nil, err
 	}
 	in := &bounded{conn: raw}
-	return &conn{Conn: raw, addr: addr, in: in, reader: bufio.NewReaderSize(in, bufferSize), idleTimeout: idleMax}, closed, nil
+	return &conn{Conn: raw, addr: addr, in: in, reader: bufio.NewReaderSize(in, bufferSize), idleTimeout: idleMax}, nil
 }
 
 // bounded reads at most left bytes from the connection.
@@ -170,29 +177,54 @@
 	}
 }
 
-// usable reports whether the idle connection is open and has received nothing
-// since the last response.
-func (c *conn) usable() bool { return c.reader.Buffered() == 0 && Usable(c.Conn) }
+// idleState is the state of an idle connection.
+type idleState uint8
+
+const (
+	// stateUsable connections are open and have received nothing since the last response.
+	stateUsable idleState = iota
+	// stateDirty connections have received unexpected bytes.
+	stateDirty
+	// stateClosed connections were closed by the peer.
+	stateClosed
+)
+
+func (c *conn) idleState() idleState {
+	if c.reader.Buffered() > 0 {
+		return stateDirty
+	}
+	return peek(c.Conn)
+}
 
 // Usable reports whether the peer has neither closed the idle connection nor
 // written to it. A connection without a file descriptor counts as usable.
-func Usable(c net.Conn) bool {
+func Usable(c net.Conn) bool { return peek(c) == stateUsable }
+
+func peek(c net.Conn) idleState {
 	sc, ok := c.(syscall.Conn)
 	if !ok {
-		return true
+		return stateUsable
 	}
 	raw, err := sc.SyscallConn()
 	if err != nil {
-		return false
+		return stateClosed
 	}
-	usable := false
+	state := stateClosed
 	err = raw.Read(func(fd uintptr) bool {
 		var b [1]byte
-		_, _, err := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-		usable = errors.Is(err, syscall.EAGAIN)
+		n, _, err := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		switch {
+		case errors.Is(err, syscall.EAGAIN):
+			state = stateUsable
+		case err == nil && n > 0:
+			state = stateDirty
+		}
 		return true
 	})
-	return err == nil && usable
+	if err != nil {
+		return stateClosed
+	}
+	return state
 }
 
 // Dialer returns a dialer whose connections fail within a few seconds when their
--- a/hitchd/internal/conns/send.go
+++ b/hitchd/internal/conns/send.go
@@ -56,7 +56,12 @@
 )
 
 // ErrFenced is the error of an attempt that [Request.Fenced] stopped.
-var ErrFenced = errors.New("process was paused after the server was chosen")
+var ErrFenced = errors.New("choice of the server is out of date")
+
+// ErrIdleClosed is the error of an attempt that found only idle connections which the
+// server had closed before their idle timeout, as a server does that restarts. Nothing
+// was sent.
+var ErrIdleClosed = errors.New("server closed all idle connections")
 
 // Errors of attempts.
 var (
@@ -80,7 +85,8 @@
 	Stream   io.Reader
 	Length   int64
 	Deadline time.Time
-	// Check marks a health check, whose response has no signature.
+	// Check marks a health check, whose response has no signature. It is also sent after
+	// the server closed all idle connections.
 	Check bool
 	// Fenced reports that the choice of the server is no longer valid; nil means never.
 	// It is called right before the first byte is written.
@@ -101,7 +107,7 @@
 	// a response to HEAD is the one that the server announced.
 	Length int64
 	// StaleClosed reports that the server had closed idle connections before their
-	// idle timeout.
+	// idle timeout, or had sent unexpected bytes on them.
 	StaleClosed bool
 	// Reused reports that the connection had carried other requests.
 	Reused bool
@@ -114,7 +120,15 @@
 // usable response it returns an error and an outcome that reports whether the
 // server can have run the request.
 func (p *Pool) Send(ctx context.Context, r *Request, id, addr string) (*Response, result.Outcome, error) {
-	c, closed, err := p.get(ctx, clock.Now(), addr, r.NonIdempotent)
+	c, closed, dirty := p.idleConn(clock.Now(), addr, r.NonIdempotent)
+	var err error
+	switch {
+	case c != nil:
+	case closed && !r.Check:
+		err = ErrIdleClosed
+	default:
+		c, err = p.dial(ctx, addr)
+	}
 	if err != nil {
 		return nil, result.NotRun, errors.Wrapf(err, "connect to %s at %s", id, addr)
 	}
@@ -126,7 +140,7 @@
 		_ = c.Close()
 		return nil, outcome, errors.Wrapf(err, "send to %s at %s", id, addr)
 	}
-	a.StaleClosed = closed
+	a.StaleClosed = closed || dirty
 	return a, outcome, nil
 }
 
--- a/hitchd/internal/edge/run.go
+++ b/hitchd/internal/edge/run.go
@@ -72,12 +72,14 @@
 			x.expired = true
 			return response
 		}
-		x.request.Fenced = func() bool { return e.pauses.Since(clock.Now(), now) }
 		c := s.picker.Choose(now, e.state().Fleet, pick.Request{Service: x.service, Object: x.object, Regions: x.route.Regions, Tried: x.tried})
 		e.check(ctx, s, c.Check)
 		if c.Reason != pick.Chosen {
 			return response
 		}
+		x.request.Fenced = func() bool {
+			return e.pauses.Since(clock.Now(), now) || c.Phase == pick.Warm && s.picker.SuspectedSince(now, c.Server.ID)
+		}
 		a, outcome, sent := e.attempt(ctx, s, x, c)
 		x.mayHaveRun = x.mayHaveRun || outcome == result.Unknown
 		if a != nil && outcome == result.Done {
@@ -138,9 +140,12 @@
 	now := clock.Now()
 	took := now.Sub(start)
 	x.lastErr = err
-	if errors.Is(err, conns.ErrFenced) {
+	if errors.Is(err, conns.ErrFenced) || errors.Is(err, conns.ErrIdleClosed) {
 		s.picker.Done(now, c.Server.ID, pick.Abandoned, took, pick.Report{})
-		e.log.Info("server is chosen again after a pause", "request", x.id, "server", c.Server.ID, "tookMs", ms(took))
+		if errors.Is(err, conns.ErrIdleClosed) {
+			s.picker.SuspectRestart(now, c.Server.ID)
+		}
+		e.log.Info("server is chosen again", "request", x.id, "server", c.Server.ID, "tookMs", ms(took), "error", err)
 		return nil, outcome, false
 	}
 	x.tried = append(x.tried, c.Server.ID)
--- a/steer/pick/cold_test.go
+++ b/steer/pick/cold_test.go
@@ -113,3 +113,28 @@
 		})
 	}
 }
+
+// A request that was admitted to a warm server is not sent any more once another
+// request of the host met the server's restart, for example while it waits for a
+// connection.
+func TestSuspicionAfterAdmission(t *testing.T) {
+	v := view(servers(map[string]int{"north": 1}, nil))
+	p := newPicker()
+	first := p.Choose(start, v, Request{Service: "loans", Object: "x"})
+	waiting := at(10 * time.Millisecond)
+	p.Choose(waiting, v, Request{Service: "loans", Object: "x"})
+	if p.SuspectedSince(waiting, "north-0") {
+		t.Error("server is suspected before anything happened")
+	}
+	p.Done(at(20*time.Millisecond), first.Server.ID, ConnectionLost, 0, Report{})
+	if !p.SuspectedSince(waiting, "north-0") {
+		t.Error("server isn't suspected since the admission, want the waiting request not to be sent")
+	}
+	p.SuspectRestart(at(5*time.Millisecond), "north-0")
+	if !p.SuspectedSince(waiting, "north-0") {
+		t.Error("an older suspicion replaced a newer one")
+	}
+	if later := at(30 * time.Millisecond); p.SuspectedSince(later, "north-0") {
+		t.Error("suspicion counts for a request that was admitted after it")
+	}
+}
--- a/steer/pick/done.go
+++ b/steer/pick/done.go
@@ -79,6 +79,15 @@
 	}
 }
 
+// SuspectedSince reports whether the suspicion that the server restarted arose at or
+// after the time. A request that was admitted to a warm server before must then not be sent.
+func (p *Picker) SuspectedSince(since time.Time, server string) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	st := p.states[server]
+	return st != nil && !st.suspectedAt.IsZero() && !st.suspectedAt.Before(since)
+}
+
 // RecordHealthCheck records the response to a health check that was sent at checkedAt. The server
 // reported that it is warming up for the time warmUp from then on.
 func (p *Picker) RecordHealthCheck(checkedAt time.Time, server string, warmUp time.Duration) {
