watch, pick: count a record as proof only if it was written after a suspicion

What callers saw: nothing; a server that restarted could get requests without a limit until the record of its new run arrived. Cause: a record was stamped when a host applied it, and any record stamped after a suspicion counted as proof that the server had not restarted. One that was written before a crash, such as the end of a warm-up, may arrive after it: the first host of a domain reads twice a second, the others poll it. Change: a record is known to be written after the time at which the host's table was last current without it, less the longest delay of a response that counts as current. Suspicions compare with that time. A warm-up that is reported after the end of an evacuation withdraws the suspicion too.

--- a/hitchd/internal/watch/update.go
+++ b/hitchd/internal/watch/update.go
@@ -64,6 +64,16 @@
 	}
 }
 
+// lastCurrent returns a time at which the replica was certainly current, so that all
+// changes which it lacks are later; zero if there is none. A response counts as current
+// when it arrives, at most maxResponseDelay after the store sent it.
+func (c *replica) lastCurrent() time.Time {
+	if c.confirmed.IsZero() {
+		return time.Time{}
+	}
+	return c.confirmed.Add(-maxResponseDelay)
+}
+
 func (c *replica) put(r plat.Change) {
 	if !r.Removed {
 		c.rows[r.Key] = r
--- a/hitchd/internal/watch/watch.go
+++ b/hitchd/internal/watch/watch.go
@@ -192,13 +192,14 @@
 	if full {
 		rows = append(removals(w.servers.rows, rows), rows...)
 	}
+	writtenAfter := w.servers.lastCurrent()
 	for _, r := range rows {
-		w.applyServerRow(now, r, remove)
+		w.applyServerRow(now, writtenAfter, r, remove)
 	}
 	w.fleet.RemoveMissing(now)
 }
 
-func (w *Watch) applyServerRow(now time.Time, r plat.Change, remove func(time.Time, string)) {
+func (w *Watch) applyServerRow(now, writtenAfter time.Time, r plat.Change, remove func(time.Time, string)) {
 	row, known := w.servers.rows[r.Key]
 	if r.Removed {
 		if known {
@@ -218,6 +219,7 @@
 		w.log.Warn("server record names no server", "server", r.Key, "version", r.Version, "error", err)
 		return
 	}
+	s.WrittenAfter = writtenAfter
 	held, wasHeld := w.fleet.Server(s.ID)
 	if w.fleet.Put(s) && (!wasHeld || s.Draining || s.Incarnation != held.Incarnation || s.Cold(now) && !held.Cold(now)) {
 		w.log.Info("server record", "server", s.ID, "service", s.Service, "domain", s.Domain,
--- a/hitchd/internal/watch/watch_test.go
+++ b/hitchd/internal/watch/watch_test.go
@@ -410,3 +410,31 @@
 		t.Error("changes since a retained removal are sent as the complete table")
 	}
 }
+
+// A server's record that a host applies may be older than what the host has seen of the
+// server meanwhile. It counts as written after the table was last known to be current
+// without it, by this host's own reads or by those of the host that sent it.
+func TestRecordsTellWhenWritten(t *testing.T) {
+	writtenAfter := func(w *Watch) time.Time { return w.State().Fleet.Servers("loans")[0].WrittenAfter }
+	row := func(version int64) []plat.Change {
+		return []plat.Change{{Row: plat.Row{Key: "a", Version: version, Value: []byte("ready")}}}
+	}
+	w := newWatch(newStore())
+	base := clock.Now()
+	at := func(d time.Duration) time.Time { return base.Add(d) }
+	w.applyServers(at(0), row(1), true, 1)
+	if got := writtenAfter(w); !got.IsZero() {
+		t.Errorf("first record is written after %v, want no time", got)
+	}
+	w.applyServers(at(2*time.Second), nil, false, 1)
+	w.applyServers(at(5*time.Second), row(2), false, 2)
+	if got, want := writtenAfter(w), at(2*time.Second-maxResponseDelay); !got.Equal(want) {
+		t.Errorf("record is written after %v, want %v", got, want)
+	}
+	const age = 700 * time.Millisecond
+	w.Adopt(at(7*time.Second), Update{Servers: TableUpdate{Version: 3, Age: age}})
+	w.Adopt(at(9*time.Second), Update{Servers: TableUpdate{Version: 4, Rows: row(4)}})
+	if got, want := writtenAfter(w), at(7*time.Second-age-maxResponseDelay); !got.Equal(want) {
+		t.Errorf("record of another host is written after %v, want %v", got, want)
+	}
+}
--- a/steer/fleet/server.go
+++ b/steer/fleet/server.go
@@ -22,6 +22,9 @@
 	ColdUntil time.Time
 	// ReadAt is when this host read the record from the store.
 	ReadAt time.Time
+	// WrittenAfter is a time before the server wrote the record: this host's table was
+	// still current then, without the record. It is zero if no such time is known.
+	WrittenAfter time.Time
 }
 
 // Cold reports whether the server is warming up.
--- a/steer/pick/cold_test.go
+++ b/steer/pick/cold_test.go
@@ -95,7 +95,7 @@
 					f.Evacuate(now, "north-a", false)
 				case recordRead:
 					s := fleet.Server{ID: "north-0", Service: "loans", Domain: "north-a", Region: "north", Slots: 3, Incarnation: 1, Sequence: 2}
-					s.ReadAt, s.ColdUntil = now, at(warm)
+					s.WrittenAfter, s.ReadAt, s.ColdUntil = at(cold), now, at(warm)
 					f.Put(s)
 				}
 				host := int(d/(5*time.Millisecond)) % len(r.hosts)
--- a/steer/pick/phase.go
+++ b/steer/pick/phase.go
@@ -81,24 +81,26 @@
 }
 
 // noteEvacuation raises the suspicion that the server became cold during an evacuation
-// that has ended. The record that would tell may arrive later than the end, so only a
-// warm-up that was reported since the start makes the suspicion needless.
+// that has ended: the record that would tell may arrive later than the end. It withdraws
+// the suspicion once a warm-up was reported that began since the start.
 func (s *state) noteEvacuation(e fleet.Evacuation, record *fleet.Server) {
-	if !e.End.After(s.suspectedAt) || !e.End.After(s.evacuationEnd) {
-		return
-	}
-	s.evacuationEnd = e.End
-	if record.ReadAt.After(e.Start) && record.Cold(record.ReadAt) {
-		return
+	reported := record.WrittenAfter.After(e.Start) && record.Cold(record.ReadAt)
+	switch {
+	case e.End.After(s.evacuationEnd):
+		s.evacuationEnd = e.End
+		if !reported && e.End.After(s.suspectedAt) {
+			s.suspectRestart(e.End, EvacuationEnded)
+			s.suspicionEnds = e.End.Add(suspicionTimeout)
+		}
+	case reported && s.suspicion == EvacuationEnded:
+		s.suspectedAt, s.suspicion = time.Time{}, ""
 	}
-	s.suspectRestart(e.End, EvacuationEnded)
-	s.suspicionEnds = e.End.Add(suspicionTimeout)
 }
 
 // currentPhase returns the server's phase and what decided it.
 func (s *state) currentPhase(now time.Time, record *fleet.Server) (Phase, Cause) {
 	switch {
-	case s.restartSuspected(now, record.ReadAt):
+	case s.restartSuspected(now, record.WrittenAfter):
 		return Suspected, s.suspicion
 	case now.Before(s.coldUntil):
 		return WarmingUp, Verified
@@ -106,7 +108,7 @@
 		return WarmingUp, RecordRead
 	case s.phase == WarmingUp:
 		return Warm, Expired
-	case s.suspectedAt.IsZero() || record.ReadAt.After(s.suspectedAt):
+	case s.suspectedAt.IsZero() || record.WrittenAfter.After(s.suspectedAt):
 		return Warm, RecordRead
 	case !s.verifiedAt.Before(s.suspectedAt):
 		return Warm, Verified
@@ -115,10 +117,10 @@
 }
 
 // restartSuspected reports whether the server may have restarted. The suspicion ends
-// with a record that was read or a health check that was sent after it arose, or
-// when it expires.
-func (s *state) restartSuspected(now, recordRead time.Time) bool {
-	return !s.suspectedAt.IsZero() && !recordRead.After(s.suspectedAt) && s.verifiedAt.Before(s.suspectedAt) &&
+// with a record that was written or a health check that was sent after it arose, or
+// when it expires. A record that was only read after it may be from before a crash.
+func (s *state) restartSuspected(now, writtenAfter time.Time) bool {
+	return !s.suspectedAt.IsZero() && !writtenAfter.After(s.suspectedAt) && s.verifiedAt.Before(s.suspectedAt) &&
 		(s.suspicionEnds.IsZero() || now.Before(s.suspicionEnds))
 }
 
--- a/steer/pick/picker_test.go
+++ b/steer/pick/picker_test.go
@@ -119,7 +119,8 @@
 }
 
 // A server that refused a connection may have restarted and be warming up. It
-// counts as one that warms up until a newer record is read.
+// counts as one that warms up until a newer record is read. A record that was written
+// before, such as the end of an earlier warm-up, is no proof although it arrives later.
 func TestRefusingServerCountsAsCold(t *testing.T) {
 	f := servers(map[string]int{"north": 1}, nil)
 	p := newPicker()
@@ -128,7 +129,11 @@
 	if got := p.Choose(at(10*time.Second), view(f), Request{Service: "loans", Object: "x"}); got.Reason != AllCold {
 		t.Errorf("reason = %s, want %s before a newer record", got.Reason, AllCold)
 	}
-	f = servers(map[string]int{"north": 1}, func(s *fleet.Server) { s.ReadAt = at(2 * time.Second) })
+	f = servers(map[string]int{"north": 1}, func(s *fleet.Server) { s.ReadAt, s.WrittenAfter = at(2*time.Second), at(500*time.Millisecond) })
+	if got := p.Choose(at(10*time.Second), view(f), Request{Service: "loans", Object: "x"}); got.Reason != AllCold {
+		t.Errorf("reason = %s, want %s after a record that may be from before the restart", got.Reason, AllCold)
+	}
+	f = servers(map[string]int{"north": 1}, func(s *fleet.Server) { s.ReadAt, s.WrittenAfter = at(3*time.Second), at(2*time.Second) })
 	if got := p.Choose(at(10*time.Second), view(f), Request{Service: "loans", Object: "x"}); got.Reason != Chosen {
 		t.Errorf("reason = %s, want %s after a newer record", got.Reason, Chosen)
 	}
