relay: name no hosts before the hosts' table was received

What callers saw: nothing seen; a host that can't read the hosts' table took itself for the only one of its region, and so for a sponsor of every server that warms up. If all hosts of a region start in that state, each sends a full share. Cause: Registered added the host itself to whatever rows it had, none included. Evidence: TestHostWithoutTableIsNotAlone failed before (registered = [a], want none). Change: without the table there are no registered hosts, so that the host sends to no cold server.

--- a/hitchd/internal/relay/relay.go
+++ b/hitchd/internal/relay/relay.go
@@ -143,10 +143,14 @@
 }
 
 // Registered returns this host and all hosts of the region that have a row, live or
-// not.
+// not. It returns none until the hosts' table was received: a host that knows no other
+// one must not act as if it were alone.
 func (r *Relay) Registered() []member.Host {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	if !r.rowsReceived {
+		return nil
+	}
 	out := []member.Host{r.self}
 	for _, x := range r.rows {
 		if x.host.Region == r.self.Region && x.host.Name != r.self.Name {
--- a/hitchd/internal/relay/relay_test.go
+++ b/hitchd/internal/relay/relay_test.go
@@ -317,3 +317,18 @@
 		t.Errorf("order = %v, want %v", got, want)
 	}
 }
+
+// A host that has configuration and servers but not the hosts' table doesn't take itself
+// for the only host of its region. If it did, each host that starts while that table
+// can't be read would sponsor every cold server.
+func TestHostWithoutTableIsNotAlone(t *testing.T) {
+	r := newRelay(host("a", "x"), WithFirstStart(true))
+	if got := names(r.Registered()); len(got) != 0 {
+		t.Errorf("registered = %v before the hosts' table was received, want none", got)
+	}
+	b := host("b", "y")
+	r.SetRows(map[string]plat.Change{"b": hostRow(b, 1)})
+	if got, want := names(r.Registered()), []string{"a", "b"}; !slices.Equal(got, want) {
+		t.Errorf("registered = %v, want %v", got, want)
+	}
+}
