soak: let servers become cold during an evacuation

Change: a second before the end of an evacuation the domain's servers become cold, each reports it with its next heartbeat, and the ledger checks their rate. An evacuation lasts until all hosts must know of it.

--- a/standin/internal/soak/act.go
+++ b/standin/internal/soak/act.go
@@ -85,7 +85,8 @@
 			w.operator.configure(ctx)
 		}
 	case Evacuate:
-		w.operator.evacuate(ctx, domains[int(e.Target)%len(domains)].name, e.For)
+		d := domains[int(e.Target)%len(domains)].name
+		w.operator.evacuate(ctx, d, e.For, func() { w.fleet.cool(d) })
 	}
 	return nil
 }
--- a/standin/internal/soak/fleet.go
+++ b/standin/internal/soak/fleet.go
@@ -112,6 +112,24 @@
 	return false
 }
 
+// cool starts a warm-up of all servers of the domain. Each reports it with its next
+// heartbeat.
+func (f *fleet) cool(domain string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	now := time.Now()
+	for _, s := range f.endpoints {
+		x := s.server
+		if s.domain.name != domain || x == nil || x.ended.Load() {
+			continue
+		}
+		s.sequence++
+		x.Cool(now)
+		f.world.ledger.Cool(x.ID, *x.coldUntil.Load())
+		time.AfterFunc(rand.N(f.world.bounds.Heartbeat), func() { f.register(s, x) })
+	}
+}
+
 // record encodes the server's record. The caller holds f.mu.
 func (f *fleet) record(s *endpoint, x *Server) []byte {
 	state := "ready"
@@ -120,7 +138,7 @@
 	}
 	out, err := json.Marshal(map[string]any{
 		"service": x.Service, "address": s.link.Addr(), "zone": x.Domain, "version": "1", "max_concurrency": serverSlots, "state": state,
-		"warmup_left_s": max(0, time.Until(x.coldUntil).Seconds()), "sequence": s.sequence, "born": x.Born,
+		"warmup_left_s": x.WarmUpLeft(time.Now()).Seconds(), "sequence": s.sequence, "born": x.Born,
 	})
 	if err != nil {
 		panic(err)
--- a/standin/internal/soak/ledger.go
+++ b/standin/internal/soak/ledger.go
@@ -153,6 +153,15 @@
 	l.upstreams[u.ID] = &u
 }
 
+// Cool records that a running server is cold again until coldUntil.
+func (l *Ledger) Cool(id string, coldUntil time.Time) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if u := l.upstreams[id]; u != nil {
+		u.coldUntil, u.recentArrivals = coldUntil, nil
+	}
+}
+
 // Leaving records when the store acknowledged a server's drain or removal. Only
 // the first call for a server has an effect.
 func (l *Ledger) Leaving(acked time.Time, id string) {
--- a/standin/internal/soak/ledger_test.go
+++ b/standin/internal/soak/ledger_test.go
@@ -234,3 +234,27 @@
 		t.Errorf("broken invariants %v, want %s and %s", got, RespondedInTime, Recovered)
 	}
 }
+
+// A running server that becomes cold, as after an evacuation, is checked like one that
+// has started.
+func TestColdRateOfRunningServer(t *testing.T) {
+	l, _ := newTestLedger()
+	l.Start(Upstream{ID: "warm", Service: "stock", Domain: "north-a", Link: "warm"}, time.Time{})
+	for i := range 20 {
+		id := string(rune('a' + i))
+		recordAttempt(l, id, 10, false)
+		recordRun(l, id, "warm", 10+float64(i)*0.04)
+	}
+	if got := l.Violations(); len(got) > 0 {
+		t.Fatalf("violations = %v, want none for a warm server", got)
+	}
+	l.Cool("warm", at(20))
+	for i := range 10 {
+		id := string(rune('A' + i))
+		recordAttempt(l, id, 12, false)
+		recordRun(l, id, "warm", 12+float64(i)*0.08)
+	}
+	if got := l.Violations(); len(got) == 0 || got[0].Invariant != ColdRate || got[0].Request != "J" {
+		t.Errorf("violations = %v, want the tenth request to break %s", got, ColdRate)
+	}
+}
--- a/standin/internal/soak/operator.go
+++ b/standin/internal/soak/operator.go
@@ -126,14 +126,21 @@
 	return false
 }
 
-// evacuate requests the evacuation of the failure domain and withdraws it after d.
-func (o *operator) evacuate(ctx context.Context, domain string, d time.Duration) {
+// coolBeforeEnd is the time from the cooling of an evacuated domain's servers to the end
+// of the evacuation.
+const coolBeforeEnd = time.Second
+
+// evacuate requests the evacuation of the failure domain and withdraws it after d, but
+// not before all hosts must know of it. Shortly before the end it calls cool.
+func (o *operator) evacuate(ctx context.Context, domain string, d time.Duration, cool func()) {
 	key := "evacuate/" + domain
 	if !o.write(ctx, key, []byte("{}")) {
 		return
 	}
 	o.ledger.Evacuated(time.Now(), domain)
-	sleep(ctx, d)
+	sleep(ctx, max(o.ledger.bounds.Evacuate, d-coolBeforeEnd))
+	cool()
+	sleep(ctx, coolBeforeEnd)
 	o.ledger.Evacuated(time.Time{}, domain)
 	for ctx.Err() == nil && o.store.Delete(ctx, platform.OperatorTable, key, 0) != nil {
 		sleep(ctx, retryInterval)
--- a/standin/internal/soak/server.go
+++ b/standin/internal/soak/server.go
@@ -53,7 +53,7 @@
 	Born      int64
 	addr      string
 	ledger    *Ledger
-	coldUntil time.Time
+	coldUntil atomic.Pointer[time.Time]
 	http      *http.Server
 	slots     chan struct{}
 	waiting   atomic.Int64
@@ -71,8 +71,9 @@
 	s := &Server{
 		Upstream: u, Born: now.UnixMilli(), ledger: l, slots: make(chan struct{}, serverSlots), idle: make(map[net.Conn]bool),
 	}
+	s.coldUntil.Store(&now)
 	if cold {
-		s.coldUntil = now.Add(warmUp)
+		s.Cool(now)
 	}
 	s.fault.Store(&ServerFault{})
 	ln, err := net.Listen("tcp4", addr)
@@ -80,7 +81,7 @@
 		return nil, errors.Wrapf(err, "start server %s", u.ID)
 	}
 	s.addr = ln.Addr().String()
-	l.Start(u, s.coldUntil)
+	l.Start(u, *s.coldUntil.Load())
 	s.http = &http.Server{Handler: s, IdleTimeout: idleTimeout, ConnState: s.track}
 	go func() { _ = s.http.Serve(ln) }()
 	return s, nil
@@ -89,6 +90,15 @@
 // Addr returns the address that the server listens on.
 func (s *Server) Addr() string { return s.addr }
 
+// Cool starts a warm-up of the server.
+func (s *Server) Cool(now time.Time) {
+	until := now.Add(warmUp)
+	s.coldUntil.Store(&until)
+}
+
+// WarmUpLeft returns the remaining time of the warm-up, 0 without one.
+func (s *Server) WarmUpLeft(now time.Time) time.Duration { return max(0, s.coldUntil.Load().Sub(now)) }
+
 // Crash closes the server's listener and all its connections at once.
 func (s *Server) Crash() {
 	s.ended.Store(true)
@@ -189,7 +199,7 @@
 
 func (s *Server) health(w http.ResponseWriter) {
 	w.Header().Set("Instance-Id", s.ID)
-	if left := time.Until(s.coldUntil); left > 0 {
+	if left := s.WarmUpLeft(time.Now()); left > 0 {
 		w.Header().Set(platform.HeaderWarmUp, strconv.FormatInt(left.Milliseconds(), 10))
 	}
 	if s.draining.Load() {
@@ -206,7 +216,7 @@
 	s.ledger.Run(time.Now(), id, s.ID, r.Method, r.RequestURI, Checksum(body))
 	f := *s.fault.Load()
 	took := minServiceTime + rand.N(serviceTimeSpread)
-	if time.Now().Before(s.coldUntil) {
+	if s.WarmUpLeft(time.Now()) > 0 {
 		took *= 2
 	}
 	if f.Slow > 0 {
