pick, edge: count a reported warm-up from the response to the health check

What callers saw: nothing; a host sent without a limit up to a second before a server's warm-up ended. Cause: the warm-up that a server reports with a health check was counted from the time the check was sent. A check waits for a slot like any request, for a second at most. Change: the warm-up counts from the response; whether the check is newer than a suspicion still goes by the time it was sent.

--- a/hitchd/internal/edge/check.go
+++ b/hitchd/internal/edge/check.go
@@ -42,8 +42,9 @@
 		return
 	}
 	warmup := e.codec.WarmUpLeft(a.Header)
-	s.picker.RecordHealthCheck(sentAt, x.ID, warmup)
-	e.log.Info("server verified", "server", x.ID, "address", x.Addr, "coldMs", warmup.Milliseconds(), "tookMs", ms(clock.Now().Sub(sentAt)))
+	now := clock.Now()
+	s.picker.RecordHealthCheck(now, sentAt, x.ID, warmup)
+	e.log.Info("server verified", "server", x.ID, "address", x.Addr, "coldMs", warmup.Milliseconds(), "tookMs", ms(now.Sub(sentAt)))
 }
 
 // statusOf returns the status of the response, 0 without one.
--- a/steer/pick/cold_test.go
+++ b/steer/pick/cold_test.go
@@ -101,7 +101,7 @@
 				host := int(d/(5*time.Millisecond)) % len(r.hosts)
 				x := r.send(now, host, view(f), fmt.Sprint(d))
 				if c.checked && len(x.Check) > 0 {
-					r.pickers[host].RecordHealthCheck(now, "north-0", max(0, at(warm).Sub(now)))
+					r.pickers[host].RecordHealthCheck(now, now, "north-0", max(0, at(warm).Sub(now)))
 				}
 			}
 			if got := r.most("north-0", at(cold), at(warm)); float64(got) > coldLimit {
@@ -138,3 +138,20 @@
 		t.Error("suspicion counts for a request that was admitted after it")
 	}
 }
+
+// A health check that waited for a slot reports the warm-up that is left when it is
+// answered, not when it was sent.
+func TestWarmUpAfterLongHealthCheck(t *testing.T) {
+	v := view(servers(map[string]int{"north": 1}, nil))
+	p := newPicker()
+	c := p.Choose(start, v, Request{Service: "loans", Object: "x"})
+	p.Done(at(100*time.Millisecond), c.Server.ID, ConnectionLost, 0, Report{})
+	sent, answered, warmUp := at(200*time.Millisecond), at(time.Second), 500*time.Millisecond
+	p.RecordHealthCheck(answered, sent, "north-0", warmUp)
+	if got := p.Choose(answered.Add(warmUp-time.Millisecond), v, Request{Service: "loans", Object: "x"}); got.Reason != AllCold {
+		t.Errorf("reason = %s during the reported warm-up, want %s", got.Reason, AllCold)
+	}
+	if got := p.Choose(answered.Add(warmUp), v, Request{Service: "loans", Object: "x"}); got.Reason != Chosen {
+		t.Errorf("reason = %s after the reported warm-up, want %s", got.Reason, Chosen)
+	}
+}
--- a/steer/pick/done.go
+++ b/steer/pick/done.go
@@ -88,13 +88,14 @@
 	return st != nil && !st.suspectedAt.IsZero() && !st.suspectedAt.Before(since)
 }
 
-// RecordHealthCheck records the response to a health check that was sent at checkedAt. The server
-// reported that it is warming up for the time warmUp from then on.
-func (p *Picker) RecordHealthCheck(checkedAt time.Time, server string, warmUp time.Duration) {
+// RecordHealthCheck records the response to a health check that was sent at checkedAt and
+// answered now. The server reported that it is warming up for the time warmUp from the
+// response on.
+func (p *Picker) RecordHealthCheck(now, checkedAt time.Time, server string, warmUp time.Duration) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if st := p.states[server]; st != nil {
-		st.verifiedAt, st.coldUntil = checkedAt, checkedAt.Add(warmUp)
+		st.verifiedAt, st.coldUntil = checkedAt, now.Add(warmUp)
 	}
 }
 
--- a/steer/pick/picker_test.go
+++ b/steer/pick/picker_test.go
@@ -228,7 +228,7 @@
 	choose(warm, 0)
 	p.Done(at(100*time.Millisecond), "north-0", ConnectionLost, 0, Report{})
 	choose(warm, 200*time.Millisecond)
-	p.RecordHealthCheck(at(300*time.Millisecond), "north-0", 2*time.Second)
+	p.RecordHealthCheck(at(300*time.Millisecond), at(300*time.Millisecond), "north-0", 2*time.Second)
 	choose(warm, 400*time.Millisecond)
 	choose(warm, 3*time.Second)
 	want := []PhaseChange{
