relay: leave a joining host out of the sponsors until others know it

What callers saw: nothing seen; several hosts that join at once sponsored cold servers beside those whose place they took. Cause: a host counted itself among the region's hosts as soon as it had written its row, up to a poll and a read before the others. Three sponsors use three quarters of a cold server's limit, so that one host more fits and two don't. Change: a host whose name the table didn't have leaves itself out for 2 s. At the first start of the system, and after a restart under its name, nothing changes.

--- a/hitchd/edgelookup.go
+++ b/hitchd/edgelookup.go
@@ -38,5 +38,5 @@
 		return 0, 0
 	}
 	limit := st.Table.Services[s.Service].WarmUpRate*h.settings.Bounds.WarmUpOverrun + h.settings.Bounds.WarmUpSlack
-	return place.Sponsor(h.settings.Host, st.Table.HostOf(s.Service), h.relay.Registered(), limit)
+	return place.Sponsor(h.settings.Host, st.Table.HostOf(s.Service), h.relay.Registered(clock.Now()), limit)
 }
--- a/hitchd/internal/relay/relay.go
+++ b/hitchd/internal/relay/relay.go
@@ -47,6 +47,8 @@
 	// seedInterval is the time between two rounds of polls of the seeds, a few
 	// round-trip times between regions.
 	seedInterval = 250 * time.Millisecond
+	// joinTime is the time within which all hosts learn of a new row.
+	joinTime = 2 * time.Second
 	// rowsWait is how long a starting host waits for the hosts' table before it
 	// continues without it.
 	rowsWait = 250 * time.Millisecond
@@ -78,6 +80,9 @@
 	first atomic.Bool
 	// rowsReceived is set once the hosts' table was read or received.
 	rowsReceived bool
+	// joinedAt is when this host wrote its row into a table that had none of its name, zero
+	// if the table had one.
+	joinedAt time.Time
 	// firstStart is set by [WithFirstStart].
 	firstStart bool
 	// serversAge and operatorAge are the ages of the replicas at which this host reads
@@ -142,20 +147,21 @@
 	return r.members.Live(now)
 }
 
-// Registered returns this host and all hosts of the region that have a row, live or
-// not. It returns none until the hosts' table was received: a host that knows no other
-// one must not act as if it were alone.
-func (r *Relay) Registered() []member.Host {
+// Registered returns the hosts of the region that have a row in the hosts' table, live or
+// not. It returns none until the table was received: a host that knows no other one must
+// not act as if it were alone. This host is among them once others know it too.
+func (r *Relay) Registered(now time.Time) []member.Host {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if !r.rowsReceived {
 		return nil
 	}
-	out := []member.Host{r.self}
+	var out []member.Host
 	for _, x := range r.rows {
-		if x.host.Region == r.self.Region && x.host.Name != r.self.Name {
-			out = append(out, x.host)
+		if x.host.Region != r.self.Region || x.host.Name == r.self.Name && now.Sub(r.joinedAt) < joinTime {
+			continue
 		}
+		out = append(out, x.host)
 	}
 	return out
 }
--- a/hitchd/internal/relay/relay_test.go
+++ b/hitchd/internal/relay/relay_test.go
@@ -323,12 +323,54 @@
 // can't be read would sponsor every cold server.
 func TestHostWithoutTableIsNotAlone(t *testing.T) {
 	r := newRelay(host("a", "x"), WithFirstStart(true))
-	if got := names(r.Registered()); len(got) != 0 {
+	if got := names(r.Registered(clock.Now())); len(got) != 0 {
 		t.Errorf("registered = %v before the hosts' table was received, want none", got)
 	}
-	b := host("b", "y")
-	r.SetRows(map[string]plat.Change{"b": hostRow(b, 1)})
-	if got, want := names(r.Registered()), []string{"a", "b"}; !slices.Equal(got, want) {
+	r.SetRows(map[string]plat.Change{"a": hostRow(host("a", "x"), 1), "b": hostRow(host("b", "y"), 2)})
+	got := names(r.Registered(clock.Now()))
+	slices.Sort(got)
+	if want := []string{"a", "b"}; !slices.Equal(got, want) {
 		t.Errorf("registered = %v, want %v", got, want)
 	}
 }
+
+// A host that joins isn't among the registered hosts before the others know it. If it
+// were, several hosts that join at once would sponsor cold servers beside those whose
+// place they take.
+func TestJoiningHostWaits(t *testing.T) {
+	for _, c := range []struct {
+		name    string
+		known   bool
+		options []Option
+		want    []string
+	}{
+		{"new name", false, nil, []string{"b"}},
+		{"known name", true, nil, []string{"a", "b"}},
+		{"first start of the system", false, []Option{WithFirstStart(true)}, []string{"a", "b"}},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			self := host("a", "x")
+			r := newRelayWith(&filling{}, self, c.options...)
+			rows := map[string]plat.Change{"b": hostRow(host("b", "y"), 1)}
+			if c.known {
+				rows["a"] = hostRow(self, 2)
+			}
+			r.SetRows(rows)
+			if err := r.register(t.Context(), self); err != nil {
+				t.Fatal(err)
+			}
+			now := clock.Now()
+			registered := func(now time.Time) []string {
+				out := names(r.Registered(now))
+				slices.Sort(out)
+				return out
+			}
+			if got := registered(now); !slices.Equal(got, c.want) {
+				t.Errorf("registered = %v, want %v", got, c.want)
+			}
+			if got, want := registered(now.Add(joinTime)), []string{"a", "b"}; !slices.Equal(got, want) {
+				t.Errorf("registered = %v after all hosts know the row, want %v", got, want)
+			}
+		})
+	}
+}
--- a/hitchd/internal/relay/rows.go
+++ b/hitchd/internal/relay/rows.go
@@ -109,7 +109,11 @@
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.rows[self.Name] = row{host: self, lastSeen: clock.Now()}
+	now := clock.Now()
+	if _, known := r.rows[self.Name]; !known && !r.firstStart {
+		r.joinedAt = now
+	}
+	r.rows[self.Name] = row{host: self, lastSeen: now}
 	return nil
 }
 
