--- a/steer/fleet/doc.go
+++ b/steer/fleet/doc.go
@@ -8,4 +8,7 @@
 // expired while its server was running, because the server could not write
 // heartbeats. Such a record therefore stays valid until the servers had time to
 // register again.
+//
+// A view also tells the last evacuation of each failure domain, because a server that
+// wasn't used for a while may have become cold.
 package fleet
--- a/steer/pick/doc.go
+++ b/steer/pick/doc.go
@@ -20,6 +20,10 @@
 //
 // A server that warms up gets requests only from hosts that are its sponsors,
 // at a rate that keeps the total of all hosts within what the server can handle.
+// So does a server that may be warming up without this host's knowledge: one that
+// may have restarted, or whose failure domain was evacuated. It counts as suspected
+// until evidence from after the event shows that it is warm: a record written, or a
+// health check sent, later.
 // A server on which attempts fail is ejected for a limited time, but only a
 // bounded share of a service's servers is ejected at once.
 package pick
