pipe: accept connections again after a lack of file descriptors

Cause: the listener kept the first error of Accept and returned it to net/http for ever, also one that passes. So a host that ran out of descriptors once took no connection until its end. Change: after EMFILE, ENFILE, ENOBUFS and ENOMEM the listener waits 20 ms and goes on. Conclusion: the host recovers. Why it ran out of descriptors is not known yet.

--- a/hitchd/internal/pipe/listen.go
+++ b/hitchd/internal/pipe/listen.go
@@ -7,6 +7,7 @@
 	"os"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -26,6 +27,8 @@
 	// maxLanes is the number of lanes beside the main ones on all connections. It
 	// bounds what callers that pipeline can hold in memory.
 	maxLanes = 128
+	// acceptRetry is the pause after an Accept that failed for lack of resources.
+	acceptRetry = 20 * time.Millisecond
 	// defaultStall is how long a caller may take to accept a part of a response.
 	defaultStall = 10 * time.Second
 	// lingerTime and maxLinger bound how long, and for how many bytes, a connection
@@ -188,7 +191,8 @@
 }
 
 // accept accepts connections until the listener is closed or fails. At a planned
-// stop it ends after backlogTime.
+// stop it ends after backlogTime. It goes on after an error that passes, such as a lack
+// of file descriptors.
 func (l *Listener) accept() {
 	for {
 		raw, err := l.Listener.Accept()
@@ -196,6 +200,14 @@
 			_ = l.Listener.Close()
 			return
 		}
+		if passes(err) {
+			select {
+			case <-time.After(acceptRetry):
+				continue
+			case <-l.ended:
+				return
+			}
+		}
 		if err != nil {
 			l.err = err
 			close(l.failed)
@@ -213,6 +225,16 @@
 	}
 }
 
+// passes reports whether the error of an Accept is due to a lack of resources.
+func passes(err error) bool {
+	for _, e := range []syscall.Errno{syscall.EMFILE, syscall.ENFILE, syscall.ENOBUFS, syscall.ENOMEM} {
+		if errors.Is(err, e) {
+			return true
+		}
+	}
+	return false
+}
+
 // Close closes the listener. Connections stay open.
 func (l *Listener) Close() error {
 	l.closed.Do(func() { close(l.ended) })
