edge: log the fingerprint, caller and target of a request whose server crashed

The three hypotheses on BUDGET can't be told apart with the present logs: a failed attempt doesn't name the request's fingerprint, nothing tells its caller and target, and a probe that reaches the server leaves no line. Now they do, and a counter tells lost connections by the probe's result. No decision changes.

--- a/hitchd/internal/edge/crashes.go
+++ b/hitchd/internal/edge/crashes.go
@@ -2,11 +2,13 @@
 
 import (
 	"context"
+	"fmt"
 	"net"
 	"net/http"
 	"sync"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
 	"github.com/hashicorp/go-hclog"
 
 	"magnoliahitch/hitchd/internal/conns"
@@ -59,22 +61,34 @@
 	return v == crash.Confirmed
 }
 
+// attempt describes the attempt of a request during which the connection to its
+// server broke.
+type attempt struct {
+	fingerprint             crash.Fingerprint
+	request, caller, target string
+	server, addr            string
+}
+
 // ConnectionLost is called when the connection to the server broke during the
-// request. It connects to the server again and records a crash if that fails.
-func (c *CrashReports) ConnectionLost(ctx context.Context, p crash.Fingerprint, server, addr string) {
+// attempt. It connects to the server again and records a crash if that fails.
+func (c *CrashReports) ConnectionLost(ctx context.Context, a attempt) {
 	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
 	defer cancel()
+	log := c.log.With("request", a.request, "print", uint64(a.fingerprint), "caller", a.caller, "target", a.target, "server", a.server)
 	var dialer net.Dialer
-	if conn, err := dialer.DialContext(ctx, "tcp", addr); err == nil {
+	if conn, err := dialer.DialContext(ctx, "tcp", a.addr); err == nil {
 		_ = conn.Close()
+		lostConnections("reachable").Inc()
+		log.Info("server is reachable after it broke a connection")
 		return
 	}
+	lostConnections("crashed").Inc()
 	now := clock.Now()
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if r, ok := c.suspects.RecordCrash(now, p, server); ok {
+	if r, ok := c.suspects.RecordCrash(now, a.fingerprint, a.server); ok {
 		c.retain(now, r)
-		c.log.Warn("server crashed while it ran a request", "print", uint64(p), "server", server, "crashed", len(r.Servers))
+		log.Warn("server crashed while it ran a request", "crashed", len(r.Servers))
 	}
 }
 
@@ -118,10 +132,21 @@
 
 // fingerprint returns the fingerprint of a request, which includes the caller's
 // IP address.
-func fingerprint(service string, r *http.Request, q *conns.Request) crash.Fingerprint {
+func fingerprint(service, caller string, q *conns.Request) crash.Fingerprint {
+	return crash.FingerprintOf(service, q.Method, caller+"\x00"+q.Target, q.Body)
+}
+
+// callerOf returns the IP address of the request's caller.
+func callerOf(r *http.Request) string {
 	caller, _, err := net.SplitHostPort(r.RemoteAddr)
 	if err != nil {
-		caller = r.RemoteAddr
+		return r.RemoteAddr
 	}
-	return crash.FingerprintOf(service, q.Method, caller+"\x00"+q.Target, q.Body)
+	return caller
+}
+
+// lostConnections counts the connections that broke during an attempt, by what the probe
+// of the server showed.
+func lostConnections(probe string) *metrics.Counter {
+	return metrics.GetOrCreateCounter(fmt.Sprintf(`hitch_edge_lost_connections_total{probe=%q}`, probe))
 }
--- a/hitchd/internal/edge/run.go
+++ b/hitchd/internal/edge/run.go
@@ -163,12 +163,14 @@
 	res := classify(ctx, a, outcome)
 	s.picker.Done(now, c.Server.ID, res, took, report)
 	if res == pick.ConnectionLost {
-		go e.crashes.ConnectionLost(context.WithoutCancel(ctx), x.fingerprint, c.Server.ID, c.Server.Addr)
+		go e.crashes.ConnectionLost(context.WithoutCancel(ctx), attempt{
+			fingerprint: x.fingerprint, request: x.id, caller: x.caller, target: x.request.Target, server: c.Server.ID, addr: c.Server.Addr,
+		})
 	}
 	attemptResults(x.service, res).Inc()
 	attemptPhases(x.service, c.Phase).Inc()
 	if res != pick.Succeeded {
-		e.log.Info("attempt failed", "request", x.id, "server", c.Server.ID, "address", c.Server.Addr, "result", res.String(),
+		e.log.Info("attempt failed", "request", x.id, "print", uint64(x.fingerprint), "server", c.Server.ID, "address", c.Server.Addr, "result", res.String(),
 			"outcome", outcome.String(), "tookMs", ms(took), "rank", c.Rank, "load", c.Load, "usable", c.Usable, "phase", string(c.Phase), "error", err)
 	}
 	return a, outcome, sent
--- a/hitchd/internal/edge/serve.go
+++ b/hitchd/internal/edge/serve.go
@@ -27,6 +27,8 @@
 // exchange is a caller's request in progress.
 type exchange struct {
 	id string
+	// caller is the caller's IP address.
+	caller string
 	// start is when the request arrived.
 	start       time.Time
 	route       *routes.Route
@@ -52,7 +54,7 @@
 func (e *Edge) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	e.running.Add(1)
 	defer e.running.Add(-1)
-	x := &exchange{id: r.Header.Get(e.codec.Headers.RequestID)}
+	x := &exchange{id: r.Header.Get(e.codec.Headers.RequestID), caller: callerOf(r)}
 	// A request that waited behind another one on its connection has used up that
 	// time of its deadline.
 	var known bool
@@ -103,7 +105,7 @@
 		e.rejectBody(w, x, err)
 		return
 	}
-	x.fingerprint = fingerprint(x.service, r, &x.request)
+	x.fingerprint = fingerprint(x.service, x.caller, &x.request)
 	if e.crashes.Confirmed(x.start, x.fingerprint) {
 		e.refuse(w, x, result.ReasonSuspect)
 		return
