edge, relay: fail tests of requests that crash servers

TestServerThatClosesConnectionsIsNoCrash, beside them, passes before and after: it bounds what may count as a crash.

--- /dev/null
+++ b/hitchd/internal/edge/crashes_test.go
@@ -0,0 +1,240 @@
+package edge
+
+import (
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+
+	"magnoliahitch/hitchd/internal/conns"
+	"magnoliahitch/links/clock"
+	"magnoliahitch/steer/crash"
+	"magnoliahitch/steer/routes"
+)
+
+const culprit = crash.Fingerprint(7)
+
+func newReports(host string) *CrashReports { return NewCrashReports(host, hclog.NewNullLogger()) }
+
+// closedAddr returns an address that refuses connections.
+func closedAddr(t *testing.T) string {
+	t.Helper()
+	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	return l.Addr().String()
+}
+
+// recordCrash records that the server crashed while it ran the request.
+func recordCrash(t *testing.T, c *CrashReports, p crash.Fingerprint, server string) {
+	t.Helper()
+	c.ConnectionLost(t.Context(), attempt{fingerprint: p, server: server, addr: closedAddr(t)})
+}
+
+// swapReports sends the reports of each to the other.
+func swapReports(now time.Time, a, b *CrashReports) {
+	fromA, fromB := a.Reports(now), b.Reports(now)
+	b.Merge(now, fromA)
+	a.Merge(now, fromB)
+}
+
+// from sends the request from the given loopback address and returns the status, 0 if the connection ended.
+func (s *fixture) from(t *testing.T, addr, path string) int {
+	t.Helper()
+	transport := &http.Transport{DialContext: (&net.Dialer{LocalAddr: &net.TCPAddr{IP: net.ParseIP(addr)}}).DialContext, DisableKeepAlives: true}
+	defer transport.CloseIdleConnections()
+	req, err := http.NewRequestWithContext(t.Context(), http.MethodGet, s.front.URL+path, http.NoBody)
+	if err != nil {
+		t.Fatal(err)
+	}
+	req.Header.Set("X-Id", "r1")
+	req.Header.Set("X-Timeout", "2s")
+	res, err := transport.RoundTrip(req)
+	if err != nil {
+		return 0
+	}
+	defer res.Body.Close()
+	_, _ = io.Copy(io.Discard, res.Body)
+	return res.StatusCode
+}
+
+// crashOn returns a handler whose server crashes when it runs the path.
+func crashOn(path string) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == path {
+			_ = r.Context().Value(http.ServerContextKey).(*http.Server).Close()
+			return
+		}
+		signed(200, "ok")(w, r)
+	}
+}
+
+// A request that crashes servers is repeated from other addresses. Servers don't see the
+// caller's address, so it crashes them all the same and must be recognised.
+func TestRepeatFromAnotherAddressIsRefused(t *testing.T) {
+	s := newFixture(t, 8, routes.Route{Idempotent: true, MaxAttempts: 1, Timeout: time.Second}, crashOn("/a/poison"))
+	for i := range 7 {
+		s.from(t, fmt.Sprintf("127.0.0.%d", 10+i), "/a/poison")
+		// A crash is recorded once the server refuses a connection.
+		for end := time.Now().Add(time.Second); crashed(s.edge.crashes) < min(i+1, maxCrashes) && time.Now().Before(end); {
+			time.Sleep(time.Millisecond)
+		}
+	}
+	if got, want := s.runs.Load(), int64(maxCrashes); got != want {
+		t.Errorf("%d servers ran it, want %d", got, want)
+	}
+	if got := s.from(t, "127.0.0.30", "/a/poison"); got != http.StatusServiceUnavailable {
+		t.Errorf("status = %d, want 503", got)
+	}
+	if got := s.from(t, "127.0.0.30", "/a/other"); got != http.StatusOK {
+		t.Errorf("status of another request = %d, want 200", got)
+	}
+}
+
+// Three hosts lose one server each to the same request. Each must learn of all three,
+// whatever the order in which they exchange reports.
+func TestCrashesAtDifferentHostsAreUnited(t *testing.T) {
+	hosts := []*CrashReports{newReports("a"), newReports("b"), newReports("c")}
+	for i, h := range hosts {
+		recordCrash(t, h, culprit, fmt.Sprintf("s%d", i))
+	}
+	now := clock.Now()
+	for range 2 {
+		swapReports(now, hosts[0], hosts[1])
+		swapReports(now, hosts[1], hosts[2])
+	}
+	for i, h := range hosts {
+		if !h.Confirmed(now, culprit) {
+			t.Errorf("host %d would run a request that crashed three servers", i)
+		}
+	}
+}
+
+// Every request that was in flight at a server when it crashed is reported. Many of them
+// must not keep the report of the request that crashed three servers from other hosts.
+func TestReportsOfBystandersDisplaceNone(t *testing.T) {
+	a, b := newReports("a"), newReports("b")
+	for i := range 200 {
+		recordCrash(t, a, crash.Fingerprint(1000+i), "s0")
+	}
+	for i := range 3 {
+		recordCrash(t, a, culprit, fmt.Sprintf("s%d", i))
+	}
+	now := clock.Now()
+	for range 4 {
+		swapReports(now, a, b)
+	}
+	if !b.Confirmed(now, culprit) {
+		t.Error("the other host would run a request that crashed three servers")
+	}
+}
+
+// A host that starts, or can be reached again, long after the third crash must learn of it
+// while others still refuse the request.
+func TestHostThatJoinsLaterKnowsCrashes(t *testing.T) {
+	a := newReports("a")
+	for i := range 3 {
+		recordCrash(t, a, culprit, fmt.Sprintf("s%d", i))
+	}
+	now := clock.Now()
+	for d := 45 * time.Second; d < 30*time.Minute; d += 45 * time.Second {
+		b := newReports("b")
+		if !a.Confirmed(now.Add(d), culprit) {
+			t.Fatalf("the request isn't refused %s after the third crash, though it was repeated", d)
+		}
+		swapReports(now.Add(d), a, b)
+		if !b.Confirmed(now.Add(d), culprit) {
+			t.Fatalf("a host that joins %s after the third crash would run the request", d)
+		}
+	}
+}
+
+// The connections of a server that crashes may end a little before its listener does. A
+// host close to the server then still reaches it right after the loss.
+func TestListenerThatOutlivesItsConnections(t *testing.T) {
+	c := newReports("a")
+	for i := range 3 {
+		l, err := net.Listen("tcp4", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		time.AfterFunc(20*time.Millisecond, func() { _ = l.Close() })
+		c.ConnectionLost(t.Context(), attempt{fingerprint: culprit, server: fmt.Sprintf("s%d", i), addr: l.Addr().String()})
+	}
+	if !c.Confirmed(clock.Now(), culprit) {
+		t.Error("a request that crashed three servers isn't confirmed")
+	}
+}
+
+// A server that closes a connection and lives isn't taken for a crashed one.
+func TestServerThatClosesConnectionsIsNoCrash(t *testing.T) {
+	c := newReports("a")
+	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	for i := range 3 {
+		c.ConnectionLost(t.Context(), attempt{fingerprint: culprit, server: fmt.Sprintf("s%d", i), addr: l.Addr().String()})
+	}
+	if c.Confirmed(clock.Now(), culprit) {
+		t.Error("a request is refused though no server crashed")
+	}
+}
+
+// The other hosts' third crash is reported while this host runs the request. It isn't sent
+// to another server then, and isn't told as not run.
+func TestVerdictStopsRetries(t *testing.T) {
+	var s *fixture
+	s = newFixture(t, 6, routes.Route{Idempotent: true, MaxAttempts: 3, Timeout: time.Second}, func(w http.ResponseWriter, r *http.Request) {
+		s.edge.crashes.Merge(clock.Now(), []crash.Report{{Fingerprint: s.fingerprintOf("/a/poison"), Origin: "other", Servers: []string{"x", "y", "z"}}})
+		closeConnection(w, r)
+	})
+	res, _ := s.do(t, http.MethodGet, "/a/poison", "")
+	if got := s.runs.Load(); got != 1 || res.StatusCode != http.StatusBadGateway {
+		t.Errorf("%d runs and status %d, want 1 and 502", got, res.StatusCode)
+	}
+}
+
+// A request that ran beside crashes, and succeeded between them, is harmless.
+func TestBystanderThatSucceedsStaysServed(t *testing.T) {
+	s := newFixture(t, 3, routes.Route{Idempotent: true, MaxAttempts: 1, Timeout: time.Second}, signed(200, "ok"))
+	p := s.fingerprintOf("/a/home")
+	for i := range 6 {
+		if res, _ := s.do(t, http.MethodGet, "/a/home", ""); res.StatusCode != http.StatusOK {
+			t.Fatalf("status = %d before crash %d, want 200", res.StatusCode, i)
+		}
+		recordCrash(t, s.edge.crashes, p, fmt.Sprintf("x%d", 2*i))
+		recordCrash(t, s.edge.crashes, p, fmt.Sprintf("x%d", 2*i+1))
+	}
+	if res, _ := s.do(t, http.MethodGet, "/a/home", ""); res.StatusCode != http.StatusOK {
+		t.Errorf("status = %d, want 200", res.StatusCode)
+	}
+}
+
+// A request that was in flight at three crashes in a row is refused like the one that
+// caused them. It must not stay refused for as long as its caller repeats it.
+func TestBystanderOfThreeCrashesIsServedAgain(t *testing.T) {
+	c := newReports("a")
+	for i := range 3 {
+		recordCrash(t, c, culprit, fmt.Sprintf("s%d", i))
+	}
+	now := clock.Now()
+	for d := time.Duration(0); d < 5*time.Minute; d += time.Second {
+		if !c.Confirmed(now.Add(d), culprit) {
+			return
+		}
+	}
+	t.Error("a request that is repeated each second is refused for 5 min")
+}
+
+// fingerprintOf returns the fingerprint of a request for the target without a body.
+func (s *fixture) fingerprintOf(target string) crash.Fingerprint {
+	return fingerprint("loans", "127.0.0.1", &conns.Request{Method: http.MethodGet, Target: target})
+}
--- a/hitchd/internal/relay/relay_test.go
+++ b/hitchd/internal/relay/relay_test.go
@@ -130,6 +130,12 @@
 
 func newRelayWith(store plat.Feed, self member.Host, options ...Option) *Relay {
 	r := New(self, store, "hosts", noCrashReports{}, hclog.NewNullLogger(), options...)
+	attachWatch(r, store)
+	return r
+}
+
+// attachWatch gives the relay a watch that reads tables of the store.
+func attachWatch(r *Relay, store plat.Feed) {
 	r.Attach(watch.New(store, watch.Codec{
 		ConfigKey: "config",
 		Config: func(value []byte) (*routes.Table, error) {
@@ -140,7 +146,6 @@
 			return fleet.Server{ID: id, Service: "loans", ReadAt: now}, nil
 		},
 	}, hclog.NewNullLogger(), r.SetRows))
-	return r
 }
 
 func hostRow(h member.Host, version int64) plat.Change {
