edge: recognise a repeated request from any address

Callers saw servers of a service end one after the other, 25 in 17 s, under one request that was repeated. Cause: its fingerprint had the caller's address, and the repeats came from several.

The fingerprint now has what a server receives and what repeats have in common: host name, method, target, credentials and body. The service isn't among them, since a change of the configuration may lead a repeat to another one.

--- a/hitchd/internal/edge/crashes.go
+++ b/hitchd/internal/edge/crashes.go
@@ -130,10 +130,11 @@
 	}
 }
 
-// fingerprint returns the fingerprint of a request, which includes the caller's
-// IP address.
-func fingerprint(service, caller string, q *conns.Request) crash.Fingerprint {
-	return crash.FingerprintOf(service, q.Method, caller+"\x00"+q.Target, q.Body)
+// fingerprint returns the fingerprint of a request to the route's host name. It covers what
+// a server receives and what a repeat has in common with the request. Servers don't receive the
+// caller's address, and a caller may have several.
+func fingerprint(host string, q *conns.Request) crash.Fingerprint {
+	return crash.FingerprintOf(host+"\x00"+q.Header.Get("Authorization"), q.Method, q.Target, q.Body)
 }
 
 // callerOf returns the IP address of the request's caller.
--- a/hitchd/internal/edge/crashes_test.go
+++ b/hitchd/internal/edge/crashes_test.go
@@ -236,5 +236,5 @@
 
 // fingerprintOf returns the fingerprint of a request for the target without a body.
 func (s *fixture) fingerprintOf(target string) crash.Fingerprint {
-	return fingerprint("loans", "127.0.0.1", &conns.Request{Method: http.MethodGet, Target: target})
+	return fingerprint("127.0.0.1", &conns.Request{Method: http.MethodGet, Target: target})
 }
--- a/hitchd/internal/edge/serve.go
+++ b/hitchd/internal/edge/serve.go
@@ -105,7 +105,7 @@
 		e.rejectBody(w, x, err)
 		return
 	}
-	x.fingerprint = fingerprint(x.service, x.caller, &x.request)
+	x.fingerprint = fingerprint(x.route.Host, &x.request)
 	if e.crashes.Confirmed(x.start, x.fingerprint) {
 		e.refuse(w, x, result.ReasonSuspect)
 		return
