crash, edge: unite what hosts report of a request, and keep all of it

The edge had a second table of reports beside the records of crash.Suspects, with rules of its own: a report with no more servers than the stored one was dropped, whichever these were; a received one replaced the union; 64 requests at most, first come, for 30 s. So three hosts that lost a server each never confirmed the request, reports of bystanders displaced the one that mattered, and a host that joined after 45 s knew nothing.

There is one record now. Reports carry crashed servers, cleared ones and an age; merging is a union in which cleared wins, so that order and repetition don't matter, and the age lets a record end everywhere at once. When the memory is full the records with the fewest servers go first. The message to other hosts has all records until the next change.

--- a/hitchd/internal/edge/crashes.go
+++ b/hitchd/internal/edge/crashes.go
@@ -23,10 +23,6 @@
 	maxCrashes = 3
 	// probeTimeout bounds the test whether a server still accepts connections.
 	probeTimeout = 300 * time.Millisecond
-	// reportRetention is how long a report of a crash is sent to other hosts.
-	reportRetention = 30 * time.Second
-	// maxReports bounds the number of reports that are sent to other hosts.
-	maxReports = 64
 )
 
 // CrashReports records the requests during which servers crashed, and refuses
@@ -38,18 +34,11 @@
 
 	mu       sync.Mutex
 	suspects *crash.Suspects
-	reports  map[crash.Fingerprint]retained
-}
-
-// retained is a report that is sent to other hosts until it expires.
-type retained struct {
-	report  crash.Report
-	expires time.Time
 }
 
 // NewCrashReports returns an empty record for the named host.
 func NewCrashReports(self string, log hclog.Logger) *CrashReports {
-	return &CrashReports{log: log, suspects: crash.New(self, crash.WithCrashThreshold(maxCrashes), crash.WithoutTrials()), reports: make(map[crash.Fingerprint]retained)}
+	return &CrashReports{log: log, suspects: crash.New(self, crash.WithCrashThreshold(maxCrashes), crash.WithoutTrials())}
 }
 
 // Confirmed reports whether the request has crashed so many servers that it must
@@ -87,46 +76,23 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if r, ok := c.suspects.RecordCrash(now, a.fingerprint, a.server); ok {
-		c.retain(now, r)
 		log.Warn("server crashed while it ran a request", "crashed", len(r.Servers))
 	}
 }
 
-// Reports returns the reports to send to other hosts and removes expired ones.
+// Reports returns the reports to send to other hosts.
 func (c *CrashReports) Reports(now time.Time) []crash.Report {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	var out []crash.Report
-	for p, t := range c.reports {
-		if now.After(t.expires) {
-			delete(c.reports, p)
-			continue
-		}
-		out = append(out, t.report)
-	}
-	return out
+	return c.suspects.Reports(now)
 }
 
-// Merge merges the reports of another host. A report with no more servers than
-// the recorded one is ignored.
+// Merge merges the reports of another host.
 func (c *CrashReports) Merge(now time.Time, reports []crash.Report) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	for _, r := range reports {
-		old, known := c.reports[r.Fingerprint]
-		if known && len(old.report.Servers) >= len(r.Servers) {
-			continue
-		}
 		c.suspects.Merge(now, r)
-		c.retain(now, r)
-	}
-}
-
-// retain stores the report for other hosts. A report of another request is dropped
-// when maxReports are stored. The lock is held.
-func (c *CrashReports) retain(now time.Time, r crash.Report) {
-	if _, known := c.reports[r.Fingerprint]; known || len(c.reports) < maxReports {
-		c.reports[r.Fingerprint] = retained{r, now.Add(reportRetention)}
 	}
 }
 
--- a/hitchd/internal/keep/crashes.go
+++ b/hitchd/internal/keep/crashes.go
@@ -147,7 +147,7 @@
 func (t *crashTracker) recordSuccess(ctx context.Context, j *job) {
 	s := t.suspectsOf(j.Cell.Service)
 	s.mu.Lock()
-	r, wasSuspect := s.state.RecordSuccess(j.fingerprint)
+	r, wasSuspect := s.state.RecordSuccess(clock.Now(), j.fingerprint)
 	s.mu.Unlock()
 	if wasSuspect {
 		go t.report(context.WithoutCancel(ctx), j.Cell.Service, r)
@@ -165,7 +165,7 @@
 	t.mu.RUnlock()
 	for n, s := range services {
 		s.mu.Lock()
-		repeated := s.state.RefusedReports()
+		repeated := s.state.RefusedReports(clock.Now())
 		s.mu.Unlock()
 		if len(repeated) > 0 {
 			t.report(ctx, n, repeated...)
--- a/steer/crash/suspects.go
+++ b/steer/crash/suspects.go
@@ -1,6 +1,7 @@
 package crash
 
 import (
+	"cmp"
 	"slices"
 	"time"
 )
@@ -20,6 +21,9 @@
 // Limits that bound the memory of [Suspects].
 const (
 	maxRecords = 4096
+	// maxServers is the number of crashed servers of a request that are kept, and the
+	// number of cleared ones.
+	maxServers = 16
 	// successSlots is the size of the table of recent successes.
 	successSlots = 8192
 )
@@ -28,16 +32,21 @@
 // is confirmed, unless [WithCrashThreshold] sets another.
 const defaultCrashThreshold = 2
 
-// Report is a message to other hosts about a suspect request.
+// Report is a message to other hosts about a suspect request. Reports of one request
+// may be merged in any order and more than once.
 type Report struct {
 	// Fingerprint identifies the request.
 	Fingerprint Fingerprint `msgpack:"print"`
-	// Origin is the host that saw the first crash and may run the request again.
+	// Origin is the host that saw the first crash and may run the request again. Of
+	// several such hosts it is the first one by name.
 	Origin string `msgpack:"origin"`
 	// Servers are the servers that crashed while they ran the request.
 	Servers []string `msgpack:"servers"`
-	// Cleared is set when the request succeeded and is no longer suspect.
-	Cleared bool `msgpack:"cleared"`
+	// Cleared are servers that crashed before the request succeeded elsewhere, so that
+	// it wasn't the cause.
+	Cleared []string `msgpack:"clearedServers"`
+	// Age is the time since the last crash or refused attempt.
+	Age time.Duration `msgpack:"age"`
 }
 
 // Verdict is the decision whether a request may run.
@@ -64,8 +73,10 @@
 
 // record is the state of a suspect request.
 type record struct {
-	origin  string
-	servers []string
+	origin string
+	// servers crashed while they ran the request. cleared are those of which a later
+	// success showed that it wasn't the cause.
+	servers, cleared []string
 	// last is the time of the last crash or refused attempt.
 	last         time.Time
 	trialRunning bool
@@ -114,7 +125,7 @@
 func (s *Suspects) Check(now time.Time, p Fingerprint) (Verdict, time.Duration) {
 	r := s.record(now, p)
 	switch {
-	case r == nil:
+	case r == nil || len(r.servers) == 0:
 		return Clean, 0
 	case len(r.servers) >= s.crashThreshold:
 		r.last, r.refusedSinceReport = now, true
@@ -146,40 +157,41 @@
 		return Report{}, false
 	}
 	s.merge(now, Report{Fingerprint: p, Origin: s.self, Servers: []string{server}})
-	r := s.records[p]
-	return Report{Fingerprint: p, Origin: r.origin, Servers: slices.Clone(r.servers)}, true
+	return s.records[p].report(now, p), true
 }
 
-// RecordSuccess records a complete response. If the request was suspect, it removes the
-// record and returns the report that clears the request at the other hosts.
-func (s *Suspects) RecordSuccess(p Fingerprint) (Report, bool) {
+// RecordSuccess records a complete response. If the request was suspect, it clears the
+// request of the crashes known so far and returns the report that does so at the other hosts.
+func (s *Suspects) RecordSuccess(now time.Time, p Fingerprint) (Report, bool) {
 	*s.successSlot(p) = p
-	if s.records[p] == nil {
+	r := s.record(now, p)
+	if r == nil || len(r.servers) == 0 {
 		return Report{}, false
 	}
-	delete(s.records, p)
-	return Report{Fingerprint: p, Cleared: true}, true
+	s.merge(now, Report{Fingerprint: p, Origin: r.origin, Cleared: slices.Clone(r.servers)})
+	return r.report(now, p), true
 }
 
-// Merge merges the report of another host. A report that clears the request deletes
-// its record. Any other report also discards a recent success of the request.
+// Merge merges the report of another host. Suspicion discards a recent success of the
+// request. A report as old as the retention is ignored.
 func (s *Suspects) Merge(now time.Time, r Report) {
-	if r.Cleared {
-		delete(s.records, r.Fingerprint)
+	if r.Age >= retention {
 		return
 	}
-	*s.successSlot(r.Fingerprint) = 0
 	s.merge(now, r)
+	if k := s.records[r.Fingerprint]; len(k.servers) > 0 {
+		*s.successSlot(r.Fingerprint) = 0
+	}
 }
 
 // RefusedReports returns reports of the confirmed requests that were refused since the last
 // call. They extend the retention at hosts that receive no such attempts.
-func (s *Suspects) RefusedReports() []Report {
+func (s *Suspects) RefusedReports(now time.Time) []Report {
 	var out []Report
 	for p, r := range s.records {
 		if r.refusedSinceReport {
 			r.refusedSinceReport = false
-			out = append(out, Report{Fingerprint: p, Origin: r.origin, Servers: slices.Clone(r.servers)})
+			out = append(out, r.report(now, p))
 		}
 	}
 	return out
@@ -190,30 +202,53 @@
 	var out []Report
 	for p := range s.records {
 		if r := s.record(now, p); r != nil {
-			out = append(out, Report{Fingerprint: p, Origin: r.origin, Servers: slices.Clone(r.servers)})
+			out = append(out, r.report(now, p))
 		}
 	}
 	return out
 }
 
-// Len returns the number of records.
-func (s *Suspects) Len() int { return len(s.records) }
+// Len returns the number of suspect requests.
+func (s *Suspects) Len() int {
+	n := 0
+	for _, r := range s.records {
+		if len(r.servers) > 0 {
+			n++
+		}
+	}
+	return n
+}
+
+// report returns the report on the record of the request.
+func (r *record) report(now time.Time, p Fingerprint) Report {
+	return Report{Fingerprint: p, Origin: r.origin, Servers: slices.Clone(r.servers), Cleared: slices.Clone(r.cleared), Age: now.Sub(r.last)}
+}
 
-// merge adds the servers of the report to the record of the request and restarts the
-// retention. It creates the record if there is none.
+// merge unites the report with the record of the request and extends the retention. It
+// creates the record if there is none. A cleared server stays cleared.
 func (s *Suspects) merge(now time.Time, r Report) {
 	k := s.record(now, r.Fingerprint)
 	if k == nil {
-		s.evictOldest()
+		s.evict()
 		k = &record{origin: r.Origin}
 		s.records[r.Fingerprint] = k
 	}
-	k.last = now
+	k.origin = min(k.origin, r.Origin)
+	if at := now.Add(-r.Age); at.After(k.last) {
+		k.last = at
+	}
+	for _, n := range r.Cleared {
+		if !slices.Contains(k.cleared, n) {
+			k.cleared = append(k.cleared, n)
+		}
+	}
+	k.cleared = k.cleared[max(0, len(k.cleared)-maxServers):]
 	for _, n := range r.Servers {
-		if len(k.servers) < s.crashThreshold && !slices.Contains(k.servers, n) {
+		if len(k.servers) < maxServers && !slices.Contains(k.servers, n) {
 			k.servers = append(k.servers, n)
 		}
 	}
+	k.servers = slices.DeleteFunc(k.servers, func(n string) bool { return slices.Contains(k.cleared, n) })
 }
 
 // record returns the record of the fingerprint, or nil. It deletes one whose
@@ -227,20 +262,20 @@
 	return nil
 }
 
-// evictOldest removes the record with the oldest crash or refused attempt when there
-// are maxRecords.
-func (s *Suspects) evictOldest() {
+// evict removes the record with the fewest crashed servers, and the oldest of these, when
+// there are maxRecords: requests that only ran beside others have few.
+func (s *Suspects) evict() {
 	if len(s.records) < maxRecords {
 		return
 	}
-	var oldest Fingerprint
-	var last time.Time
+	var least Fingerprint
+	var x *record
 	for p, r := range s.records {
-		if last.IsZero() || r.last.Before(last) {
-			oldest, last = p, r.last
+		if x == nil || cmp.Or(cmp.Compare(len(r.servers), len(x.servers)), r.last.Compare(x.last)) < 0 {
+			least, x = p, r
 		}
 	}
-	delete(s.records, oldest)
+	delete(s.records, least)
 }
 
 // successSlot returns the entry of the table of recent successes for the fingerprint.
--- a/steer/crash/suspects_test.go
+++ b/steer/crash/suspects_test.go
@@ -3,6 +3,8 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"reflect"
+	"slices"
 	"testing"
 	"time"
 )
@@ -46,7 +48,7 @@
 		f.crashed[server] = true
 		r, send = h.RecordCrash(f.now, p, server)
 	} else {
-		r, send = h.RecordSuccess(p)
+		r, send = h.RecordSuccess(f.now, p)
 	}
 	h.EndTrial(p)
 	if send {
@@ -63,7 +65,7 @@
 			f.now = f.now.Add(time.Duration(rng.Int64N(int64(retention))))
 			host := rng.IntN(3)
 			f.run(host, 7, fmt.Sprintf("server-%d-%d", host, rng.IntN(12)), true)
-			for _, r := range f.hosts[host].RefusedReports() {
+			for _, r := range f.hosts[host].RefusedReports(f.now) {
 				f.broadcast(r)
 			}
 		}
@@ -157,3 +159,62 @@
 		t.Errorf("verdict of another request = %v, want clean", v)
 	}
 }
+
+// Hosts report crashes of different servers at the same moment. Whatever the order in which
+// reports arrive, how often, and how old they are, all hosts must come to the same record.
+func TestReportsMergeInAnyOrder(t *testing.T) {
+	now := time.Unix(1_000_000, 0)
+	reports := []Report{
+		{Fingerprint: 7, Origin: "c", Servers: []string{"x", "y"}, Age: time.Minute},
+		{Fingerprint: 7, Origin: "a", Servers: []string{"z", "w"}, Age: time.Second},
+		{Fingerprint: 7, Origin: "b", Servers: []string{"y", "v"}, Cleared: []string{"x"}, Age: 2 * time.Minute},
+	}
+	want := Report{Fingerprint: 7, Origin: "a", Servers: []string{"v", "w", "y", "z"}, Cleared: []string{"x"}, Age: time.Second}
+	for _, order := range [][]int{{0, 1, 2}, {2, 1, 0}, {1, 0, 2, 0}, {2, 0, 1, 1}, {0, 2, 2, 1, 0}} {
+		s := New("d", WithCrashThreshold(3), WithoutTrials())
+		for _, i := range order {
+			s.Merge(now, reports[i])
+		}
+		got := s.Reports(now)
+		if len(got) != 1 {
+			t.Fatalf("order %v: %d reports, want 1", order, len(got))
+		}
+		slices.Sort(got[0].Servers)
+		if !reflect.DeepEqual(got[0], want) {
+			t.Errorf("order %v: got %+v, want %+v", order, got[0], want)
+		}
+	}
+}
+
+// A record ends at the same time at all hosts, however often they exchange reports: a report
+// doesn't make a record younger than it is.
+func TestExchangedRecordsExpire(t *testing.T) {
+	now := time.Unix(1_000_000, 0)
+	a, b := New("a", WithoutTrials()), New("b", WithoutTrials())
+	a.RecordCrash(now, 7, "x")
+	for end := now.Add(retention); now.Before(end); now = now.Add(time.Second) {
+		for _, r := range a.Reports(now) {
+			b.Merge(now, r)
+		}
+		for _, r := range b.Reports(now) {
+			a.Merge(now, r)
+		}
+	}
+	if got := len(a.Reports(now)) + len(b.Reports(now)); got != 0 {
+		t.Errorf("%d records after the retention, want none", got)
+	}
+}
+
+// Many requests that ran beside a crashing server must not displace one that is confirmed.
+func TestBystandersDisplaceNoConfirmedRequest(t *testing.T) {
+	now := time.Unix(1_000_000, 0)
+	s := New("a", WithoutTrials())
+	s.RecordCrash(now, 7, "x")
+	s.RecordCrash(now, 7, "y")
+	for i := range 2 * maxRecords {
+		s.RecordCrash(now.Add(time.Duration(i)), Fingerprint(100+i), "z")
+	}
+	if v, _ := s.Check(now.Add(time.Second), 7); v != Confirmed {
+		t.Errorf("verdict = %v, want %v", v, Confirmed)
+	}
+}
