relay, crash: send crash reports to all regions, each change once

Reports travelled with polls, and once the hosts' table is known nobody polls another region: three regions each had to lose three servers. The first host of each domain now also exchanges reports with a host of each other region, every 2 s and at once when something changes, as polls within the region do.

What is sent are the changes since the revision that the other host has, up to 256 in a message, so that nothing crosses a region while nothing changes; a restarted host, known by its incarnation, gets all again. A success is now counted as an epoch instead of a list of cleared servers, which had no bound on a request that ran beside many crashes.

--- a/hitchd/edge.go
+++ b/hitchd/edge.go
@@ -114,6 +114,7 @@
 	addLoop(&g, h.relay.Run)
 	addLoop(&g, h.relay.RunAgeCheck)
 	addLoop(&g, h.relay.RunExchange)
+	addLoop(&g, h.relay.RunRegions)
 	addLoop(&g, h.relay.RunSeeds)
 	addLoop(&g, h.relay.Register)
 	addLoop(&g, func(ctx context.Context) error { return h.watch.RunOperator(ctx, platform.OperatorTable) })
--- a/hitchd/internal/edge/crashes.go
+++ b/hitchd/internal/edge/crashes.go
@@ -23,6 +23,8 @@
 	maxCrashes = 3
 	// probeTimeout bounds the test whether a server still accepts connections.
 	probeTimeout = 300 * time.Millisecond
+	// maxReports bounds the reports in a message to another host.
+	maxReports = 256
 )
 
 // CrashReports records the requests during which servers crashed, and refuses
@@ -30,7 +32,8 @@
 // server that runs it and that its caller repeats at any host; hosts therefore
 // share their reports. It is safe for concurrent use.
 type CrashReports struct {
-	log hclog.Logger
+	log      hclog.Logger
+	onChange func()
 
 	mu       sync.Mutex
 	suspects *crash.Suspects
@@ -38,15 +41,14 @@
 
 // NewCrashReports returns an empty record for the named host.
 func NewCrashReports(self string, log hclog.Logger) *CrashReports {
-	return &CrashReports{log: log, suspects: crash.New(self, crash.WithCrashThreshold(maxCrashes), crash.WithoutTrials())}
+	return &CrashReports{log: log, onChange: func() {}, suspects: crash.New(self, crash.WithCrashThreshold(maxCrashes), crash.WithoutTrials())}
 }
 
 // Confirmed reports whether the request has crashed so many servers that it must
 // be refused.
 func (c *CrashReports) Confirmed(now time.Time, p crash.Fingerprint) bool {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	v, _ := c.suspects.Check(now, p)
+	v := crash.Clean
+	c.update(func() { v, _ = c.suspects.Check(now, p) })
 	return v == crash.Confirmed
 }
 
@@ -72,27 +74,43 @@
 		return
 	}
 	lostConnections("crashed").Inc()
-	now := clock.Now()
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if r, ok := c.suspects.RecordCrash(now, a.fingerprint, a.server); ok {
-		log.Warn("server crashed while it ran a request", "crashed", len(r.Servers))
-	}
+	c.update(func() {
+		if r, ok := c.suspects.RecordCrash(clock.Now(), a.fingerprint, a.server); ok {
+			log.Warn("server crashed while it ran a request", "crashed", len(r.Servers))
+		}
+	})
 }
 
-// Reports returns the reports to send to other hosts.
-func (c *CrashReports) Reports(now time.Time) []crash.Report {
+// OnChange sets a function that is called when there are reports that other hosts lack. It
+// must be called before requests are served.
+func (c *CrashReports) OnChange(f func()) { c.onChange = f }
+
+// Changes returns the reports that changed after the revision, at most maxReports, and the
+// revision that they reach.
+func (c *CrashReports) Changes(now time.Time, since uint64) ([]crash.Report, uint64) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.suspects.Reports(now)
+	return c.suspects.Changes(now, since, maxReports)
 }
 
 // Merge merges the reports of another host.
 func (c *CrashReports) Merge(now time.Time, reports []crash.Report) {
+	c.update(func() {
+		for _, r := range reports {
+			c.suspects.Merge(now, r)
+		}
+	})
+}
+
+// update runs f under the lock and announces a change of the reports.
+func (c *CrashReports) update(f func()) {
 	c.mu.Lock()
-	defer c.mu.Unlock()
-	for _, r := range reports {
-		c.suspects.Merge(now, r)
+	before := c.suspects.Revision()
+	f()
+	changed := c.suspects.Revision() != before
+	c.mu.Unlock()
+	if changed {
+		c.onChange()
 	}
 }
 
--- a/hitchd/internal/edge/crashes_test.go
+++ b/hitchd/internal/edge/crashes_test.go
@@ -37,11 +37,17 @@
 	c.ConnectionLost(t.Context(), attempt{fingerprint: p, server: server, addr: closedAddr(t)})
 }
 
-// swapReports sends the reports of each to the other.
+// swapReports sends all reports of each to the other.
 func swapReports(now time.Time, a, b *CrashReports) {
-	fromA, fromB := a.Reports(now), b.Reports(now)
-	b.Merge(now, fromA)
-	a.Merge(now, fromB)
+	for _, x := range [][2]*CrashReports{{a, b}, {b, a}} {
+		for since, reached := uint64(0), uint64(0); ; since = reached {
+			var reports []crash.Report
+			if reports, reached = x[0].Changes(now, since); len(reports) == 0 {
+				break
+			}
+			x[1].Merge(now, reports)
+		}
+	}
 }
 
 // from sends the request from the given loopback address and returns the status, 0 if the connection ended.
--- a/hitchd/internal/edge/edge_test.go
+++ b/hitchd/internal/edge/edge_test.go
@@ -257,7 +257,8 @@
 // crashed returns the number of recorded server crashes.
 func crashed(d *CrashReports) int {
 	n := 0
-	for _, r := range d.Reports(clock.Now()) {
+	reports, _ := d.Changes(clock.Now(), 0)
+	for _, r := range reports {
 		n += len(r.Servers)
 	}
 	return n
@@ -292,8 +293,9 @@
 	}
 	other := NewCrashReports("other", hclog.NewNullLogger())
 	now := clock.Now()
-	other.Merge(now, s.edge.crashes.Reports(now))
-	for _, r := range s.edge.crashes.Reports(now) {
+	reports, _ := s.edge.crashes.Changes(now, 0)
+	other.Merge(now, reports)
+	for _, r := range reports {
 		if !other.Confirmed(now, r.Fingerprint) {
 			t.Error("a host that received the report would run the request")
 		}
--- a/hitchd/internal/relay/crashes_test.go
+++ b/hitchd/internal/relay/crashes_test.go
@@ -3,48 +3,60 @@
 import (
 	"context"
 	"encoding/json"
+	"net/http"
 	"net/http/httptest"
+	"slices"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
 	"github.com/hashicorp/go-hclog"
 
+	"magnoliahitch/links/clock"
 	"magnoliahitch/links/plat"
 	"magnoliahitch/steer/crash"
 	"magnoliahitch/steer/member"
 )
 
-// reports is a record of crashes that keeps all reports.
+// reports is a record of crashes. It counts the reports that were merged.
 type reports struct {
-	mu    sync.Mutex
-	known map[crash.Fingerprint]crash.Report
+	mu       sync.Mutex
+	suspects *crash.Suspects
+	onChange func()
+	merged   int
 }
 
-func (c *reports) Reports(time.Time) []crash.Report {
+func newCrashes(host string) *reports {
+	return &reports{suspects: crash.New(host, crash.WithCrashThreshold(3), crash.WithoutTrials())}
+}
+
+func (c *reports) OnChange(f func()) { c.onChange = f }
+
+func (c *reports) Changes(now time.Time, since uint64) ([]crash.Report, uint64) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	var out []crash.Report
-	for _, r := range c.known {
-		out = append(out, r)
-	}
-	return out
+	return c.suspects.Changes(now, since, 100)
 }
 
-func (c *reports) Merge(_ time.Time, in []crash.Report) {
+func (c *reports) Merge(now time.Time, in []crash.Report) {
 	c.mu.Lock()
-	defer c.mu.Unlock()
+	before := c.suspects.Revision()
 	for _, r := range in {
-		c.known[r.Fingerprint] = r
+		c.suspects.Merge(now, r)
+		c.merged++
+	}
+	changed := c.suspects.Revision() != before
+	c.mu.Unlock()
+	if changed {
+		c.onChange()
 	}
 }
 
 func (c *reports) has(p crash.Fingerprint) bool {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	_, ok := c.known[p]
-	return ok
+	known, _ := c.Changes(clock.Now(), 0)
+	return slices.ContainsFunc(known, func(r crash.Report) bool { return r.Fingerprint == p })
 }
 
 // A request that crashes servers is repeated at any host, and so all hosts of all regions must
@@ -57,7 +69,7 @@
 	for _, region := range []string{"north", "south", "west"} {
 		for _, name := range []string{"a-1", "a-2", "b-1", "b-2"} {
 			self := member.Host{Name: region + "-" + name, Region: region, Domain: region + "-" + name[:1], Incarnation: 1}
-			c := &reports{known: make(map[crash.Fingerprint]crash.Report)}
+			c := newCrashes(self.Name)
 			r := New(self, noStore{}, "hosts", c, hclog.NewNullLogger())
 			attachWatch(r, noStore{})
 			s := httptest.NewServer(r.Handler())
@@ -75,7 +87,7 @@
 	var g sync.WaitGroup
 	for _, r := range hosts {
 		r.SetRows(rows)
-		for _, f := range []func(context.Context) error{r.Run, r.RunExchange} {
+		for _, f := range []func(context.Context) error{r.Run, r.RunExchange, r.RunRegions} {
 			g.Go(func() { _ = f(ctx) })
 		}
 	}
@@ -83,7 +95,7 @@
 	defer cancel()
 	time.Sleep(exchangeInterval)
 	// The last host of its domain is the farthest from the other regions.
-	records[3].Merge(time.Now(), []crash.Report{{Fingerprint: 7, Origin: "north-b-2", Servers: []string{"s1"}}})
+	records[3].Merge(clock.Now(), []crash.Report{{Fingerprint: 7, Origin: "north-b-2", Servers: []string{"s1"}}})
 	end := time.Now().Add(allowed)
 	for i, c := range records {
 		for !c.has(7) && time.Now().Before(end) {
@@ -94,3 +106,45 @@
 		}
 	}
 }
+
+// A host that restarts has lost all reports and must get them again from hosts that sent them
+// before. One that has them gets none twice.
+func TestRestartedHostGetsCrashReportsAgain(t *testing.T) {
+	records := map[uint64]*reports{}
+	var current atomic.Pointer[Relay]
+	restart := func(incarnation uint64) {
+		self := host("a", "x")
+		self.Incarnation = incarnation
+		records[incarnation] = newCrashes("a")
+		r := New(self, noStore{}, "hosts", records[incarnation], hclog.NewNullLogger())
+		attachWatch(r, noStore{})
+		current.Store(r)
+	}
+	restart(1)
+	s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) { current.Load().Handler().ServeHTTP(w, r) }))
+	defer s.Close()
+	a := host("a", "x")
+	a.PeerAddr = strings.TrimPrefix(s.URL, "http://")
+	c := newCrashes("b")
+	b := New(host("b", "x"), noStore{}, "hosts", c, hclog.NewNullLogger())
+	attachWatch(b, noStore{})
+	poll := func() {
+		t.Helper()
+		if err := b.poll(t.Context(), a); err != nil {
+			t.Fatal(err)
+		}
+	}
+	c.Merge(clock.Now(), []crash.Report{{Fingerprint: 7, Origin: "b", Servers: []string{"s1"}}})
+	for range 5 {
+		poll()
+	}
+	if got := records[1].merged; got != 1 {
+		t.Errorf("%d reports in five polls, want 1", got)
+	}
+	restart(2)
+	poll()
+	poll()
+	if !records[2].has(7) {
+		t.Error("the restarted host has no report after two polls")
+	}
+}
--- a/hitchd/internal/relay/poll.go
+++ b/hitchd/internal/relay/poll.go
@@ -15,7 +15,6 @@
 	"magnoliahitch/hitchd/internal/peer"
 	"magnoliahitch/hitchd/internal/watch"
 	"magnoliahitch/links/clock"
-	"magnoliahitch/steer/crash"
 	"magnoliahitch/steer/member"
 )
 
@@ -40,15 +39,14 @@
 	Self     member.Host       `msgpack:"self"`
 	Versions watch.Versions    `msgpack:"versions"`
 	Digests  map[string]uint64 `msgpack:"sums"`
-	Crashes  []crash.Report    `msgpack:"deaths"`
+	Crashes  crashRequest      `msgpack:"crashes"`
 }
 
 // pollResponse holds the changes that the polling host lacks.
 type pollResponse struct {
-	Update watch.Update `msgpack:"copy"`
-	Lists  []domainList `msgpack:"lists"`
-	// Crashes are reports of requests during which servers crashed.
-	Crashes []crash.Report `msgpack:"deaths"`
+	Update  watch.Update  `msgpack:"copy"`
+	Lists   []domainList  `msgpack:"lists"`
+	Crashes crashResponse `msgpack:"crashes"`
 }
 
 // domainList is the list of live hosts of a failure domain.
@@ -61,49 +59,55 @@
 	Age time.Duration `msgpack:"age"`
 }
 
-var client = &http.Client{Timeout: pollTimeout, Transport: &http.Transport{
+var client = &http.Client{Transport: &http.Transport{
 	DialContext: conns.Dialer().DialContext, MaxIdleConnsPerHost: 1, IdleConnTimeout: peerIdle, DisableCompression: true, MaxResponseHeaderBytes: maxResponseHeader,
 }}
 
 // poll requests the changes that this host lacks from the host h and applies them.
 func (r *Relay) poll(ctx context.Context, h member.Host) error {
 	r.mu.Lock()
-	request := pollRequest{Self: r.self, Versions: r.watch.Versions(), Digests: r.members.Digests(), Crashes: r.crashes.Reports(clock.Now())}
+	request := pollRequest{Self: r.self, Versions: r.watch.Versions(), Digests: r.members.Digests(), Crashes: r.crashRequest(clock.Now(), h.Name)}
 	r.mu.Unlock()
-	data, err := msgpack.Marshal(request)
+	sentAt := clock.Now()
+	var a pollResponse
+	if err := call(ctx, h, pollPath, pollTimeout, request, &a); err != nil {
+		return errors.Wrapf(err, "poll %s", h.Name)
+	}
+	pollsAnswered.Inc()
+	r.apply(sentAt, h, request.Crashes, a)
+	return nil
+}
+
+// call sends the message to the host's path and decodes the response.
+func call(ctx context.Context, h member.Host, path string, timeout time.Duration, in, out any) error {
+	data, err := msgpack.Marshal(in)
 	if err != nil {
-		return errors.Wrap(err, "encode poll")
+		return errors.Wrap(err, "encode message")
 	}
-	sentAt := clock.Now()
-	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+h.PeerAddr+pollPath, bytes.NewReader(data))
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+h.PeerAddr+path, bytes.NewReader(data))
 	if err != nil {
-		return errors.Wrapf(err, "poll %s", h.Name)
+		return err
 	}
 	res, err := client.Do(req)
 	if err != nil {
-		return errors.Wrapf(err, "poll %s", h.Name)
+		return err
 	}
 	defer func() { _ = res.Body.Close() }()
 	if res.StatusCode != http.StatusOK {
-		return errors.Errorf("poll %s: status %d", h.Name, res.StatusCode)
+		return errors.Errorf("status %d", res.StatusCode)
 	}
-	data, err = io.ReadAll(io.LimitReader(res.Body, maxResponse))
-	if err != nil {
-		return errors.Wrapf(err, "poll %s", h.Name)
+	if data, err = io.ReadAll(io.LimitReader(res.Body, maxResponse)); err != nil {
+		return err
 	}
-	var a pollResponse
-	if err := msgpack.Unmarshal(data, &a); err != nil {
-		return errors.Wrapf(err, "poll %s", h.Name)
-	}
-	pollsAnswered.Inc()
-	r.apply(sentAt, h, a)
-	return nil
+	return msgpack.Unmarshal(data, out)
 }
 
 // apply applies the response of the host to a poll that was sent at the time.
-func (r *Relay) apply(sentAt time.Time, h member.Host, a pollResponse) {
+func (r *Relay) apply(sentAt time.Time, h member.Host, request crashRequest, a pollResponse) {
 	r.watch.Adopt(sentAt, a.Update)
-	r.crashes.Merge(clock.Now(), a.Crashes)
+	r.applyCrashes(h.Name, request, a.Crashes)
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	delete(r.backoffs, h.Name)
@@ -122,12 +126,14 @@
 	m.Handle("POST "+pollPath, peer.MessageHandler(func(_ *http.Request, in pollRequest) (pollResponse, error) {
 		return r.respond(clock.Now(), in), nil
 	}))
+	m.Handle("POST "+crashesPath, peer.MessageHandler(func(_ *http.Request, in crashRequest) (crashResponse, error) {
+		return r.respondCrashes(clock.Now(), in), nil
+	}))
 	return m
 }
 
 func (r *Relay) respond(now time.Time, in pollRequest) pollResponse {
-	r.crashes.Merge(now, in.Crashes)
-	a := pollResponse{Update: r.watch.Since(in.Versions), Crashes: r.crashes.Reports(now)}
+	a := pollResponse{Update: r.watch.Since(in.Versions), Crashes: r.respondCrashes(now, in.Crashes)}
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if r.members.RecordPoll(now, in.Self) {
--- a/hitchd/internal/relay/relay.go
+++ b/hitchd/internal/relay/relay.go
@@ -11,7 +11,6 @@
 	"magnoliahitch/hitchd/internal/watch"
 	"magnoliahitch/links/clock"
 	"magnoliahitch/links/plat"
-	"magnoliahitch/steer/crash"
 	"magnoliahitch/steer/member"
 )
 
@@ -29,6 +28,14 @@
 	// exchangeInterval is the time between two polls of the first host of another
 	// domain.
 	exchangeInterval = 900 * time.Millisecond
+	// regionInterval is the time between two exchanges of crash reports with another region
+	// in which nothing changes. It covers what was lost or missed before.
+	regionInterval = 2 * time.Second
+	// wakeDelay is the time from a change until the poll that sends it, so that changes
+	// of the same moment go together.
+	wakeDelay = 20 * time.Millisecond
+	// regionTimeout bounds an exchange with a host of another region.
+	regionTimeout = 700 * time.Millisecond
 	// pollTimeout bounds a poll. It is sized for hosts of the same region.
 	pollTimeout = 350 * time.Millisecond
 	// defaultServersAge and defaultOperatorAge are the ages of the replicas at which
@@ -57,11 +64,14 @@
 // Relay exchanges replicas and lists of live hosts with other hosts. It is safe
 // for concurrent use.
 type Relay struct {
-	watch *watch.Watch
-	store plat.Feed
-	// crashes holds the crash reports that polls and responses carry.
+	watch   *watch.Watch
+	store   plat.Feed
 	crashes CrashReports
-	table   string
+	// pollWake, exchangeWake and regionWake end the pause before the next poll of the source,
+	// of other domains and of other regions.
+	pollWake, exchangeWake, regionWake chan struct{}
+
+	table string
 	// seeds are the addresses of a few hosts that are polled while the hosts' table
 	// can't be read.
 	seeds []string
@@ -76,6 +86,9 @@
 	// backoffs holds the hosts that didn't respond, by name.
 	backoffs map[string]backoff
 	source   string
+	// cursors hold what this host and another have of each other's crash reports, by the
+	// other host's name.
+	cursors map[string]crashCursor
 	// first is set while this host has no source.
 	first atomic.Bool
 	// rowsReceived is set once the hosts' table was read or received.
@@ -112,22 +125,17 @@
 func New(self member.Host, store plat.Feed, table string, crashes CrashReports, log hclog.Logger, options ...Option) *Relay {
 	r := &Relay{
 		store: store, table: table, crashes: crashes, log: log, start: clock.Now(), self: self, members: NewMembers(self),
-		rows: make(map[string]row), backoffs: make(map[string]backoff),
+		rows: make(map[string]row), backoffs: make(map[string]backoff), cursors: make(map[string]crashCursor),
+		pollWake: make(chan struct{}, 1), exchangeWake: make(chan struct{}, 1), regionWake: make(chan struct{}, 1),
 		operatorAge: defaultOperatorAge, serversAge: defaultServersAge,
 	}
 	for _, o := range options {
 		o(r)
 	}
+	crashes.OnChange(r.wake)
 	return r
 }
 
-// CrashReports is the record of requests during which servers crashed. Hosts
-// exchange its reports.
-type CrashReports interface {
-	Reports(now time.Time) []crash.Report
-	Merge(now time.Time, reports []crash.Report)
-}
-
 // Attach sets the watch whose replicas the relay sends and updates. It must be
 // called before the relay runs.
 func (r *Relay) Attach(w *watch.Watch) { r.watch = w }
@@ -206,12 +214,37 @@
 		if !r.watch.State().Ready() {
 			pause = startPollInterval
 		}
+		if !rest(ctx, pause, r.pollWake) {
+			return nil
+		}
+	}
+}
+
+// wake makes this host poll its source, other domains and other regions at once.
+func (r *Relay) wake() {
+	for _, c := range []chan struct{}{r.pollWake, r.exchangeWake, r.regionWake} {
+		select {
+		case c <- struct{}{}:
+		default:
+		}
+	}
+}
+
+// rest waits for the pause, or until wakeDelay after a wake-up, and reports whether the
+// context goes on.
+func rest(ctx context.Context, pause time.Duration, wake <-chan struct{}) bool {
+	t := time.NewTimer(pause)
+	defer t.Stop()
+	select {
+	case <-t.C:
+	case <-ctx.Done():
+	case <-wake:
 		select {
+		case <-time.After(wakeDelay):
 		case <-ctx.Done():
-			return nil
-		case <-time.After(pause):
 		}
 	}
+	return ctx.Err() == nil
 }
 
 // RunAgeCheck checks the age of the replicas until the context ends, also while a
@@ -241,16 +274,25 @@
 // RunExchange polls the first hosts of the region's other domains until the
 // context ends, while this host is the first one of its own.
 func (r *Relay) RunExchange(ctx context.Context) error {
-	t := time.NewTicker(exchangeInterval)
-	defer t.Stop()
 	for {
 		if r.first.Load() {
 			r.exchangeLists(ctx, clock.Now())
 		}
-		select {
-		case <-ctx.Done():
+		if !rest(ctx, exchangeInterval, r.exchangeWake) {
+			return nil
+		}
+	}
+}
+
+// RunRegions exchanges crash reports with a host of each other region until the context
+// ends, while this host is the first one of its domain.
+func (r *Relay) RunRegions(ctx context.Context) error {
+	for {
+		if r.first.Load() {
+			r.exchangeCrashes(ctx)
+		}
+		if !rest(ctx, regionInterval, r.regionWake) {
 			return nil
-		case <-t.C:
 		}
 	}
 }
--- a/hitchd/internal/relay/relay_test.go
+++ b/hitchd/internal/relay/relay_test.go
@@ -121,8 +121,9 @@
 // noCrashReports is an empty record of crashes.
 type noCrashReports struct{}
 
-func (noCrashReports) Reports(time.Time) []crash.Report    { return nil }
-func (noCrashReports) Merge(_ time.Time, _ []crash.Report) {}
+func (noCrashReports) Changes(time.Time, uint64) ([]crash.Report, uint64) { return nil, 0 }
+func (noCrashReports) Merge(time.Time, []crash.Report)                    {}
+func (noCrashReports) OnChange(func())                                    {}
 
 func newRelay(self member.Host, options ...Option) *Relay {
 	return newRelayWith(noStore{}, self, options...)
--- a/hitchd/internal/relay/rows.go
+++ b/hitchd/internal/relay/rows.go
@@ -40,6 +40,7 @@
 	for name := range r.rows {
 		if _, ok := rows[name]; !ok {
 			delete(r.rows, name)
+			delete(r.cursors, name)
 		}
 	}
 	for name, c := range rows {
--- a/steer/crash/suspects.go
+++ b/steer/crash/suspects.go
@@ -13,6 +13,9 @@
 	originWindow = 30 * time.Second
 	// retention is how long a record is kept after the last crash or refused attempt.
 	retention = 10 * time.Minute
+	// extendInterval is the time by which refused attempts extend a record before other
+	// hosts learn of that.
+	extendInterval = time.Minute
 	// trialRetryAfter is the retry-after time of a request that is refused because
 	// another attempt is on trial or because trials are reserved for the origin.
 	trialRetryAfter = time.Second
@@ -21,8 +24,7 @@
 // Limits that bound the memory of [Suspects].
 const (
 	maxRecords = 4096
-	// maxServers is the number of crashed servers of a request that are kept, and the
-	// number of cleared ones.
+	// maxServers is the number of crashed servers of a request that are kept.
 	maxServers = 16
 	// successSlots is the size of the table of recent successes.
 	successSlots = 8192
@@ -40,11 +42,12 @@
 	// Origin is the host that saw the first crash and may run the request again. Of
 	// several such hosts it is the first one by name.
 	Origin string `msgpack:"origin"`
-	// Servers are the servers that crashed while they ran the request.
+	// Servers are the servers that crashed while they ran the request, since it was
+	// last cleared.
 	Servers []string `msgpack:"servers"`
-	// Cleared are servers that crashed before the request succeeded elsewhere, so that
-	// it wasn't the cause.
-	Cleared []string `msgpack:"clearedServers"`
+	// Epoch is the number of times that a success has cleared the request. Reports of
+	// earlier epochs no longer count.
+	Epoch uint32 `msgpack:"epoch"`
 	// Age is the time since the last crash or refused attempt.
 	Age time.Duration `msgpack:"age"`
 }
@@ -73,16 +76,19 @@
 
 // record is the state of a suspect request.
 type record struct {
-	origin string
-	// servers crashed while they ran the request. cleared are those of which a later
-	// success showed that it wasn't the cause.
-	servers, cleared []string
+	origin  string
+	servers []string
+	epoch   uint32
 	// last is the time of the last crash or refused attempt.
 	last         time.Time
 	trialRunning bool
 	// refusedSinceReport is set when an attempt was refused as confirmed since the last
 	// call of RefusedReports.
 	refusedSinceReport bool
+	// revision is that of the last change that other hosts must learn of, and published
+	// the value of last at that change.
+	revision  uint64
+	published time.Time
 }
 
 // Suspects holds a host's records of suspect requests. It is not safe for
@@ -95,6 +101,8 @@
 	crashThreshold int
 	// trials is set if suspects run only in trials before they are confirmed.
 	trials bool
+	// revision counts the changes of records that other hosts must learn of.
+	revision uint64
 	// succeeded is a table of fingerprints of requests that succeeded recently, indexed
 	// by the fingerprint modulo successSlots. A collision replaces the older entry.
 	succeeded [successSlots]Fingerprint
@@ -128,7 +136,8 @@
 	case r == nil || len(r.servers) == 0:
 		return Clean, 0
 	case len(r.servers) >= s.crashThreshold:
-		r.last, r.refusedSinceReport = now, true
+		r.refusedSinceReport = true
+		s.extend(r, now)
 		return Confirmed, retention
 	case !s.trials:
 		return Clean, 0
@@ -156,19 +165,23 @@
 		*s.successSlot(p) = 0
 		return Report{}, false
 	}
-	s.merge(now, Report{Fingerprint: p, Origin: s.self, Servers: []string{server}})
+	crashed := Report{Fingerprint: p, Origin: s.self, Servers: []string{server}}
+	if r := s.record(now, p); r != nil {
+		crashed.Epoch = r.epoch
+	}
+	s.merge(now, crashed)
 	return s.records[p].report(now, p), true
 }
 
-// RecordSuccess records a complete response. If the request was suspect, it clears the
-// request of the crashes known so far and returns the report that does so at the other hosts.
+// RecordSuccess records a complete response. If the request was suspect, it is cleared of
+// the crashes so far, and RecordSuccess returns the report that clears it at the other hosts.
 func (s *Suspects) RecordSuccess(now time.Time, p Fingerprint) (Report, bool) {
 	*s.successSlot(p) = p
 	r := s.record(now, p)
 	if r == nil || len(r.servers) == 0 {
 		return Report{}, false
 	}
-	s.merge(now, Report{Fingerprint: p, Origin: r.origin, Cleared: slices.Clone(r.servers)})
+	s.merge(now, Report{Fingerprint: p, Epoch: r.epoch + 1})
 	return r.report(now, p), true
 }
 
@@ -208,6 +221,34 @@
 	return out
 }
 
+// Revision returns the number of changes that other hosts must learn of.
+func (s *Suspects) Revision() uint64 { return s.revision }
+
+// Changes returns the reports on the records that changed after the revision since, oldest
+// changes first and at most limit of them, and the revision that they reach.
+func (s *Suspects) Changes(now time.Time, since uint64, limit int) ([]Report, uint64) {
+	if since >= s.revision {
+		return nil, s.revision
+	}
+	var changed []Fingerprint
+	for p := range s.records {
+		if r := s.record(now, p); r != nil && r.revision > since {
+			changed = append(changed, p)
+		}
+	}
+	slices.SortFunc(changed, func(a, b Fingerprint) int { return cmp.Compare(s.records[a].revision, s.records[b].revision) })
+	reached := s.revision
+	if len(changed) > limit {
+		changed = changed[:limit]
+		reached = s.records[changed[limit-1]].revision
+	}
+	out := make([]Report, 0, len(changed))
+	for _, p := range changed {
+		out = append(out, s.records[p].report(now, p))
+	}
+	return out, reached
+}
+
 // Len returns the number of suspect requests.
 func (s *Suspects) Len() int {
 	n := 0
@@ -221,34 +262,55 @@
 
 // report returns the report on the record of the request.
 func (r *record) report(now time.Time, p Fingerprint) Report {
-	return Report{Fingerprint: p, Origin: r.origin, Servers: slices.Clone(r.servers), Cleared: slices.Clone(r.cleared), Age: now.Sub(r.last)}
+	return Report{Fingerprint: p, Origin: r.origin, Servers: slices.Clone(r.servers), Epoch: r.epoch, Age: now.Sub(r.last)}
 }
 
-// merge unites the report with the record of the request and extends the retention. It
-// creates the record if there is none. A cleared server stays cleared.
+// merge unites the report with the record of the request, or replaces it by a report of a
+// later epoch, and extends the retention. It creates the record if there is none.
 func (s *Suspects) merge(now time.Time, r Report) {
 	k := s.record(now, r.Fingerprint)
-	if k == nil {
+	changed := k == nil
+	if changed {
 		s.evict()
-		k = &record{origin: r.Origin}
+		k = &record{origin: r.Origin, epoch: r.Epoch}
 		s.records[r.Fingerprint] = k
 	}
-	k.origin = min(k.origin, r.Origin)
-	if at := now.Add(-r.Age); at.After(k.last) {
-		k.last = at
+	if r.Epoch < k.epoch {
+		return
 	}
-	for _, n := range r.Cleared {
-		if !slices.Contains(k.cleared, n) {
-			k.cleared = append(k.cleared, n)
-		}
+	if r.Epoch > k.epoch {
+		k.origin, k.epoch, k.servers, changed = r.Origin, r.Epoch, nil, true
+	}
+	if k.origin == "" || r.Origin != "" && r.Origin < k.origin {
+		changed = changed || k.origin != r.Origin
+		k.origin = r.Origin
 	}
-	k.cleared = k.cleared[max(0, len(k.cleared)-maxServers):]
 	for _, n := range r.Servers {
-		if len(k.servers) < maxServers && !slices.Contains(k.servers, n) {
+		if !slices.Contains(k.servers, n) && len(k.servers) < maxServers {
 			k.servers = append(k.servers, n)
+			changed = true
 		}
 	}
-	k.servers = slices.DeleteFunc(k.servers, func(n string) bool { return slices.Contains(k.cleared, n) })
+	if at := now.Add(-r.Age); at.After(k.last) {
+		s.extend(k, at)
+	}
+	if changed {
+		s.touch(k)
+	}
+}
+
+// extend sets the time of the last crash or refused attempt.
+func (s *Suspects) extend(r *record, at time.Time) {
+	r.last = at
+	if r.last.Sub(r.published) >= extendInterval {
+		s.touch(r)
+	}
+}
+
+// touch marks a change of the record that other hosts must learn of.
+func (s *Suspects) touch(r *record) {
+	s.revision++
+	r.revision, r.published = s.revision, r.last
 }
 
 // record returns the record of the fingerprint, or nil. It deletes one whose
--- a/steer/crash/suspects_test.go
+++ b/steer/crash/suspects_test.go
@@ -165,12 +165,13 @@
 func TestReportsMergeInAnyOrder(t *testing.T) {
 	now := time.Unix(1_000_000, 0)
 	reports := []Report{
-		{Fingerprint: 7, Origin: "c", Servers: []string{"x", "y"}, Age: time.Minute},
-		{Fingerprint: 7, Origin: "a", Servers: []string{"z", "w"}, Age: time.Second},
-		{Fingerprint: 7, Origin: "b", Servers: []string{"y", "v"}, Cleared: []string{"x"}, Age: 2 * time.Minute},
+		{Fingerprint: 7, Origin: "c", Servers: []string{"x", "y"}, Epoch: 1, Age: time.Minute},
+		{Fingerprint: 7, Origin: "a", Servers: []string{"z", "w"}, Epoch: 1, Age: time.Second},
+		{Fingerprint: 7, Origin: "b", Servers: []string{"y", "v"}, Epoch: 1, Age: 2 * time.Minute},
+		{Fingerprint: 7, Origin: "0", Servers: []string{"u"}, Age: 3 * time.Minute},
 	}
-	want := Report{Fingerprint: 7, Origin: "a", Servers: []string{"v", "w", "y", "z"}, Cleared: []string{"x"}, Age: time.Second}
-	for _, order := range [][]int{{0, 1, 2}, {2, 1, 0}, {1, 0, 2, 0}, {2, 0, 1, 1}, {0, 2, 2, 1, 0}} {
+	want := Report{Fingerprint: 7, Origin: "a", Servers: []string{"v", "w", "x", "y", "z"}, Epoch: 1, Age: time.Second}
+	for _, order := range [][]int{{0, 1, 2, 3}, {3, 2, 1, 0}, {1, 3, 0, 2, 0}, {2, 0, 3, 1, 1}, {0, 3, 2, 2, 1, 0}} {
 		s := New("d", WithCrashThreshold(3), WithoutTrials())
 		for _, i := range order {
 			s.Merge(now, reports[i])
@@ -218,3 +219,35 @@
 		t.Errorf("verdict = %v, want %v", v, Confirmed)
 	}
 }
+
+// A host that asks for changes gets each record once per change, oldest first and in parts,
+// and nothing while nothing changes.
+func TestChangesAreSentOnce(t *testing.T) {
+	now := time.Unix(1_000_000, 0)
+	s := New("a", WithCrashThreshold(3), WithoutTrials())
+	for i := range 10 {
+		s.RecordCrash(now, Fingerprint(i+1), "x")
+	}
+	var got []Fingerprint
+	since := uint64(0)
+	for range 4 {
+		var reports []Report
+		reports, since = s.Changes(now, since, 3)
+		for _, r := range reports {
+			got = append(got, r.Fingerprint)
+		}
+	}
+	if want := []Fingerprint{1, 2, 3, 4, 5, 6, 7, 8, 9, 10}; !slices.Equal(got, want) {
+		t.Errorf("got %v, want %v", got, want)
+	}
+	s.Merge(now, Report{Fingerprint: 1, Origin: "a", Servers: []string{"x"}, Age: time.Second})
+	if again, _ := s.Changes(now, since, 3); len(again) != 0 {
+		t.Errorf("got %v after a report without news, want nothing", again)
+	}
+	s.RecordCrash(now, 4, "y")
+	s.RecordCrash(now, 4, "z")
+	s.Check(now.Add(2*extendInterval), 4)
+	if again, _ := s.Changes(now, since, 3); len(again) != 1 || again[0].Fingerprint != 4 {
+		t.Errorf("got %v after a change of 4, want it alone", again)
+	}
+}
