edge: probe a server for half a second before a lost connection counts as none

A server's listener may outlive its connections by some milliseconds. The probe now connects again after 60 and 400 ms. A probe that fails for a reason of this host, such as a lack of file descriptors, no longer counts as a crash.

--- a/hitchd/internal/edge/crashes.go
+++ b/hitchd/internal/edge/crashes.go
@@ -6,9 +6,11 @@
 	"net"
 	"net/http"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
+	"github.com/go-faster/errors"
 	"github.com/hashicorp/go-hclog"
 
 	"magnoliahitch/hitchd/internal/conns"
@@ -21,12 +23,16 @@
 	// a request before it is refused. A smaller number would refuse requests that
 	// were running when a server crashed for another reason.
 	maxCrashes = 3
-	// probeTimeout bounds the test whether a server still accepts connections.
+	// probeTimeout bounds the opening of a connection that probes a server.
 	probeTimeout = 300 * time.Millisecond
 	// maxReports bounds the reports in a message to another host.
 	maxReports = 256
 )
 
+// probeDelays are the pauses before the connections that probe a server. A crashing server
+// may close its listener after its connections.
+var probeDelays = [...]time.Duration{0, 60 * time.Millisecond, 400 * time.Millisecond}
+
 // CrashReports records the requests during which servers crashed, and refuses
 // those that crashed several servers. It guards against a request that crashes each
 // server that runs it and that its caller repeats at any host; hosts therefore
@@ -60,27 +66,55 @@
 	server, addr            string
 }
 
-// ConnectionLost is called when the connection to the server broke during the
-// attempt. It connects to the server again and records a crash if that fails.
+// ConnectionLost is called when the connection to the server broke during the attempt. It
+// probes the server and records a crash if that fails.
 func (c *CrashReports) ConnectionLost(ctx context.Context, a attempt) {
-	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
-	defer cancel()
 	log := c.log.With("request", a.request, "print", uint64(a.fingerprint), "caller", a.caller, "target", a.target, "server", a.server)
-	var dialer net.Dialer
-	if conn, err := dialer.DialContext(ctx, "tcp", a.addr); err == nil {
-		_ = conn.Close()
+	err := probe(ctx, a.addr)
+	if err == nil {
 		lostConnections("reachable").Inc()
 		log.Info("server is reachable after it broke a connection")
 		return
 	}
+	if !tellsOfServer(err) {
+		lostConnections("failed").Inc()
+		log.Warn("could not probe the server after it broke a connection", "error", err)
+		return
+	}
 	lostConnections("crashed").Inc()
 	c.update(func() {
 		if r, ok := c.suspects.RecordCrash(clock.Now(), a.fingerprint, a.server); ok {
-			log.Warn("server crashed while it ran a request", "crashed", len(r.Servers))
+			log.Warn("server crashed while it ran a request", "crashed", len(r.Servers), "error", err)
 		}
 	})
 }
 
+// probe connects to the address after each of the probeDelays and returns the first error.
+func probe(ctx context.Context, addr string) error {
+	dialer := net.Dialer{Timeout: probeTimeout}
+	for _, d := range probeDelays {
+		select {
+		case <-time.After(d):
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+		conn, err := dialer.DialContext(ctx, "tcp", addr)
+		if err != nil {
+			return err
+		}
+		_ = conn.Close()
+	}
+	return nil
+}
+
+// tellsOfServer reports whether the error of a probe shows that the server doesn't accept
+// connections. This host may also lack file descriptors or ports.
+func tellsOfServer(err error) bool {
+	var timeout net.Error
+	return errors.Is(err, syscall.ECONNREFUSED) || errors.Is(err, syscall.ECONNRESET) || errors.Is(err, syscall.EHOSTUNREACH) ||
+		errors.Is(err, syscall.ENETUNREACH) || errors.As(err, &timeout) && timeout.Timeout()
+}
+
 // OnChange sets a function that is called when there are reports that other hosts lack. It
 // must be called before requests are served.
 func (c *CrashReports) OnChange(f func()) { c.onChange = f }
--- a/hitchd/internal/edge/crashes_test.go
+++ b/hitchd/internal/edge/crashes_test.go
@@ -1,10 +1,13 @@
 package edge
 
 import (
+	"context"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
+	"os"
+	"syscall"
 	"testing"
 	"time"
 
@@ -194,6 +197,24 @@
 	}
 }
 
+// A host that lacks file descriptors can't probe a server, which says nothing of the server.
+func TestFailedProbeIsNoCrash(t *testing.T) {
+	for _, c := range []struct {
+		err  error
+		want bool
+	}{
+		{&net.OpError{Op: "dial", Err: os.NewSyscallError("connect", syscall.ECONNREFUSED)}, true},
+		{&net.OpError{Op: "dial", Err: os.ErrDeadlineExceeded}, true},
+		{&net.OpError{Op: "dial", Err: os.NewSyscallError("socket", syscall.EMFILE)}, false},
+		{&net.OpError{Op: "dial", Err: os.NewSyscallError("connect", syscall.EADDRNOTAVAIL)}, false},
+		{context.Canceled, false},
+	} {
+		if got := tellsOfServer(c.err); got != c.want {
+			t.Errorf("%v tells of the server: %v, want %v", c.err, got, c.want)
+		}
+	}
+}
+
 // The other hosts' third crash is reported while this host runs the request. It isn't sent
 // to another server then, and isn't told as not run.
 func TestVerdictStopsRetries(t *testing.T) {
