edge: record a server's crash during a response that is passed on

A response of 256 KB or more is passed on while it arrives. When its server crashed meanwhile, only the server's statistics learned of it: a request with long responses could crash servers without end. The same probe now follows as after a break before the response.

TestCrashDuringResponseIsRecorded failed before (0 crashes recorded, want 1).

--- a/hitchd/internal/edge/crashes_test.go
+++ b/hitchd/internal/edge/crashes_test.go
@@ -197,6 +197,25 @@
 	}
 }
 
+// A server that crashes in the middle of a long response has crashed while it ran the
+// request, like one that crashes before it.
+func TestCrashDuringResponseIsRecorded(t *testing.T) {
+	s := newFixture(t, 3, routes.Route{Idempotent: true, MaxAttempts: 1, Timeout: 5 * time.Second}, func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set("X-Signed", "s")
+		w.Header().Set("Content-Length", "1000000")
+		_, _ = w.Write(make([]byte, 600_000))
+		_ = http.NewResponseController(w).Flush()
+		_ = r.Context().Value(http.ServerContextKey).(*http.Server).Close()
+	})
+	s.from(t, "127.0.0.1", "/a/long")
+	for end := time.Now().Add(3 * time.Second); crashed(s.edge.crashes) == 0 && time.Now().Before(end); {
+		time.Sleep(time.Millisecond)
+	}
+	if got := crashed(s.edge.crashes); got != 1 {
+		t.Errorf("%d crashes recorded, want 1", got)
+	}
+}
+
 // A host that lacks file descriptors can't probe a server, which says nothing of the server.
 func TestFailedProbeIsNoCrash(t *testing.T) {
 	for _, c := range []struct {
--- a/hitchd/internal/edge/response.go
+++ b/hitchd/internal/edge/response.go
@@ -1,6 +1,7 @@
 package edge
 
 import (
+	"context"
 	"fmt"
 	"io"
 	"math"
@@ -25,7 +26,7 @@
 
 // writeResponse passes the server's response on unchanged, without the headers
 // that concern only the connection to the server.
-func (e *Edge) writeResponse(w http.ResponseWriter, s *service, x *exchange, a received) {
+func (e *Edge) writeResponse(ctx context.Context, w http.ResponseWriter, s *service, x *exchange, a received) {
 	h := w.Header()
 	perConnection := conns.ConnectionHeaders(a.Header)
 	for name, values := range a.Header {
@@ -53,7 +54,8 @@
 	if err != nil {
 		x.lastErr = err
 		if broken != nil && clock.Now().Before(x.request.Deadline) {
-			s.picker.RecordBroken(clock.Now(), a.server)
+			s.picker.RecordBroken(clock.Now(), a.server.ID)
+			e.connectionLost(ctx, x, a.server)
 		}
 		e.record(x, a.Status, result.ReasonUpstream)
 		// Aborts the connection, so that the caller doesn't take a truncated body
--- a/hitchd/internal/edge/run.go
+++ b/hitchd/internal/edge/run.go
@@ -9,6 +9,7 @@
 
 	"magnoliahitch/hitchd/internal/conns"
 	"magnoliahitch/links/clock"
+	"magnoliahitch/steer/fleet"
 	"magnoliahitch/steer/pick"
 	"magnoliahitch/steer/result"
 )
@@ -39,7 +40,7 @@
 		e.record(x, 0, result.ReasonCanceled)
 		panic(http.ErrAbortHandler)
 	case response.Response != nil:
-		e.writeResponse(w, s, x, response)
+		e.writeResponse(ctx, w, s, x, response)
 	case x.expired:
 		e.endExpired(w, x)
 	default:
@@ -50,7 +51,7 @@
 // received is a response with the server that sent it.
 type received struct {
 	*conns.Response
-	server string
+	server fleet.Server
 }
 
 // discard closes the connection of a response that isn't passed on.
@@ -84,7 +85,7 @@
 		x.mayHaveRun = x.mayHaveRun || outcome == result.Unknown
 		if a != nil && outcome == result.Done {
 			response.discard()
-			response = received{a, c.Server.ID}
+			response = received{a, c.Server}
 			if a.Status < http.StatusInternalServerError || !x.route.Idempotent {
 				return response
 			}
@@ -163,9 +164,7 @@
 	res := classify(ctx, a, outcome)
 	s.picker.Done(now, c.Server.ID, res, took, report)
 	if res == pick.ConnectionLost {
-		go e.crashes.ConnectionLost(context.WithoutCancel(ctx), attempt{
-			fingerprint: x.fingerprint, request: x.id, caller: x.caller, target: x.request.Target, server: c.Server.ID, addr: c.Server.Addr,
-		})
+		e.connectionLost(ctx, x, c.Server)
 	}
 	attemptResults(x.service, res).Inc()
 	attemptPhases(x.service, c.Phase).Inc()
@@ -176,6 +175,14 @@
 	return a, outcome, sent
 }
 
+// connectionLost finds out in the background whether the server, whose connection broke
+// during the request, has crashed.
+func (e *Edge) connectionLost(ctx context.Context, x *exchange, server fleet.Server) {
+	go e.crashes.ConnectionLost(context.WithoutCancel(ctx), attempt{
+		fingerprint: x.fingerprint, request: x.id, caller: x.caller, target: x.request.Target, server: server.ID, addr: server.Addr,
+	})
+}
+
 // classify returns the result of the attempt for the server's statistics.
 func classify(ctx context.Context, a *conns.Response, outcome result.Outcome) pick.Result {
 	switch {
