edge: send a request to no further server once it is confirmed

The record of crashes was asked before the first attempt only, with the time of the request's arrival. A request whose third crash was reported during an attempt was sent to the servers that its route still allowed. It is asked after each attempt now, without extending the refusal, and the answer is 502 if an attempt may have run.

Requests that wait in a server's queue already are not called back.

--- a/hitchd/internal/edge/crashes.go
+++ b/hitchd/internal/edge/crashes.go
@@ -50,12 +50,20 @@
 	return &CrashReports{log: log, onChange: func() {}, suspects: crash.New(self, crash.WithCrashThreshold(maxCrashes), crash.WithoutTrials())}
 }
 
-// Confirmed reports whether the request has crashed so many servers that it must
-// be refused.
-func (c *CrashReports) Confirmed(now time.Time, p crash.Fingerprint) bool {
+// Admit reports whether the request may run: it hasn't crashed as many servers as confirm
+// that it is the cause. A refusal extends the time for which it is refused.
+func (c *CrashReports) Admit(now time.Time, p crash.Fingerprint) bool {
 	v := crash.Clean
 	c.update(func() { v, _ = c.suspects.Check(now, p) })
-	return v == crash.Confirmed
+	return v != crash.Confirmed
+}
+
+// Confirmed reports whether the request, which runs already, is known by now to crash
+// servers.
+func (c *CrashReports) Confirmed(now time.Time, p crash.Fingerprint) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.suspects.Confirmed(now, p)
 }
 
 // attempt describes the attempt of a request during which the connection to its
--- a/hitchd/internal/edge/crashes_test.go
+++ b/hitchd/internal/edge/crashes_test.go
@@ -154,7 +154,7 @@
 	now := clock.Now()
 	for d := 45 * time.Second; d < 30*time.Minute; d += 45 * time.Second {
 		b := newReports("b")
-		if !a.Confirmed(now.Add(d), culprit) {
+		if a.Admit(now.Add(d), culprit) {
 			t.Fatalf("the request isn't refused %s after the third crash, though it was repeated", d)
 		}
 		swapReports(now.Add(d), a, b)
@@ -273,7 +273,7 @@
 	}
 	now := clock.Now()
 	for d := time.Duration(0); d < 5*time.Minute; d += time.Second {
-		if !c.Confirmed(now.Add(d), culprit) {
+		if c.Admit(now.Add(d), culprit) {
 			return
 		}
 	}
--- a/hitchd/internal/edge/run.go
+++ b/hitchd/internal/edge/run.go
@@ -94,6 +94,11 @@
 			x.expired = true
 			return response
 		}
+		// Other hosts may have reported crashes meanwhile.
+		if e.crashes.Confirmed(clock.Now(), x.fingerprint) {
+			x.suspect = true
+			return response
+		}
 		if !e.mayRetry(s, x, outcome, sent, dials) {
 			return response
 		}
@@ -222,7 +227,10 @@
 	}
 	if !x.mayHaveRun {
 		reason := result.ReasonNoServer
-		if x.attempts > 0 {
+		switch {
+		case x.suspect:
+			reason = result.ReasonSuspect
+		case x.attempts > 0:
 			reason = result.ReasonShed
 		}
 		e.refuse(w, x, reason)
--- a/hitchd/internal/edge/serve.go
+++ b/hitchd/internal/edge/serve.go
@@ -43,6 +43,8 @@
 	// mayHaveRun is set once an attempt had an unknown outcome, expired when the
 	// attempts ended because of the deadline.
 	mayHaveRun, expired bool
+	// suspect is set when the attempts ended because the request crashes servers.
+	suspect bool
 	// lastChoice is the server selection of the last attempt, lastErr its error.
 	lastChoice pick.Choice
 	lastErr    error
@@ -106,7 +108,7 @@
 		return
 	}
 	x.fingerprint = fingerprint(x.route.Host, &x.request)
-	if e.crashes.Confirmed(x.start, x.fingerprint) {
+	if !e.crashes.Admit(clock.Now(), x.fingerprint) {
 		e.refuse(w, x, result.ReasonSuspect)
 		return
 	}
--- a/steer/crash/suspects.go
+++ b/steer/crash/suspects.go
@@ -150,6 +150,12 @@
 	return Trial, 0
 }
 
+// Confirmed reports whether the request is confirmed as crashing servers. It changes nothing.
+func (s *Suspects) Confirmed(now time.Time, p Fingerprint) bool {
+	r := s.record(now, p)
+	return r != nil && len(r.servers) >= s.crashThreshold
+}
+
 // EndTrial ends a trial, whatever its outcome.
 func (s *Suspects) EndTrial(p Fingerprint) {
 	if r := s.records[p]; r != nil {
