edge: clear a request of crashes beside which it ran when it succeeds

All requests that were in flight at a server when it crashed are suspects, and the edge never recorded a success: one that ran beside three crashes in ten minutes was refused, however often it had succeeded in between. A request that crashes each server never has one.

--- a/hitchd/internal/edge/crashes.go
+++ b/hitchd/internal/edge/crashes.go
@@ -66,6 +66,16 @@
 	return c.suspects.Confirmed(now, p)
 }
 
+// Succeeded records that a server ran the request to its end, which clears it of the crashes
+// during which it only ran beside the cause.
+func (c *CrashReports) Succeeded(now time.Time, p crash.Fingerprint) {
+	c.update(func() {
+		if _, cleared := c.suspects.RecordSuccess(now, p); cleared {
+			c.log.Info("request is no longer suspected of crashing servers", "print", uint64(p))
+		}
+	})
+}
+
 // attempt describes the attempt of a request during which the connection to its
 // server broke.
 type attempt struct {
--- a/hitchd/internal/edge/response.go
+++ b/hitchd/internal/edge/response.go
@@ -49,6 +49,9 @@
 		rest := &bodyReader{Reader: a.Stream}
 		_, err = io.Copy(w, rest)
 		broken = rest.err
+		if err == nil {
+			e.crashes.Succeeded(clock.Now(), x.fingerprint)
+		}
 	}
 	a.discard()
 	if err != nil {
--- a/hitchd/internal/edge/run.go
+++ b/hitchd/internal/edge/run.go
@@ -86,6 +86,9 @@
 		if a != nil && outcome == result.Done {
 			response.discard()
 			response = received{a, c.Server}
+			if a.Stream == nil {
+				e.crashes.Succeeded(clock.Now(), x.fingerprint)
+			}
 			if a.Status < http.StatusInternalServerError || !x.route.Idempotent {
 				return response
 			}
