edge: know a request by its caller's credentials too

Since a success clears a request, one that crashes servers only with one caller's credentials would be cleared by the others' successes. A request now has a second fingerprint, with the headers Authorization and Cookie, and is refused if either is confirmed; a success clears both of its own.

TestCredentialsThatCrashServersAreRefused fails with the first fingerprint alone (the caller's request is sent after three crashes) and passes.

--- a/hitchd/internal/edge/crashes.go
+++ b/hitchd/internal/edge/crashes.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net"
 	"net/http"
+	"slices"
 	"sync"
 	"syscall"
 	"time"
@@ -50,28 +51,36 @@
 	return &CrashReports{log: log, onChange: func() {}, suspects: crash.New(self, crash.WithCrashThreshold(maxCrashes), crash.WithoutTrials())}
 }
 
-// Admit reports whether the request may run: it hasn't crashed as many servers as confirm
-// that it is the cause. A refusal extends the time for which it is refused.
-func (c *CrashReports) Admit(now time.Time, p crash.Fingerprint) bool {
-	v := crash.Clean
-	c.update(func() { v, _ = c.suspects.Check(now, p) })
-	return v != crash.Confirmed
+// Admit reports whether the request may run: neither of its fingerprints has crashed as
+// many servers as confirm that it is the cause. A refusal extends the time for which it is refused.
+func (c *CrashReports) Admit(now time.Time, ps fingerprints) bool {
+	admitted := true
+	c.update(func() {
+		for _, p := range ps {
+			if v, _ := c.suspects.Check(now, p); v == crash.Confirmed {
+				admitted = false
+			}
+		}
+	})
+	return admitted
 }
 
 // Confirmed reports whether the request, which runs already, is known by now to crash
 // servers.
-func (c *CrashReports) Confirmed(now time.Time, p crash.Fingerprint) bool {
+func (c *CrashReports) Confirmed(now time.Time, ps fingerprints) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.suspects.Confirmed(now, p)
+	return slices.ContainsFunc(ps, func(p crash.Fingerprint) bool { return c.suspects.Confirmed(now, p) })
 }
 
 // Succeeded records that a server ran the request to its end, which clears it of the crashes
 // during which it only ran beside the cause.
-func (c *CrashReports) Succeeded(now time.Time, p crash.Fingerprint) {
+func (c *CrashReports) Succeeded(now time.Time, ps fingerprints) {
 	c.update(func() {
-		if _, cleared := c.suspects.RecordSuccess(now, p); cleared {
-			c.log.Info("request is no longer suspected of crashing servers", "print", uint64(p))
+		for _, p := range ps {
+			if _, cleared := c.suspects.RecordSuccess(now, p); cleared {
+				c.log.Info("request is no longer suspected of crashing servers", "print", uint64(p))
+			}
 		}
 	})
 }
@@ -79,7 +88,7 @@
 // attempt describes the attempt of a request during which the connection to its
 // server broke.
 type attempt struct {
-	fingerprint             crash.Fingerprint
+	fingerprints            fingerprints
 	request, caller, target string
 	server, addr            string
 }
@@ -87,7 +96,7 @@
 // ConnectionLost is called when the connection to the server broke during the attempt. It
 // probes the server and records a crash if that fails.
 func (c *CrashReports) ConnectionLost(ctx context.Context, a attempt) {
-	log := c.log.With("request", a.request, "print", uint64(a.fingerprint), "caller", a.caller, "target", a.target, "server", a.server)
+	log := c.log.With("request", a.request, "print", uint64(a.fingerprints[0]), "caller", a.caller, "target", a.target, "server", a.server)
 	err := probe(ctx, a.addr)
 	if err == nil {
 		lostConnections("reachable").Inc()
@@ -101,8 +110,10 @@
 	}
 	lostConnections("crashed").Inc()
 	c.update(func() {
-		if r, ok := c.suspects.RecordCrash(clock.Now(), a.fingerprint, a.server); ok {
-			log.Warn("server crashed while it ran a request", "crashed", len(r.Servers), "error", err)
+		for _, p := range a.fingerprints {
+			if r, ok := c.suspects.RecordCrash(clock.Now(), p, a.server); ok {
+				log.Warn("server crashed while it ran a request", "suspect", uint64(p), "crashed", len(r.Servers), "error", err)
+			}
 		}
 	})
 }
@@ -166,11 +177,20 @@
 	}
 }
 
-// fingerprint returns the fingerprint of a request to the route's host name. It covers what
-// a server receives and what a repeat has in common with the request. Servers don't receive the
-// caller's address, and a caller may have several.
-func fingerprint(host string, q *conns.Request) crash.Fingerprint {
-	return crash.FingerprintOf(host+"\x00"+q.Header.Get("Authorization"), q.Method, q.Target, q.Body)
+// fingerprints identify a request: first what a server receives and repeats have in common,
+// then, if there are any, the same with the caller's credentials. Credentials may differ between
+// repeats, and may decide whether a server crashes. The caller's address is not among them, since
+// servers don't receive it and a caller may have several.
+type fingerprints []crash.Fingerprint
+
+// fingerprintsOf returns the fingerprints of a request to the route's host name.
+func fingerprintsOf(host string, q *conns.Request) fingerprints {
+	out := fingerprints{crash.FingerprintOf(host, q.Method, q.Target, q.Body)}
+	credentials := q.Header.Get("Authorization") + "\x00" + q.Header.Get("Cookie")
+	if len(credentials) > 1 {
+		out = append(out, crash.FingerprintOf(host+"\x00"+credentials, q.Method, q.Target, q.Body))
+	}
+	return out
 }
 
 // callerOf returns the IP address of the request's caller.
--- a/hitchd/internal/edge/crashes_test.go
+++ b/hitchd/internal/edge/crashes_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"os"
+	"slices"
 	"syscall"
 	"testing"
 	"time"
@@ -19,7 +20,7 @@
 	"magnoliahitch/steer/routes"
 )
 
-const culprit = crash.Fingerprint(7)
+var culprit = fingerprints{7}
 
 func newReports(host string) *CrashReports { return NewCrashReports(host, hclog.NewNullLogger()) }
 
@@ -35,9 +36,9 @@
 }
 
 // recordCrash records that the server crashed while it ran the request.
-func recordCrash(t *testing.T, c *CrashReports, p crash.Fingerprint, server string) {
+func recordCrash(t *testing.T, c *CrashReports, ps fingerprints, server string) {
 	t.Helper()
-	c.ConnectionLost(t.Context(), attempt{fingerprint: p, server: server, addr: closedAddr(t)})
+	c.ConnectionLost(t.Context(), attempt{fingerprints: ps, server: server, addr: closedAddr(t)})
 }
 
 // swapReports sends all reports of each to the other.
@@ -130,7 +131,7 @@
 func TestReportsOfBystandersDisplaceNone(t *testing.T) {
 	a, b := newReports("a"), newReports("b")
 	for i := range 200 {
-		recordCrash(t, a, crash.Fingerprint(1000+i), "s0")
+		recordCrash(t, a, fingerprints{crash.Fingerprint(1000 + i)}, "s0")
 	}
 	for i := range 3 {
 		recordCrash(t, a, culprit, fmt.Sprintf("s%d", i))
@@ -174,7 +175,7 @@
 			t.Fatal(err)
 		}
 		time.AfterFunc(20*time.Millisecond, func() { _ = l.Close() })
-		c.ConnectionLost(t.Context(), attempt{fingerprint: culprit, server: fmt.Sprintf("s%d", i), addr: l.Addr().String()})
+		c.ConnectionLost(t.Context(), attempt{fingerprints: culprit, server: fmt.Sprintf("s%d", i), addr: l.Addr().String()})
 	}
 	if !c.Confirmed(clock.Now(), culprit) {
 		t.Error("a request that crashed three servers isn't confirmed")
@@ -190,7 +191,7 @@
 	}
 	defer l.Close()
 	for i := range 3 {
-		c.ConnectionLost(t.Context(), attempt{fingerprint: culprit, server: fmt.Sprintf("s%d", i), addr: l.Addr().String()})
+		c.ConnectionLost(t.Context(), attempt{fingerprints: culprit, server: fmt.Sprintf("s%d", i), addr: l.Addr().String()})
 	}
 	if c.Confirmed(clock.Now(), culprit) {
 		t.Error("a request is refused though no server crashed")
@@ -239,7 +240,7 @@
 func TestVerdictStopsRetries(t *testing.T) {
 	var s *fixture
 	s = newFixture(t, 6, routes.Route{Idempotent: true, MaxAttempts: 3, Timeout: time.Second}, func(w http.ResponseWriter, r *http.Request) {
-		s.edge.crashes.Merge(clock.Now(), []crash.Report{{Fingerprint: s.fingerprintOf("/a/poison"), Origin: "other", Servers: []string{"x", "y", "z"}}})
+		s.edge.crashes.Merge(clock.Now(), []crash.Report{{Fingerprint: s.fingerprints("/a/poison")[0], Origin: "other", Servers: []string{"x", "y", "z"}}})
 		closeConnection(w, r)
 	})
 	res, _ := s.do(t, http.MethodGet, "/a/poison", "")
@@ -251,7 +252,7 @@
 // A request that ran beside crashes, and succeeded between them, is harmless.
 func TestBystanderThatSucceedsStaysServed(t *testing.T) {
 	s := newFixture(t, 3, routes.Route{Idempotent: true, MaxAttempts: 1, Timeout: time.Second}, signed(200, "ok"))
-	p := s.fingerprintOf("/a/home")
+	p := s.fingerprints("/a/home")
 	for i := range 6 {
 		if res, _ := s.do(t, http.MethodGet, "/a/home", ""); res.StatusCode != http.StatusOK {
 			t.Fatalf("status = %d before crash %d, want 200", res.StatusCode, i)
@@ -280,7 +281,56 @@
 	t.Error("a request that is repeated each second is refused for 5 min")
 }
 
-// fingerprintOf returns the fingerprint of a request for the target without a body.
-func (s *fixture) fingerprintOf(target string) crash.Fingerprint {
-	return fingerprint("127.0.0.1", &conns.Request{Method: http.MethodGet, Target: target})
+// fingerprints returns the fingerprints of a request for the target without a body.
+func (s *fixture) fingerprints(target string) fingerprints {
+	return fingerprintsOf("127.0.0.1", &conns.Request{Method: http.MethodGet, Target: target})
+}
+
+// A request crashes servers only with one caller's credentials, and succeeds with others'. The
+// caller's is refused, the others' is served.
+func TestCredentialsThatCrashServersAreRefused(t *testing.T) {
+	s := newFixture(t, 8, routes.Route{Idempotent: true, MaxAttempts: 1, Timeout: time.Second}, func(w http.ResponseWriter, r *http.Request) {
+		if r.Header.Get("Cookie") == "session=a" {
+			crashOn(r.URL.Path)(w, r)
+			return
+		}
+		signed(200, "ok")(w, r)
+	})
+	send := func(cookie string) int {
+		t.Helper()
+		req, err := http.NewRequestWithContext(t.Context(), http.MethodGet, s.front.URL+"/a/profile", http.NoBody)
+		if err != nil {
+			t.Fatal(err)
+		}
+		req.Header.Set("X-Id", "r1")
+		req.Header.Set("X-Timeout", "2s")
+		req.Header.Set("Cookie", cookie)
+		res, err := http.DefaultClient.Do(req)
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer res.Body.Close()
+		return res.StatusCode
+	}
+	for i := range 3 {
+		send("session=a")
+		for end := time.Now().Add(time.Second); s.lost(i) && time.Now().Before(end); {
+			time.Sleep(time.Millisecond)
+		}
+		if got := send("session=b"); got != http.StatusOK {
+			t.Errorf("status = %d for another caller after crash %d, want 200", got, i+1)
+		}
+	}
+	if got := send("session=a"); got != http.StatusServiceUnavailable {
+		t.Errorf("status = %d for the caller after three crashes, want 503", got)
+	}
+	if got := send("session=b"); got != http.StatusOK {
+		t.Errorf("status = %d for another caller, want 200", got)
+	}
+}
+
+// lost reports whether no fingerprint has more than count recorded crashes yet.
+func (s *fixture) lost(count int) bool {
+	reports, _ := s.edge.crashes.Changes(clock.Now(), 0)
+	return !slices.ContainsFunc(reports, func(r crash.Report) bool { return len(r.Servers) > count })
 }
--- a/hitchd/internal/edge/edge_test.go
+++ b/hitchd/internal/edge/edge_test.go
@@ -296,7 +296,7 @@
 	reports, _ := s.edge.crashes.Changes(now, 0)
 	other.Merge(now, reports)
 	for _, r := range reports {
-		if !other.Confirmed(now, r.Fingerprint) {
+		if !other.Confirmed(now, fingerprints{r.Fingerprint}) {
 			t.Error("a host that received the report would run the request")
 		}
 	}
--- a/hitchd/internal/edge/response.go
+++ b/hitchd/internal/edge/response.go
@@ -50,7 +50,7 @@
 		_, err = io.Copy(w, rest)
 		broken = rest.err
 		if err == nil {
-			e.crashes.Succeeded(clock.Now(), x.fingerprint)
+			e.crashes.Succeeded(clock.Now(), x.fingerprints)
 		}
 	}
 	a.discard()
--- a/hitchd/internal/edge/run.go
+++ b/hitchd/internal/edge/run.go
@@ -87,7 +87,7 @@
 			response.discard()
 			response = received{a, c.Server}
 			if a.Stream == nil {
-				e.crashes.Succeeded(clock.Now(), x.fingerprint)
+				e.crashes.Succeeded(clock.Now(), x.fingerprints)
 			}
 			if a.Status < http.StatusInternalServerError || !x.route.Idempotent {
 				return response
@@ -98,7 +98,7 @@
 			return response
 		}
 		// Other hosts may have reported crashes meanwhile.
-		if e.crashes.Confirmed(clock.Now(), x.fingerprint) {
+		if e.crashes.Confirmed(clock.Now(), x.fingerprints) {
 			x.suspect = true
 			return response
 		}
@@ -177,7 +177,7 @@
 	attemptResults(x.service, res).Inc()
 	attemptPhases(x.service, c.Phase).Inc()
 	if res != pick.Succeeded {
-		e.log.Info("attempt failed", "request", x.id, "print", uint64(x.fingerprint), "server", c.Server.ID, "address", c.Server.Addr, "result", res.String(),
+		e.log.Info("attempt failed", "request", x.id, "print", uint64(x.fingerprints[0]), "server", c.Server.ID, "address", c.Server.Addr, "result", res.String(),
 			"outcome", outcome.String(), "tookMs", ms(took), "rank", c.Rank, "load", c.Load, "usable", c.Usable, "phase", string(c.Phase), "error", err)
 	}
 	return a, outcome, sent
@@ -187,7 +187,7 @@
 // during the request, has crashed.
 func (e *Edge) connectionLost(ctx context.Context, x *exchange, server fleet.Server) {
 	go e.crashes.ConnectionLost(context.WithoutCancel(ctx), attempt{
-		fingerprint: x.fingerprint, request: x.id, caller: x.caller, target: x.request.Target, server: server.ID, addr: server.Addr,
+		fingerprints: x.fingerprints, request: x.id, caller: x.caller, target: x.request.Target, server: server.ID, addr: server.Addr,
 	})
 }
 
--- a/hitchd/internal/edge/serve.go
+++ b/hitchd/internal/edge/serve.go
@@ -10,7 +10,6 @@
 	"magnoliahitch/hitchd/internal/conns"
 	"magnoliahitch/hitchd/internal/pipe"
 	"magnoliahitch/links/clock"
-	"magnoliahitch/steer/crash"
 	"magnoliahitch/steer/pick"
 	"magnoliahitch/steer/result"
 	"magnoliahitch/steer/routes"
@@ -30,12 +29,12 @@
 	// caller is the caller's IP address.
 	caller string
 	// start is when the request arrived.
-	start       time.Time
-	route       *routes.Route
-	service     string
-	object      string
-	request     conns.Request
-	fingerprint crash.Fingerprint
+	start        time.Time
+	route        *routes.Route
+	service      string
+	object       string
+	request      conns.Request
+	fingerprints fingerprints
 	// tried are the servers of all attempts. attempts counts only those in which
 	// the server may have received the request.
 	tried    []string
@@ -107,8 +106,8 @@
 		e.rejectBody(w, x, err)
 		return
 	}
-	x.fingerprint = fingerprint(x.route.Host, &x.request)
-	if !e.crashes.Admit(clock.Now(), x.fingerprint) {
+	x.fingerprints = fingerprintsOf(x.route.Host, &x.request)
+	if !e.crashes.Admit(clock.Now(), x.fingerprints) {
 		e.refuse(w, x, result.ReasonSuspect)
 		return
 	}
