edge: count each crash of a server that restarts with its id

Crashed servers were counted by id, so that a request could crash a server that comes back with its id as often as it liked. They are counted by id and incarnation now. TestRestartedServerCountsAgain failed before (not confirmed after the third crash) and passes.

--- a/hitchd/internal/edge/crashes.go
+++ b/hitchd/internal/edge/crashes.go
@@ -91,6 +91,8 @@
 	fingerprints            fingerprints
 	request, caller, target string
 	server, addr            string
+	// incarnation is that of the server.
+	incarnation int64
 }
 
 // ConnectionLost is called when the connection to the server broke during the attempt. It
@@ -109,9 +111,11 @@
 		return
 	}
 	lostConnections("crashed").Inc()
+	// A server that restarts with its id may crash again.
+	run := fmt.Sprintf("%s@%d", a.server, a.incarnation)
 	c.update(func() {
 		for _, p := range a.fingerprints {
-			if r, ok := c.suspects.RecordCrash(clock.Now(), p, a.server); ok {
+			if r, ok := c.suspects.RecordCrash(clock.Now(), p, run); ok {
 				log.Warn("server crashed while it ran a request", "suspect", uint64(p), "crashed", len(r.Servers), "error", err)
 			}
 		}
--- a/hitchd/internal/edge/crashes_test.go
+++ b/hitchd/internal/edge/crashes_test.go
@@ -217,6 +217,19 @@
 	}
 }
 
+// A server that restarts with its id after each crash counts as often as it crashed.
+func TestRestartedServerCountsAgain(t *testing.T) {
+	c := newReports("a")
+	for i := range 3 {
+		c.ConnectionLost(t.Context(), attempt{fingerprints: culprit, server: "s0", incarnation: int64(i), addr: closedAddr(t)})
+		// Other requests that it ran tell of the same crash.
+		c.ConnectionLost(t.Context(), attempt{fingerprints: culprit, server: "s0", incarnation: int64(i), addr: closedAddr(t)})
+		if got, want := c.Confirmed(clock.Now(), culprit), i == 2; got != want {
+			t.Errorf("confirmed after crash %d: %v, want %v", i+1, got, want)
+		}
+	}
+}
+
 // A host that lacks file descriptors can't probe a server, which says nothing of the server.
 func TestFailedProbeIsNoCrash(t *testing.T) {
 	for _, c := range []struct {
--- a/hitchd/internal/edge/run.go
+++ b/hitchd/internal/edge/run.go
@@ -187,7 +187,7 @@
 // during the request, has crashed.
 func (e *Edge) connectionLost(ctx context.Context, x *exchange, server fleet.Server) {
 	go e.crashes.ConnectionLost(context.WithoutCancel(ctx), attempt{
-		fingerprints: x.fingerprints, request: x.id, caller: x.caller, target: x.request.Target, server: server.ID, addr: server.Addr,
+		fingerprints: x.fingerprints, request: x.id, caller: x.caller, target: x.request.Target, server: server.ID, addr: server.Addr, incarnation: server.Incarnation,
 	})
 }
 
