crash, edge: end the refusal of a request that only ran beside crashes

A request that was in flight at three crashes was refused like their cause, each refusal extended that, and nothing ended it: a caller that repeated a harmless request was refused for good. Two things tell it from the cause. Another request that crashed the same servers and more explains it, so that it stays served; if it then crashes a server alone, it is confirmed. And a confirmed request is tried once a minute after the third crash, by its origin or, if that is down, by another host after five, and a second time after twice as long; hosts tell each other of trials, so that there are two in all. What crashes servers loses two more at most, within what is allowed.

--- a/hitchd/internal/edge/crashes.go
+++ b/hitchd/internal/edge/crashes.go
@@ -24,6 +24,9 @@
 	// a request before it is refused. A smaller number would refuse requests that
 	// were running when a server crashed for another reason.
 	maxCrashes = 3
+	// probation is the time after the third crash until the request is tried once more, in
+	// case that it only ran beside the cause.
+	probation = time.Minute
 	// probeTimeout bounds the opening of a connection that probes a server.
 	probeTimeout = 300 * time.Millisecond
 	// maxReports bounds the reports in a message to another host.
@@ -48,21 +51,41 @@
 
 // NewCrashReports returns an empty record for the named host.
 func NewCrashReports(self string, log hclog.Logger) *CrashReports {
-	return &CrashReports{log: log, onChange: func() {}, suspects: crash.New(self, crash.WithCrashThreshold(maxCrashes), crash.WithoutTrials())}
+	return &CrashReports{log: log, onChange: func() {}, suspects: crash.New(self, crash.WithCrashThreshold(maxCrashes), crash.WithoutTrials(), crash.WithProbation(probation))}
 }
 
-// Admit reports whether the request may run: neither of its fingerprints has crashed as
-// many servers as confirm that it is the cause. A refusal extends the time for which it is refused.
-func (c *CrashReports) Admit(now time.Time, ps fingerprints) bool {
-	admitted := true
+// Admit decides whether the request may run: neither of its fingerprints has crashed as many
+// servers as confirm that it is the cause, or it is on trial. It returns a function to call when
+// the request has ended, or the time for which the request is refused.
+func (c *CrashReports) Admit(now time.Time, ps fingerprints) (end func(), refusedFor time.Duration) {
+	var trials fingerprints
 	c.update(func() {
 		for _, p := range ps {
-			if v, _ := c.suspects.Check(now, p); v == crash.Confirmed {
-				admitted = false
+			v, wait := c.suspects.Check(now, p)
+			switch v {
+			case crash.Trial:
+				trials = append(trials, p)
+			case crash.Confirmed, crash.OnTrial:
+				refusedFor = max(refusedFor, wait)
+			case crash.Clean:
 			}
 		}
 	})
-	return admitted
+	end = func() {
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		for _, p := range trials {
+			c.suspects.EndTrial(p)
+		}
+	}
+	if refusedFor > 0 {
+		end()
+		return nil, refusedFor
+	}
+	if len(trials) > 0 {
+		c.log.Info("request that crashed servers runs on trial", "print", uint64(ps[0]))
+	}
+	return end, 0
 }
 
 // Confirmed reports whether the request, which runs already, is known by now to crash
--- a/hitchd/internal/edge/response.go
+++ b/hitchd/internal/edge/response.go
@@ -85,7 +85,12 @@
 
 // refuse responds with status 503 and Retry-After to a request that has not run.
 func (e *Edge) refuse(w http.ResponseWriter, x *exchange, reason result.Reason) {
-	w.Header().Set("Retry-After", e.codec.RetryAfter(minRetryAfter+rand.N(retryAfterSpread)))
+	e.refuseFor(w, x, reason, minRetryAfter)
+}
+
+// refuseFor is like refuse for a request that will be refused for the given time.
+func (e *Edge) refuseFor(w http.ResponseWriter, x *exchange, reason result.Reason, d time.Duration) {
+	w.Header().Set("Retry-After", e.codec.RetryAfter(d+rand.N(retryAfterSpread)))
 	e.record(x, http.StatusServiceUnavailable, reason)
 	http.Error(w, "request was not run: "+string(reason), http.StatusServiceUnavailable)
 }
--- a/hitchd/internal/edge/serve.go
+++ b/hitchd/internal/edge/serve.go
@@ -107,10 +107,12 @@
 		return
 	}
 	x.fingerprints = fingerprintsOf(x.route.Host, &x.request)
-	if !e.crashes.Admit(clock.Now(), x.fingerprints) {
-		e.refuse(w, x, result.ReasonSuspect)
+	end, refusedFor := e.crashes.Admit(clock.Now(), x.fingerprints)
+	if end == nil {
+		e.refuseFor(w, x, result.ReasonSuspect, refusedFor)
 		return
 	}
+	defer end()
 	e.service(x.service).countRequest(x.start)
 	e.forward(ctx, w, x)
 }
--- a/steer/crash/suspects.go
+++ b/steer/crash/suspects.go
@@ -4,6 +4,8 @@
 	"cmp"
 	"slices"
 	"time"
+
+	"github.com/cespare/xxhash/v2"
 )
 
 // Time limits for suspects.
@@ -13,6 +15,11 @@
 	originWindow = 30 * time.Second
 	// retention is how long a record is kept after the last crash or refused attempt.
 	retention = 10 * time.Minute
+	// maxProbations is the number of trials of a confirmed request at all hosts, and
+	// otherHostsFactor the factor on the time before one at a host that isn't the origin,
+	// which may be down.
+	maxProbations    = 2
+	otherHostsFactor = 5
 	// extendInterval is the time by which refused attempts extend a record before other
 	// hosts learn of that.
 	extendInterval = time.Minute
@@ -48,6 +55,8 @@
 	// Epoch is the number of times that a success has cleared the request. Reports of
 	// earlier epochs no longer count.
 	Epoch uint32 `msgpack:"epoch"`
+	// Probations is the number of trials since the request was confirmed.
+	Probations int `msgpack:"probations"`
 	// Age is the time since the last crash or refused attempt.
 	Age time.Duration `msgpack:"age"`
 }
@@ -79,6 +88,10 @@
 	origin  string
 	servers []string
 	epoch   uint32
+	// probations is the number of trials since the request was confirmed. proven is when
+	// this host learned of the last crash or of the last of these trials.
+	probations int
+	proven     time.Time
 	// last is the time of the last crash or refused attempt.
 	last         time.Time
 	trialRunning bool
@@ -99,6 +112,8 @@
 	// crashThreshold is the number of crashed servers from which a request is
 	// confirmed.
 	crashThreshold int
+	// probation is the time before the first trial of a confirmed request, 0 for no trials.
+	probation time.Duration
 	// trials is set if suspects run only in trials before they are confirmed.
 	trials bool
 	// revision counts the changes of records that other hosts must learn of.
@@ -115,6 +130,11 @@
 // confirmed and refused.
 func WithCrashThreshold(n int) Option { return func(s *Suspects) { s.crashThreshold = n } }
 
+// WithProbation lets a confirmed request run again in a trial, so that one that only ran
+// beside the cause gets a chance to be cleared: first at its origin after the given time since
+// its last crash or trial, and then maxProbations times in all, each after twice the time.
+func WithProbation(after time.Duration) Option { return func(s *Suspects) { s.probation = after } }
+
 // WithoutTrials lets suspects run like other requests until they are confirmed.
 func WithoutTrials() Option { return func(s *Suspects) { s.trials = false } }
 
@@ -135,10 +155,16 @@
 	switch {
 	case r == nil || len(r.servers) == 0:
 		return Clean, 0
-	case len(r.servers) >= s.crashThreshold:
+	case s.confirmed(r):
+		wait := s.untilProbation(now, r)
+		if wait <= 0 {
+			s.merge(now, Report{Fingerprint: p, Origin: r.origin, Epoch: r.epoch, Probations: r.probations + 1})
+			r.trialRunning = true
+			return Trial, 0
+		}
 		r.refusedSinceReport = true
 		s.extend(r, now)
-		return Confirmed, retention
+		return Confirmed, wait
 	case !s.trials:
 		return Clean, 0
 	case r.trialRunning:
@@ -150,10 +176,39 @@
 	return Trial, 0
 }
 
+// untilProbation returns the time until this host may run the confirmed request in a trial.
+// It returns the retention if it may not.
+func (s *Suspects) untilProbation(now time.Time, r *record) time.Duration {
+	if s.probation == 0 || r.trialRunning || r.probations >= maxProbations || len(r.servers) >= s.crashThreshold+maxProbations {
+		return retention
+	}
+	wait := s.probation << r.probations
+	if r.origin != s.self {
+		// The hosts differ, so that one learns of the trial of another.
+		wait = wait*otherHostsFactor + time.Duration(xxhash.Sum64String(s.self)%uint64(s.probation))
+	}
+	return wait - now.Sub(r.proven)
+}
+
 // Confirmed reports whether the request is confirmed as crashing servers. It changes nothing.
 func (s *Suspects) Confirmed(now time.Time, p Fingerprint) bool {
 	r := s.record(now, p)
-	return r != nil && len(r.servers) >= s.crashThreshold
+	return r != nil && s.confirmed(r)
+}
+
+// confirmed reports whether the request crashed as many servers as the threshold, unless
+// another one explains that: it crashed the same servers and more, so that the request only
+// ran beside it.
+func (s *Suspects) confirmed(r *record) bool {
+	if len(r.servers) < s.crashThreshold {
+		return false
+	}
+	for _, x := range s.records {
+		if len(x.servers) > len(r.servers) && !slices.ContainsFunc(r.servers, func(n string) bool { return !slices.Contains(x.servers, n) }) {
+			return false
+		}
+	}
+	return true
 }
 
 // EndTrial ends a trial, whatever its outcome.
@@ -268,7 +323,7 @@
 
 // report returns the report on the record of the request.
 func (r *record) report(now time.Time, p Fingerprint) Report {
-	return Report{Fingerprint: p, Origin: r.origin, Servers: slices.Clone(r.servers), Epoch: r.epoch, Age: now.Sub(r.last)}
+	return Report{Fingerprint: p, Origin: r.origin, Servers: slices.Clone(r.servers), Epoch: r.epoch, Probations: r.probations, Age: now.Sub(r.last)}
 }
 
 // merge unites the report with the record of the request, or replaces it by a report of a
@@ -285,7 +340,7 @@
 		return
 	}
 	if r.Epoch > k.epoch {
-		k.origin, k.epoch, k.servers, changed = r.Origin, r.Epoch, nil, true
+		k.origin, k.epoch, k.servers, k.probations, changed = r.Origin, r.Epoch, nil, 0, true
 	}
 	if k.origin == "" || r.Origin != "" && r.Origin < k.origin {
 		changed = changed || k.origin != r.Origin
@@ -294,9 +349,12 @@
 	for _, n := range r.Servers {
 		if !slices.Contains(k.servers, n) && len(k.servers) < maxServers {
 			k.servers = append(k.servers, n)
-			changed = true
+			k.proven, changed = now, true
 		}
 	}
+	if r.Probations > k.probations {
+		k.probations, k.proven, changed = r.Probations, now, true
+	}
 	if at := now.Add(-r.Age); at.After(k.last) {
 		s.extend(k, at)
 	}
--- a/steer/crash/suspects_test.go
+++ b/steer/crash/suspects_test.go
@@ -251,3 +251,93 @@
 		t.Errorf("got %v after a change of 4, want it alone", again)
 	}
 }
+
+// A request that ran beside the cause at three crashes is told from it by the cause's further
+// ones. If it then crashes a server alone, it is a cause too.
+func TestBystanderIsExplained(t *testing.T) {
+	now := time.Unix(1_000_000, 0)
+	s := New("a", WithCrashThreshold(3), WithoutTrials())
+	const cause, beside = Fingerprint(1), Fingerprint(2)
+	for _, server := range []string{"x", "y", "z"} {
+		s.RecordCrash(now, cause, server)
+		s.RecordCrash(now, beside, server)
+	}
+	s.RecordCrash(now, cause, "w")
+	if v, _ := s.Check(now, cause); v != Confirmed {
+		t.Errorf("verdict of the cause = %v, want %v", v, Confirmed)
+	}
+	if v, _ := s.Check(now, beside); v != Clean {
+		t.Errorf("verdict of the request beside it = %v, want %v", v, Clean)
+	}
+	s.RecordCrash(now, beside, "v")
+	if v, _ := s.Check(now, beside); v != Confirmed {
+		t.Errorf("verdict after it crashed a server alone = %v, want %v", v, Confirmed)
+	}
+}
+
+// A confirmed request that is repeated each second is tried twice in all: at its origin, or
+// later elsewhere if the origin is down. A success clears it at all hosts.
+func TestProbation(t *testing.T) {
+	options := []Option{WithCrashThreshold(3), WithoutTrials(), WithProbation(time.Minute)}
+	for _, c := range []struct {
+		name       string
+		originDown bool
+		harmless   bool
+		trials     int
+		first      time.Duration
+	}{
+		{"crashes again", false, false, 2, time.Minute},
+		{"harmless", false, true, 1, time.Minute},
+		{"origin is down", true, false, 2, 5 * time.Minute},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			now := time.Unix(1_000_000, 0)
+			hosts := []*Suspects{New("a", options...), New("b", options...), New("c", options...)}
+			spread := func() {
+				for _, h := range hosts {
+					for _, r := range h.Reports(now) {
+						for _, x := range hosts {
+							x.Merge(now, r)
+						}
+					}
+				}
+			}
+			for _, server := range []string{"x", "y", "z"} {
+				hosts[0].RecordCrash(now, 7, server)
+			}
+			spread()
+			if c.originDown {
+				hosts = hosts[1:]
+			}
+			began, trials := now, 0
+			for now.Sub(began) < time.Hour {
+				now = now.Add(time.Second)
+				for _, h := range hosts {
+					v, _ := h.Check(now, 7)
+					if v == Clean {
+						if !c.harmless || trials == 0 {
+							t.Fatalf("runs %s after the third crash without a trial", now.Sub(began))
+						}
+						return
+					}
+					if v != Trial {
+						continue
+					}
+					if trials++; trials == 1 && (now.Sub(began) < c.first || now.Sub(began) > c.first+2*time.Minute) {
+						t.Errorf("first trial after %s, want about %s", now.Sub(began), c.first)
+					}
+					if c.harmless {
+						h.RecordSuccess(now, 7)
+					} else {
+						h.RecordCrash(now, 7, fmt.Sprintf("trial-%d", trials))
+					}
+					h.EndTrial(7)
+					spread()
+				}
+			}
+			if trials != c.trials {
+				t.Errorf("%d trials in an hour, want %d", trials, c.trials)
+			}
+		})
+	}
+}
