soak: repeat a request that crashes servers, at any host

The ledger counts over all hosts: queryRefused, at most three arrivals from undisturbed hosts later than 4 s after the third crash; and bystanderServed, no harmless request refused as if it crashed servers. One in eight requests of the callers is the same for all, so that there are such.

--- a/standin/internal/soak/act.go
+++ b/standin/internal/soak/act.go
@@ -84,6 +84,8 @@
 		for end := time.Now().Add(e.For); time.Now().Before(end); sleep(ctx, stormInterval) {
 			w.operator.configure(ctx)
 		}
+	case QueryOfDeath:
+		w.repeatFatally(ctx, e)
 	case Evacuate:
 		d := domains[int(e.Target)%len(domains)].name
 		w.operator.evacuate(ctx, d, e.For, func() { w.fleet.cool(d) })
--- a/standin/internal/soak/caller.go
+++ b/standin/internal/soak/caller.go
@@ -43,6 +43,8 @@
 	// before the first response, up to maxPipelined in all.
 	pipelineShare = 0.25
 	maxPipelined  = 6
+	// popularEvery is the number of requests of which one is the same for all callers.
+	popularEvery = 8
 	// lateWait is how long after the timeout a caller still waits for a late response.
 	lateWait = time.Second
 )
@@ -155,7 +157,13 @@
 		return false
 	}
 	c.hostStart = c.host.Starts()
-	conn, err := net.DialTimeout("tcp4", c.host.front.Addr(), connectTimeout)
+	return c.open(c.host.front.Addr(), nil)
+}
+
+// open opens a connection to the address, from the given one unless it is nil.
+func (c *caller) open(addr string, from net.Addr) bool {
+	d := net.Dialer{Timeout: connectTimeout, LocalAddr: from}
+	conn, err := d.Dial("tcp4", addr)
 	if err != nil {
 		return false
 	}
@@ -175,6 +183,9 @@
 		ID: fmt.Sprintf("%s-%d", c.name, c.count), Host: c.host.Name, Incarnation: c.hostStart, Route: route.prefix, Method: http.MethodGet,
 		Target: fmt.Sprintf("%sitem/%d?of=%d", route.prefix, c.rand.IntN(objects), c.count), Unsafe: route.unsafe, Timeout: callerTimeout,
 	}
+	if c.count%popularEvery == 0 {
+		a.Target = route.prefix + "item/1"
+	}
 	a.EffectiveTimeout = min(callerTimeout, route.timeout)
 	var body []byte
 	if a.Unsafe {
@@ -285,6 +296,7 @@
 	}
 	out := Response{
 		Status: res.StatusCode, ID: res.Header.Get(platform.HeaderRequestID), Signed: res.Header.Get(platform.HeaderSignature) != "", Checksum: Checksum(body),
+		Suspect: bytes.Contains(body, []byte("suspectRequest")),
 	}
 	return out, res.Close, nil
 }
--- a/standin/internal/soak/fleet.go
+++ b/standin/internal/soak/fleet.go
@@ -11,6 +11,12 @@
 	"magnoliahitch/platform"
 )
 
+// Downtime of a server after a fatal request.
+const (
+	minFatalDowntime    = time.Second
+	fatalDowntimeSpread = 2 * time.Second
+)
+
 // fleet runs the upstream servers and writes their records to the store.
 type fleet struct {
 	world *World
@@ -82,7 +88,7 @@
 	f.mu.Unlock()
 	u := Upstream{ID: id, Service: s.service, Domain: s.domain.name, Link: s.link.Addr()}
 	addr := f.world.ip(110, 1) + ":0"
-	x, err := StartServer(time.Now(), u, addr, cold, f.world.ledger)
+	x, err := StartServer(time.Now(), u, addr, cold, f.world.ledger, func(target string) bool { return f.crashFatally(s, id, target) })
 	if err != nil {
 		return err
 	}
@@ -216,6 +222,28 @@
 	return f.start(s, id, true)
 }
 
+// crashFatally ends the endpoint's server, which runs a fatal request, and starts one after
+// a while. It reports false if the server is about to end anyway.
+func (f *fleet) crashFatally(s *endpoint, id, target string) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if s.busy || s.server == nil || s.server.ID != id || s.server.ended.Load() {
+		return false
+	}
+	s.busy = true
+	f.world.ledger.Crashed(time.Now(), target)
+	s.link.Stop()
+	go func() {
+		err := f.crash(f.ctx, s, minFatalDowntime+rand.N(fatalDowntimeSpread), rand.IntN(4) == 0)
+		for ; err == nil && f.ctx.Err() == nil; sleep(f.ctx, retryInterval) {
+			if err := s.link.Resume(); err == nil {
+				return
+			}
+		}
+	}()
+	return true
+}
+
 // retire drains the endpoint's server, stops it and starts another one. An
 // announced drain is first written to the server's record as its state;
 // otherwise the record is just removed. The server runs for at least
--- a/standin/internal/soak/invariant.go
+++ b/standin/internal/soak/invariant.go
@@ -40,6 +40,9 @@
 	// Heartbeat is the interval at which servers renew their records, which
 	// expire after RecordTTL.
 	Heartbeat, RecordTTL time.Duration
+	// FatalRetries is the number of times that a request may reach servers after it crashed
+	// the third one.
+	FatalRetries int
 	// MaxExceptions is the number of requests that may break an invariant that allows exceptions.
 	MaxExceptions int
 }
@@ -67,6 +70,7 @@
 		Reuse:         2 * time.Second,
 		Heartbeat:     1500 * time.Millisecond,
 		RecordTTL:     4500 * time.Millisecond,
+		FatalRetries:  3,
 		MaxExceptions: 3,
 	}
 }
@@ -118,6 +122,12 @@
 	LiveHosts Invariant = "liveHosts"
 	// NoFalseError: hosts respond to no valid request with a 4xx other than a refusal.
 	NoFalseError Invariant = "noFalseError"
+	// QueryRefused: a request that crashed three servers reaches servers at most
+	// Bounds.FatalRetries times more from hosts without a fault, later than Bounds.QuietPeriod after
+	// the third crash.
+	QueryRefused Invariant = "queryRefused"
+	// BystanderServed: requests that crash no server are not refused as if they did.
+	BystanderServed Invariant = "bystanderServed"
 	// Recovered: hosts serve requests again after the faults.
 	Recovered Invariant = "recovered"
 )
--- a/standin/internal/soak/ledger.go
+++ b/standin/internal/soak/ledger.go
@@ -81,6 +81,7 @@
 	configs    []config
 	seen       map[string]effect
 	services   map[string]*traffic
+	queries    map[string]*query
 	counts     map[Invariant]int
 	arrivals   int
 	violations []Violation
@@ -90,7 +91,7 @@
 func NewLedger(b Bounds, disturbances *Disturbances) *Ledger {
 	return &Ledger{
 		bounds: b, disturbances: disturbances, attempts: make(map[string]*record), upstreams: make(map[string]*Upstream),
-		evacuated: make(map[string]time.Time), seen: make(map[string]effect), services: make(map[string]*traffic), counts: make(map[Invariant]int),
+		evacuated: make(map[string]time.Time), seen: make(map[string]effect), services: make(map[string]*traffic), queries: make(map[string]*query), counts: make(map[Invariant]int),
 	}
 }
 
@@ -201,6 +202,7 @@
 	r.arrivals = append(r.arrivals, arrival{server, now})
 	l.checkLeaving(now, r, u)
 	l.checkWarmUp(now, r, u)
+	l.checkQuery(now, r)
 	if t := l.traffic(u.Service); len(r.arrivals) > 1 && t.addRepeat(now, l.bounds) {
 		l.addViolation(now, RetryBudget, r, "service %s received %d retries within %s", u.Service, len(t.repeats), l.bounds.RetryWindow)
 	}
--- a/standin/internal/soak/ledger_test.go
+++ b/standin/internal/soak/ledger_test.go
@@ -56,6 +56,10 @@
 			recordRun(l, "r", "s1", 10)
 			l.Responded(at(10.1), "r", complete("r"))
 		}},
+		{"harmless request refused like a fatal one", BystanderServed, func(l *Ledger, _ *Disturbances) {
+			recordAttempt(l, "r", 10, false)
+			l.Responded(at(10.1), "r", Response{Status: 503, Suspect: true})
+		}},
 		{"response to another request", CompleteResponse, func(l *Ledger, _ *Disturbances) {
 			recordAttempt(l, "r", 10, false)
 			recordRun(l, "r", "s1", 10)
@@ -258,3 +262,33 @@
 		t.Errorf("violations = %v, want the tenth request to break %s", got, ColdRate)
 	}
 }
+
+// A fatal request may reach servers three times more later than the quiet period after it
+// crashed the third, from hosts without a fault; those with one don't count.
+func TestFatalRequestsAreCounted(t *testing.T) {
+	l, disturbances := newTestLedger()
+	send := func(id string, seconds float64) {
+		a := recordAttempt(l, id, seconds, false)
+		a.Target = "/a/x?fatal=1"
+		l.Send(a)
+		l.Arrive(at(seconds), id, "s1", time.Second)
+	}
+	for i := range 3 {
+		send("crash"+string(rune('0'+i)), 10)
+		l.Crashed(at(10), "/a/x?fatal=1")
+	}
+	send("early", 13.9)
+	end := disturbances.Disturb(at(14), partHost("h"))
+	end(at(16))
+	send("disturbed", 17)
+	for i := range 3 {
+		send("allowed"+string(rune('0'+i)), 30)
+	}
+	if got := l.Violations(); len(got) != 0 {
+		t.Errorf("violations = %v, want none", got)
+	}
+	send("fourth", 31)
+	if got := l.Violations(); len(got) != 1 || got[0].Invariant != QueryRefused {
+		t.Errorf("violations = %v, want one of %s", got, QueryRefused)
+	}
+}
--- a/standin/internal/soak/link.go
+++ b/standin/internal/soak/link.go
@@ -35,14 +35,15 @@
 
 // Link is a TCP proxy to one address, on loopback.
 type Link struct {
-	listener net.Listener
-	source   net.Addr
+	addr   string
+	source net.Addr
 
-	mu      sync.Mutex
-	target  string
-	fault   LinkFault
-	changed chan struct{}
-	pipes   map[*pipe]bool
+	mu       sync.Mutex
+	listener net.Listener
+	target   string
+	fault    LinkFault
+	changed  chan struct{}
+	pipes    map[*pipe]bool
 }
 
 // pipe is one connection through a link.
@@ -60,20 +61,19 @@
 	if err != nil {
 		return nil, errors.Wrapf(err, "listen on %s for %s", listen, target)
 	}
-	l := &Link{listener: ln, target: target, changed: make(chan struct{}), pipes: make(map[*pipe]bool)}
+	l := &Link{addr: ln.Addr().String(), listener: ln, target: target, changed: make(chan struct{}), pipes: make(map[*pipe]bool)}
 	if source != "" {
 		l.source = &net.TCPAddr{IP: net.ParseIP(source)}
 	}
 	context.AfterFunc(ctx, func() {
-		_ = ln.Close()
-		l.Reset()
+		l.Stop()
 	})
-	go l.accept()
+	go l.accept(ln)
 	return l, nil
 }
 
 // Addr returns the address that the link listens on.
-func (l *Link) Addr() string { return l.listener.Addr().String() }
+func (l *Link) Addr() string { return l.addr }
 
 // Set replaces the link's fault.
 func (l *Link) Set(f LinkFault) {
@@ -115,9 +115,31 @@
 	return out
 }
 
-func (l *Link) accept() {
+// Stop resets the open connections and refuses new ones, as at the end of the process
+// that listens.
+func (l *Link) Stop() {
+	l.mu.Lock()
+	_ = l.listener.Close()
+	l.mu.Unlock()
+	l.Reset()
+}
+
+// Resume accepts connections again after Stop.
+func (l *Link) Resume() error {
+	ln, err := net.Listen("tcp4", l.addr)
+	if err != nil {
+		return errors.Wrapf(err, "listen on %s again", l.addr)
+	}
+	l.mu.Lock()
+	l.listener = ln
+	l.mu.Unlock()
+	go l.accept(ln)
+	return nil
+}
+
+func (l *Link) accept(ln net.Listener) {
 	for {
-		c, err := l.listener.Accept()
+		c, err := ln.Accept()
 		if err != nil {
 			return
 		}
--- a/standin/internal/soak/outcome.go
+++ b/standin/internal/soak/outcome.go
@@ -15,6 +15,8 @@
 	Signed bool
 	// Checksum is the checksum of its complete body.
 	Checksum uint64
+	// Suspect is set if the request was refused because it crashed servers.
+	Suspect bool
 }
 
 // isRefusal reports whether the status promises that the request hasn't run and
@@ -41,6 +43,9 @@
 		l.checkSuccess(now, r, a)
 	case isRefusal(a.Status):
 		r.refused = true
+		if a.Suspect && !isFatal(r.Target) {
+			l.addViolation(now, BystanderServed, r, "was refused as if it had crashed servers")
+		}
 		if r.Unsafe && len(r.runs) > 0 {
 			l.addViolation(now, RefusedNotRun, r, "was refused with status %d after it ran on servers %v", a.Status, r.runs)
 		}
--- a/standin/internal/soak/plan.go
+++ b/standin/internal/soak/plan.go
@@ -66,9 +66,13 @@
 	Configure Kind = "configure"
 	Storm     Kind = "configureOften"
 	Evacuate  Kind = "evacuate"
+
+	// QueryOfDeath is a request that crashes each server that runs it and that is repeated
+	// at any host.
+	QueryOfDeath Kind = "queryOfDeath"
 )
 
-// kinds are all kinds of faults.
+// kinds are the kinds of faults that are drawn alike.
 var kinds = []Kind{
 	HostKill, HostsKill, HostStop, HostsStop, HostPause, HostReload,
 	FrontDelay, FrontReset, FrontCut, FrontSilence,
@@ -121,10 +125,20 @@
 		out = append(out, e)
 		last = e
 	}
+	out = append(out, drawQueryOfDeath(seed, length))
 	slices.SortStableFunc(out, func(a, b Event) int { return int(a.At - b.At) })
 	return out
 }
 
+// drawQueryOfDeath returns a query of death that lasts for at least half of the length. It has
+// random numbers of its own, so that the plans of seeds stay as they were without it.
+func drawQueryOfDeath(seed uint64, length time.Duration) Event {
+	r := rand.New(rand.NewPCG(seed, 2))
+	e := Event{At: time.Duration(r.Int64N(int64(length/2) + 1)), Kind: QueryOfDeath, Target: r.Uint32(), Share: r.Float64()}
+	e.For = length - e.At
+	return e
+}
+
 // activeFaults holds the faults that are active at one link, server or store.
 type activeFaults[T any] struct {
 	next   int
--- a/standin/internal/soak/plan_test.go
+++ b/standin/internal/soak/plan_test.go
@@ -36,7 +36,7 @@
 			}
 		}
 	}
-	for _, k := range kinds {
+	for _, k := range append(slices.Clone(kinds), QueryOfDeath) {
 		if !seen[k] {
 			t.Errorf("%s is never drawn", k)
 		}
--- a/standin/internal/soak/server.go
+++ b/standin/internal/soak/server.go
@@ -60,16 +60,20 @@
 	draining  atomic.Bool
 	fault     atomic.Pointer[ServerFault]
 	ended     atomic.Bool
+	// onFatal is called with the target of a fatal request that the server runs. It reports
+	// whether the server crashes.
+	onFatal func(target string) bool
 
 	mu   sync.Mutex
 	idle map[net.Conn]bool
 }
 
 // StartServer starts a server that listens on the address. A cold one is in
-// warm-up first.
-func StartServer(now time.Time, u Upstream, addr string, cold bool, l *Ledger) (*Server, error) {
+// warm-up first. OnFatal decides whether it crashes by a fatal request.
+func StartServer(now time.Time, u Upstream, addr string, cold bool, l *Ledger, onFatal func(target string) bool) (*Server, error) {
 	s := &Server{
 		Upstream: u, Born: now.UnixMilli(), ledger: l, slots: make(chan struct{}, serverSlots), idle: make(map[net.Conn]bool),
+		onFatal: onFatal,
 	}
 	s.coldUntil.Store(&now)
 	if cold {
@@ -214,6 +218,9 @@
 		panic(http.ErrAbortHandler)
 	}
 	s.ledger.Run(time.Now(), id, s.ID, r.Method, r.RequestURI, Checksum(body))
+	if isFatal(r.RequestURI) && s.onFatal(r.RequestURI) {
+		panic(http.ErrAbortHandler)
+	}
 	f := *s.fault.Load()
 	took := minServiceTime + rand.N(serviceTimeSpread)
 	if s.WarmUpLeft(time.Now()) > 0 {
--- a/standin/internal/soak/server_test.go
+++ b/standin/internal/soak/server_test.go
@@ -30,7 +30,7 @@
 
 func TestServer(t *testing.T) {
 	l, _ := newTestLedger()
-	s, err := StartServer(time.Now(), Upstream{ID: "s9", Service: "stock", Link: "s9"}, "127.0.0.1:0", false, l)
+	s, err := StartServer(time.Now(), Upstream{ID: "s9", Service: "stock", Link: "s9"}, "127.0.0.1:0", false, l, func(string) bool { return false })
 	if err != nil {
 		t.Fatal(err)
 	}
