--- a/hitchd/internal/edge/crashes.go
+++ b/hitchd/internal/edge/crashes.go
@@ -51,7 +51,13 @@
 
 // NewCrashReports returns an empty record for the named host.
 func NewCrashReports(self string, log hclog.Logger) *CrashReports {
-	return &CrashReports{log: log, onChange: func() {}, suspects: crash.New(self, crash.WithCrashThreshold(maxCrashes), crash.WithoutTrials(), crash.WithProbation(probation))}
+	c := &CrashReports{log: log, onChange: func() {}, suspects: crash.New(self, crash.WithCrashThreshold(maxCrashes), crash.WithoutTrials(), crash.WithProbation(probation))}
+	metrics.GetOrCreateGauge(`hitch_edge_suspects`, func() float64 {
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		return float64(c.suspects.Len())
+	})
+	return c
 }
 
 // Admit decides whether the request may run: neither of its fingerprints has crashed as many
--- a/hitchd/internal/relay/doc.go
+++ b/hitchd/internal/relay/doc.go
@@ -20,4 +20,11 @@
 // domain lists the hosts that poll it, and the first hosts of a region's domains
 // poll each other for their lists. A host that is about to stop reports that in
 // a last poll.
+//
+// # Crash reports
+//
+// Polls also carry reports of requests during which servers crashed, in both directions. Since
+// such a request is repeated at any host, the first hosts of the domains exchange reports with the
+// other regions as well. Each message has the changes since the revision that the other host has;
+// a change that a host makes or receives is sent on at once.
 package relay
