edge: probe a server whose request ended without a response

When the deadline or the caller ended an attempt, nothing was recorded, also if the server had gone silent or crashed by the request it still ran. Such a server is probed once, 0.4 s later, for all attempts that ended meanwhile, unless it responds to another request of this host.

TestCrashAfterDeadlineIsRecorded failed before (0 crashes recorded, want 1); TestSlowServerIsNoCrash bounds what counts.

--- a/hitchd/internal/edge/crashes.go
+++ b/hitchd/internal/edge/crashes.go
@@ -29,6 +29,10 @@
 	probation = time.Minute
 	// probeTimeout bounds the opening of a connection that probes a server.
 	probeTimeout = 300 * time.Millisecond
+	// abandonedDelay is the time from the end of an attempt without a response until its
+	// server is probed, and maxAbandoned bounds the attempts for which one probe counts.
+	abandonedDelay = 400 * time.Millisecond
+	maxAbandoned   = 64
 	// maxReports bounds the reports in a message to another host.
 	maxReports = 256
 )
@@ -47,11 +51,14 @@
 
 	mu       sync.Mutex
 	suspects *crash.Suspects
+	// abandoned holds the attempts that ended before their server did anything, by the server's
+	// run, until the server is probed or responds to another request.
+	abandoned map[string][]attempt
 }
 
 // NewCrashReports returns an empty record for the named host.
 func NewCrashReports(self string, log hclog.Logger) *CrashReports {
-	c := &CrashReports{log: log, onChange: func() {}, suspects: crash.New(self, crash.WithCrashThreshold(maxCrashes), crash.WithoutTrials(), crash.WithProbation(probation))}
+	c := &CrashReports{log: log, onChange: func() {}, abandoned: make(map[string][]attempt), suspects: crash.New(self, crash.WithCrashThreshold(maxCrashes), crash.WithoutTrials(), crash.WithProbation(probation))}
 	metrics.GetOrCreateGauge(`hitch_edge_suspects`, func() float64 {
 		c.mu.Lock()
 		defer c.mu.Unlock()
@@ -127,48 +134,102 @@
 // ConnectionLost is called when the connection to the server broke during the attempt. It
 // probes the server and records a crash if that fails.
 func (c *CrashReports) ConnectionLost(ctx context.Context, a attempt) {
-	log := c.log.With("request", a.request, "print", uint64(a.fingerprints[0]), "caller", a.caller, "target", a.target, "server", a.server)
 	err := probe(ctx, a.addr)
 	if err == nil {
 		lostConnections("reachable").Inc()
-		log.Info("server is reachable after it broke a connection")
+		c.log.Info("server is reachable after it broke a connection", "request", a.request, "print", uint64(a.fingerprints[0]), "server", a.server)
 		return
 	}
 	if !tellsOfServer(err) {
 		lostConnections("failed").Inc()
-		log.Warn("could not probe the server after it broke a connection", "error", err)
+		c.log.Warn("could not probe the server after it broke a connection", "request", a.request, "server", a.server, "error", err)
 		return
 	}
 	lostConnections("crashed").Inc()
-	// A server that restarts with its id may crash again.
-	run := fmt.Sprintf("%s@%d", a.server, a.incarnation)
+	c.recordCrash(a, err)
+}
+
+// Abandoned is called when the deadline or the caller ended the attempt before its server
+// responded. Unless the server responds to another request of this host, it is probed a
+// little later, and a failure recorded as a crash.
+func (c *CrashReports) Abandoned(ctx context.Context, a attempt) {
+	run := a.run()
+	c.mu.Lock()
+	list, waiting := c.abandoned[run]
+	if len(list) < maxAbandoned {
+		c.abandoned[run] = append(list, a)
+	}
+	c.mu.Unlock()
+	if waiting {
+		return
+	}
+	select {
+	case <-time.After(abandonedDelay):
+	case <-ctx.Done():
+	}
+	c.mu.Lock()
+	list = c.abandoned[run]
+	delete(c.abandoned, run)
+	c.mu.Unlock()
+	if len(list) == 0 {
+		return
+	}
+	if err := connect(ctx, a.addr); err != nil && tellsOfServer(err) {
+		for _, x := range list {
+			c.recordCrash(x, err)
+		}
+	}
+}
+
+// Responded is called when the server responded to a request of this host.
+func (c *CrashReports) Responded(a attempt) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if list, waiting := c.abandoned[a.run()]; waiting {
+		c.abandoned[a.run()] = list[:0]
+	}
+}
+
+// recordCrash records that the attempt's server crashed, which err shows.
+func (c *CrashReports) recordCrash(a attempt, err error) {
 	c.update(func() {
 		for _, p := range a.fingerprints {
-			if r, ok := c.suspects.RecordCrash(clock.Now(), p, run); ok {
-				log.Warn("server crashed while it ran a request", "suspect", uint64(p), "crashed", len(r.Servers), "error", err)
+			if r, ok := c.suspects.RecordCrash(clock.Now(), p, a.run()); ok {
+				c.log.Warn("server crashed while it ran a request", "request", a.request, "suspect", uint64(p), "caller", a.caller,
+					"target", a.target, "server", a.server, "crashed", len(r.Servers), "error", err)
 			}
 		}
 	})
 }
 
+// run names the run of the attempt's server. A server that restarts with its id may crash again.
+func (a attempt) run() string { return fmt.Sprintf("%s@%d", a.server, a.incarnation) }
+
 // probe connects to the address after each of the probeDelays and returns the first error.
 func probe(ctx context.Context, addr string) error {
-	dialer := net.Dialer{Timeout: probeTimeout}
 	for _, d := range probeDelays {
 		select {
 		case <-time.After(d):
 		case <-ctx.Done():
 			return ctx.Err()
 		}
-		conn, err := dialer.DialContext(ctx, "tcp", addr)
-		if err != nil {
+		if err := connect(ctx, addr); err != nil {
 			return err
 		}
-		_ = conn.Close()
 	}
 	return nil
 }
 
+// connect opens a connection to the address and closes it.
+func connect(ctx context.Context, addr string) error {
+	dialer := net.Dialer{Timeout: probeTimeout}
+	conn, err := dialer.DialContext(ctx, "tcp", addr)
+	if err != nil {
+		return err
+	}
+	return conn.Close()
+}
+
 // tellsOfServer reports whether the error of a probe shows that the server doesn't accept
 // connections. This host may also lack file descriptors or ports.
 func tellsOfServer(err error) bool {
--- a/hitchd/internal/edge/crashes_test.go
+++ b/hitchd/internal/edge/crashes_test.go
@@ -230,6 +230,45 @@
 	}
 }
 
+// A server crashes by a request that it runs on after its deadline, or goes silent, so that no
+// connection tells of it.
+func TestCrashAfterDeadlineIsRecorded(t *testing.T) {
+	s := newFixture(t, 3, routes.Route{Idempotent: true, MaxAttempts: 1, Timeout: 200 * time.Millisecond}, func(_ http.ResponseWriter, r *http.Request) {
+		<-r.Context().Done()
+		time.Sleep(50 * time.Millisecond)
+		_ = r.Context().Value(http.ServerContextKey).(*http.Server).Close()
+	})
+	if got := s.from(t, "127.0.0.1", "/a/late"); got != http.StatusGatewayTimeout {
+		t.Errorf("status = %d, want 504", got)
+	}
+	for end := time.Now().Add(3 * time.Second); crashed(s.edge.crashes) == 0 && time.Now().Before(end); {
+		time.Sleep(time.Millisecond)
+	}
+	if got := crashed(s.edge.crashes); got != 1 {
+		t.Errorf("%d crashes recorded, want 1", got)
+	}
+}
+
+// Requests that time out at a server that responds to others, or still accepts connections, say
+// nothing of a crash, and a server that responds isn't probed.
+func TestSlowServerIsNoCrash(t *testing.T) {
+	c := newReports("a")
+	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	for i := range 3 {
+		c.Abandoned(t.Context(), attempt{fingerprints: culprit, server: fmt.Sprintf("s%d", i), addr: l.Addr().String()})
+		gone := attempt{fingerprints: culprit, server: fmt.Sprintf("r%d", i), addr: closedAddr(t)}
+		time.AfterFunc(abandonedDelay/4, func() { c.Responded(gone) })
+		c.Abandoned(t.Context(), gone)
+	}
+	if got := crashed(c); got != 0 {
+		t.Errorf("%d crashes recorded, want none", got)
+	}
+}
+
 // A server that restarts with its id after each crash counts as often as it crashed.
 func TestRestartedServerCountsAgain(t *testing.T) {
 	c := newReports("a")
--- a/hitchd/internal/edge/response.go
+++ b/hitchd/internal/edge/response.go
@@ -58,7 +58,7 @@
 		x.lastErr = err
 		if broken != nil && clock.Now().Before(x.request.Deadline) {
 			s.picker.RecordBroken(clock.Now(), a.server.ID)
-			e.connectionLost(ctx, x, a.server)
+			go e.crashes.ConnectionLost(context.WithoutCancel(ctx), x.attemptAt(a.server))
 		}
 		e.record(x, a.Status, result.ReasonUpstream)
 		// Aborts the connection, so that the caller doesn't take a truncated body
--- a/hitchd/internal/edge/run.go
+++ b/hitchd/internal/edge/run.go
@@ -171,8 +171,13 @@
 	}
 	res := classify(ctx, a, outcome)
 	s.picker.Done(now, c.Server.ID, res, took, report)
-	if res == pick.ConnectionLost {
-		e.connectionLost(ctx, x, c.Server)
+	switch {
+	case res == pick.ConnectionLost:
+		go e.crashes.ConnectionLost(context.WithoutCancel(ctx), x.attemptAt(c.Server))
+	case res == pick.Abandoned && sent:
+		go e.crashes.Abandoned(context.WithoutCancel(ctx), x.attemptAt(c.Server))
+	case a != nil:
+		e.crashes.Responded(x.attemptAt(c.Server))
 	}
 	attemptResults(x.service, res).Inc()
 	attemptPhases(x.service, c.Phase).Inc()
@@ -183,12 +188,12 @@
 	return a, outcome, sent
 }
 
-// connectionLost finds out in the background whether the server, whose connection broke
-// during the request, has crashed.
-func (e *Edge) connectionLost(ctx context.Context, x *exchange, server fleet.Server) {
-	go e.crashes.ConnectionLost(context.WithoutCancel(ctx), attempt{
-		fingerprints: x.fingerprints, request: x.id, caller: x.caller, target: x.request.Target, server: server.ID, addr: server.Addr, incarnation: server.Incarnation,
-	})
+// attemptAt describes the attempt of the request at the server.
+func (x *exchange) attemptAt(server fleet.Server) attempt {
+	return attempt{
+		fingerprints: x.fingerprints, request: x.id, caller: x.caller, target: x.request.Target,
+		server: server.ID, addr: server.Addr, incarnation: server.Incarnation,
+	}
 }
 
 // classify returns the result of the attempt for the server's statistics.
