relay: send crash reports in a compact form, and none back to their sender

A report took about 106 bytes and now takes at most 64 with one server, and reports that a host has just received no longer go back to the host that sent them. TestReportsAreCompact, and TestRestartedHostGetsCrashReportsAgain counts what is merged on both sides.

--- a/hitchd/internal/edge/crashes.go
+++ b/hitchd/internal/edge/crashes.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/http"
 	"slices"
+	"strconv"
 	"sync"
 	"syscall"
 	"time"
@@ -203,7 +204,7 @@
 }
 
 // run names the run of the attempt's server. A server that restarts with its id may crash again.
-func (a attempt) run() string { return fmt.Sprintf("%s@%d", a.server, a.incarnation) }
+func (a attempt) run() string { return a.server + "@" + strconv.FormatInt(a.incarnation, 36) }
 
 // probe connects to the address after each of the probeDelays and returns the first error.
 func probe(ctx context.Context, addr string) error {
@@ -250,13 +251,20 @@
 	return c.suspects.Changes(now, since, maxReports)
 }
 
-// Merge merges the reports of another host.
-func (c *CrashReports) Merge(now time.Time, reports []crash.Report) {
+// Merge merges the reports of another host, which has this host's up to the revision known.
+// It returns the revision up to which the other host has them then: its own reports needn't be sent
+// back unless something else changed as well.
+func (c *CrashReports) Merge(now time.Time, reports []crash.Report, known uint64) uint64 {
 	c.update(func() {
+		current := known == c.suspects.Revision()
 		for _, r := range reports {
 			c.suspects.Merge(now, r)
 		}
+		if current {
+			known = c.suspects.Revision()
+		}
 	})
+	return known
 }
 
 // update runs f under the lock and announces a change of the reports.
--- a/hitchd/internal/edge/crashes_test.go
+++ b/hitchd/internal/edge/crashes_test.go
@@ -58,7 +58,7 @@
 			if reports, reached = x[0].Changes(now, since); len(reports) == 0 {
 				break
 			}
-			x[1].Merge(now, reports)
+			x[1].Merge(now, reports, 0)
 		}
 	}
 }
@@ -305,7 +305,7 @@
 func TestVerdictStopsRetries(t *testing.T) {
 	var s *fixture
 	s = newFixture(t, 6, routes.Route{Idempotent: true, MaxAttempts: 3, Timeout: time.Second}, func(w http.ResponseWriter, r *http.Request) {
-		s.edge.crashes.Merge(clock.Now(), []crash.Report{{Fingerprint: s.fingerprints("/a/poison")[0], Origin: "other", Servers: []string{"x", "y", "z"}}})
+		s.edge.crashes.Merge(clock.Now(), []crash.Report{{Fingerprint: s.fingerprints("/a/poison")[0], Origin: "other", Servers: []string{"x", "y", "z"}}}, 0)
 		closeConnection(w, r)
 	})
 	res, _ := s.do(t, http.MethodGet, "/a/poison", "")
--- a/hitchd/internal/edge/edge_test.go
+++ b/hitchd/internal/edge/edge_test.go
@@ -294,7 +294,7 @@
 	other := NewCrashReports("other", hclog.NewNullLogger())
 	now := clock.Now()
 	reports, _ := s.edge.crashes.Changes(now, 0)
-	other.Merge(now, reports)
+	other.Merge(now, reports, 0)
 	for _, r := range reports {
 		if !other.Confirmed(now, fingerprints{r.Fingerprint}) {
 			t.Error("a host that received the report would run the request")
--- a/hitchd/internal/relay/crashes.go
+++ b/hitchd/internal/relay/crashes.go
@@ -16,7 +16,7 @@
 // its changes, which its revision counts.
 type CrashReports interface {
 	Changes(now time.Time, since uint64) ([]crash.Report, uint64)
-	Merge(now time.Time, reports []crash.Report)
+	Merge(now time.Time, reports []crash.Report, known uint64) uint64
 	OnChange(f func())
 }
 
@@ -30,7 +30,7 @@
 
 // crashRequest sends crash reports and requests those that the sender lacks.
 type crashRequest struct {
-	Reports []crash.Report `msgpack:"reports"`
+	Reports []crashReport `msgpack:"reports"`
 	// Incarnation is the receiver's as the sender knows it, Received the revision of it
 	// up to which the sender has the reports.
 	Incarnation uint64 `msgpack:"incarnation"`
@@ -41,39 +41,73 @@
 
 // crashResponse holds the reports that the sender of the request lacks.
 type crashResponse struct {
-	Reports []crash.Report `msgpack:"reports"`
+	Reports []crashReport `msgpack:"reports"`
 	// Incarnation is that of the responding host, Reached its revision that Reports reach.
 	Incarnation uint64 `msgpack:"incarnation"`
 	Reached     uint64 `msgpack:"reached"`
 }
 
+// crashReport is a [crash.Report] in a message. There may be thousands after an outage.
+type crashReport struct {
+	_msgpack    struct{} `msgpack:",as_array"`
+	Fingerprint uint64
+	Origin      string
+	Servers     []string
+	Epoch       uint32
+	Probations  int
+	AgeMs       int64
+}
+
+func encodeReports(in []crash.Report) []crashReport {
+	out := make([]crashReport, 0, len(in))
+	for _, r := range in {
+		out = append(out, crashReport{
+			Fingerprint: uint64(r.Fingerprint), Origin: r.Origin, Servers: r.Servers, Epoch: r.Epoch, Probations: r.Probations, AgeMs: r.Age.Milliseconds(),
+		})
+	}
+	return out
+}
+
+func decodeReports(in []crashReport) []crash.Report {
+	out := make([]crash.Report, 0, len(in))
+	for _, r := range in {
+		out = append(out, crash.Report{
+			Fingerprint: crash.Fingerprint(r.Fingerprint), Origin: r.Origin, Servers: r.Servers, Epoch: r.Epoch, Probations: r.Probations,
+			Age: time.Duration(r.AgeMs) * time.Millisecond,
+		})
+	}
+	return out
+}
+
 // crashRequest returns the request to the named host. The lock is held.
 func (r *Relay) crashRequest(now time.Time, name string) crashRequest {
 	c := r.cursors[name]
 	q := crashRequest{Incarnation: c.incarnation, Received: c.received}
-	q.Reports, q.reached = r.crashes.Changes(now, c.sent)
+	reports, reached := r.crashes.Changes(now, c.sent)
+	q.Reports, q.reached = encodeReports(reports), reached
 	return q
 }
 
 // respondCrashes merges the reports of the request and returns those that its sender
 // lacks: all, if it knows another incarnation of this host.
 func (r *Relay) respondCrashes(now time.Time, q crashRequest) crashResponse {
-	r.crashes.Merge(now, q.Reports)
 	a := crashResponse{Incarnation: r.Self().Incarnation}
 	since := q.Received
 	if q.Incarnation != a.Incarnation {
 		since = 0
 	}
-	a.Reports, a.Reached = r.crashes.Changes(now, since)
+	lacking, reached := r.crashes.Changes(now, since)
+	a.Reports = encodeReports(lacking)
+	a.Reached = r.crashes.Merge(now, decodeReports(q.Reports), reached)
 	return a
 }
 
 // applyCrashes merges the response of the named host to the request.
 func (r *Relay) applyCrashes(name string, q crashRequest, a crashResponse) {
-	r.crashes.Merge(clock.Now(), a.Reports)
+	sent := r.crashes.Merge(clock.Now(), decodeReports(a.Reports), q.reached)
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	c := crashCursor{incarnation: a.Incarnation, received: a.Reached, sent: q.reached}
+	c := crashCursor{incarnation: a.Incarnation, received: a.Reached, sent: sent}
 	if q.Incarnation != a.Incarnation && q.Incarnation != 0 {
 		// A restarted host has lost what was sent before.
 		c.sent = 0
--- a/hitchd/internal/relay/crashes_test.go
+++ b/hitchd/internal/relay/crashes_test.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"net/http"
 	"net/http/httptest"
+	"reflect"
 	"slices"
 	"strings"
 	"sync"
@@ -13,6 +14,7 @@
 	"time"
 
 	"github.com/hashicorp/go-hclog"
+	"github.com/vmihailenco/msgpack/v5"
 
 	"magnoliahitch/links/clock"
 	"magnoliahitch/links/plat"
@@ -40,18 +42,22 @@
 	return c.suspects.Changes(now, since, 100)
 }
 
-func (c *reports) Merge(now time.Time, in []crash.Report) {
+func (c *reports) Merge(now time.Time, in []crash.Report, known uint64) uint64 {
 	c.mu.Lock()
 	before := c.suspects.Revision()
 	for _, r := range in {
 		c.suspects.Merge(now, r)
 		c.merged++
 	}
-	changed := c.suspects.Revision() != before
+	after := c.suspects.Revision()
 	c.mu.Unlock()
-	if changed {
+	if after != before {
 		c.onChange()
 	}
+	if known == before {
+		return after
+	}
+	return known
 }
 
 func (c *reports) has(p crash.Fingerprint) bool {
@@ -95,7 +101,7 @@
 	defer cancel()
 	time.Sleep(exchangeInterval)
 	// The last host of its domain is the farthest from the other regions.
-	records[3].Merge(clock.Now(), []crash.Report{{Fingerprint: 7, Origin: "north-b-2", Servers: []string{"s1"}}})
+	records[3].Merge(clock.Now(), []crash.Report{{Fingerprint: 7, Origin: "north-b-2", Servers: []string{"s1"}}}, 0)
 	end := time.Now().Add(allowed)
 	for i, c := range records {
 		for !c.has(7) && time.Now().Before(end) {
@@ -134,12 +140,13 @@
 			t.Fatal(err)
 		}
 	}
-	c.Merge(clock.Now(), []crash.Report{{Fingerprint: 7, Origin: "b", Servers: []string{"s1"}}})
+	c.Merge(clock.Now(), []crash.Report{{Fingerprint: 7, Origin: "b", Servers: []string{"s1"}}}, 0)
+	records[1].Merge(clock.Now(), []crash.Report{{Fingerprint: 8, Origin: "a", Servers: []string{"s2"}}}, 0)
 	for range 5 {
 		poll()
 	}
-	if got := records[1].merged; got != 1 {
-		t.Errorf("%d reports in five polls, want 1", got)
+	if got, back := records[1].merged, c.merged; got != 2 || back != 2 {
+		t.Errorf("%d and %d reports merged after five polls, want 2 each: one's own and the other's", got, back)
 	}
 	restart(2)
 	poll()
@@ -148,3 +155,25 @@
 		t.Error("the restarted host has no report after two polls")
 	}
 }
+
+// Thousands of requests are in flight when a region's servers are lost. Their reports must stay
+// small, and come out of a message as they went in.
+func TestReportsAreCompact(t *testing.T) {
+	want := []crash.Report{{
+		Fingerprint: 1 << 63, Origin: "front-mvd-a-12", Servers: []string{"i-1c0cd646d6@mls5rrhd"}, Epoch: 2, Probations: 1, Age: 3 * time.Second,
+	}}
+	data, err := msgpack.Marshal(encodeReports(want))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if got, limit := len(data), 64; got > limit {
+		t.Errorf("a report takes %d bytes, want at most %d", got, limit)
+	}
+	var in []crashReport
+	if err := msgpack.Unmarshal(data, &in); err != nil {
+		t.Fatal(err)
+	}
+	if got := decodeReports(in); !reflect.DeepEqual(got, want) {
+		t.Errorf("got %+v, want %+v", got, want)
+	}
+}
--- a/hitchd/internal/relay/relay_test.go
+++ b/hitchd/internal/relay/relay_test.go
@@ -122,7 +122,7 @@
 type noCrashReports struct{}
 
 func (noCrashReports) Changes(time.Time, uint64) ([]crash.Report, uint64) { return nil, 0 }
-func (noCrashReports) Merge(time.Time, []crash.Report)                    {}
+func (noCrashReports) Merge(time.Time, []crash.Report, uint64) uint64     { return 0 }
 func (noCrashReports) OnChange(func())                                    {}
 
 func newRelay(self member.Host, options ...Option) *Relay {
