relay: wait 150 ms from a change of crash reports until the poll that sends it

Reports of a lost region's servers arrive for seconds, and each made all hosts poll at once again, up to thirty times a second.

--- a/hitchd/internal/relay/relay.go
+++ b/hitchd/internal/relay/relay.go
@@ -33,7 +33,7 @@
 	regionInterval = 2 * time.Second
 	// wakeDelay is the time from a change until the poll that sends it, so that changes
 	// of the same moment go together.
-	wakeDelay = 20 * time.Millisecond
+	wakeDelay = 150 * time.Millisecond
 	// regionTimeout bounds an exchange with a host of another region.
 	regionTimeout = 700 * time.Millisecond
 	// pollTimeout bounds a poll. It is sized for hosts of the same region.
