edge: let a trial go on until it has reached a server

A request on trial that found its server gone, or its choice out of date, ended there, since it is confirmed all the while: one of its two trials was spent without a verdict, and a harmless request stayed refused longer.

TestTrialReachesServer failed before (503) and passes.

--- a/hitchd/internal/edge/crashes.go
+++ b/hitchd/internal/edge/crashes.go
@@ -68,38 +68,45 @@
 	return c
 }
 
+// Admission is the decision whether a request may run.
+type Admission struct {
+	// refusedFor is how long a refused request will be refused, 0 if it may run.
+	refusedFor time.Duration
+	// trials are the fingerprints with which the request runs on trial.
+	trials fingerprints
+}
+
 // Admit decides whether the request may run: neither of its fingerprints has crashed as many
-// servers as confirm that it is the cause, or it is on trial. It returns a function to call when
-// the request has ended, or the time for which the request is refused.
-func (c *CrashReports) Admit(now time.Time, ps fingerprints) (end func(), refusedFor time.Duration) {
-	var trials fingerprints
+// servers as confirm that it is the cause, or it is on trial. End must be called when it has ended.
+func (c *CrashReports) Admit(now time.Time, ps fingerprints) Admission {
+	var a Admission
 	c.update(func() {
 		for _, p := range ps {
 			v, wait := c.suspects.Check(now, p)
 			switch v {
 			case crash.Trial:
-				trials = append(trials, p)
+				a.trials = append(a.trials, p)
 			case crash.Confirmed, crash.OnTrial:
-				refusedFor = max(refusedFor, wait)
+				a.refusedFor = max(a.refusedFor, wait)
 			case crash.Clean:
 			}
 		}
 	})
-	end = func() {
-		c.mu.Lock()
-		defer c.mu.Unlock()
-		for _, p := range trials {
-			c.suspects.EndTrial(p)
-		}
-	}
-	if refusedFor > 0 {
-		end()
-		return nil, refusedFor
-	}
-	if len(trials) > 0 {
+	if a.refusedFor > 0 {
+		c.End(a)
+	} else if len(a.trials) > 0 {
 		c.log.Info("request that crashed servers runs on trial", "print", uint64(ps[0]))
 	}
-	return end, 0
+	return a
+}
+
+// End ends the trial of a request, if it was on one.
+func (c *CrashReports) End(a Admission) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, p := range a.trials {
+		c.suspects.EndTrial(p)
+	}
 }
 
 // Confirmed reports whether the request, which runs already, is known by now to crash
--- a/hitchd/internal/edge/crashes_test.go
+++ b/hitchd/internal/edge/crashes_test.go
@@ -17,6 +17,7 @@
 	"magnoliahitch/hitchd/internal/conns"
 	"magnoliahitch/links/clock"
 	"magnoliahitch/steer/crash"
+	"magnoliahitch/steer/fleet"
 	"magnoliahitch/steer/routes"
 )
 
@@ -43,11 +44,9 @@
 
 // admitted reports whether the request of the culprit would run, and ends it.
 func admitted(c *CrashReports, now time.Time) bool {
-	end, _ := c.Admit(now, culprit)
-	if end != nil {
-		end()
-	}
-	return end != nil
+	a := c.Admit(now, culprit)
+	c.End(a)
+	return a.refusedFor == 0
 }
 
 // swapReports sends all reports of each to the other.
@@ -330,6 +329,37 @@
 	}
 }
 
+// A request on trial may find its server out of date before anything is sent. It is sent to another
+// one, since there are few trials.
+func TestTrialReachesServer(t *testing.T) {
+	s := newFixture(t, 2, routes.Route{Idempotent: true, MaxAttempts: 1, Timeout: time.Second}, signed(200, "ok"))
+	// One of the two servers doesn't accept connections any more.
+	closed := closedAddr(t)
+	f := fleet.New()
+	for i, x := range s.state.Load().Fleet.Servers("loans") {
+		server := x
+		if i == 0 {
+			server.Addr = closed
+		}
+		f.Put(server)
+	}
+	view, _ := f.View()
+	st := *s.state.Load()
+	st.Fleet = view
+	s.state.Store(&st)
+	ps := s.fingerprints("/a/x")
+	for i := range 20 {
+		ps[0] = s.fingerprints(fmt.Sprintf("/a/%d", i))[0]
+		past := clock.Now().Add(-2 * probation)
+		for j := range 3 {
+			s.edge.crashes.suspects.RecordCrash(past, ps[0], fmt.Sprintf("x%d", j))
+		}
+		if res, _ := s.do(t, http.MethodGet, fmt.Sprintf("/a/%d", i), ""); res.StatusCode != http.StatusOK {
+			t.Errorf("status = %d for trial %d, want 200", res.StatusCode, i)
+		}
+	}
+}
+
 // A request that was in flight at three crashes in a row is refused like the one that
 // caused them. It must not stay refused for as long as its caller repeats it.
 func TestBystanderOfThreeCrashesIsServedAgain(t *testing.T) {
--- a/hitchd/internal/edge/run.go
+++ b/hitchd/internal/edge/run.go
@@ -97,8 +97,9 @@
 			x.expired = true
 			return response
 		}
-		// Other hosts may have reported crashes meanwhile.
-		if e.crashes.Confirmed(clock.Now(), x.fingerprints) {
+		// Other hosts may have reported crashes meanwhile. A trial goes on until it has reached
+		// a server.
+		if !(x.onTrial && x.attempts == 0) && e.crashes.Confirmed(clock.Now(), x.fingerprints) {
 			x.suspect = true
 			return response
 		}
--- a/hitchd/internal/edge/serve.go
+++ b/hitchd/internal/edge/serve.go
@@ -44,6 +44,8 @@
 	mayHaveRun, expired bool
 	// suspect is set when the attempts ended because the request crashes servers.
 	suspect bool
+	// onTrial is set for a request that crashed servers and may reach one more.
+	onTrial bool
 	// lastChoice is the server selection of the last attempt, lastErr its error.
 	lastChoice pick.Choice
 	lastErr    error
@@ -107,12 +109,13 @@
 		return
 	}
 	x.fingerprints = fingerprintsOf(x.route.Host, &x.request)
-	end, refusedFor := e.crashes.Admit(clock.Now(), x.fingerprints)
-	if end == nil {
-		e.refuseFor(w, x, result.ReasonSuspect, refusedFor)
+	admitted := e.crashes.Admit(clock.Now(), x.fingerprints)
+	if admitted.refusedFor > 0 {
+		e.refuseFor(w, x, result.ReasonSuspect, admitted.refusedFor)
 		return
 	}
-	defer end()
+	defer e.crashes.End(admitted)
+	x.onTrial = len(admitted.trials) > 0
 	e.service(x.service).countRequest(x.start)
 	e.forward(ctx, w, x)
 }
