edge: take servers that a host can't reach while it is cut off for none that crashed

A refused connection is still a crash at once; a timeout counts once the host has heard of servers since the loss, by another server's response or a newer table, within 2 s.

TestFailedProbeIsNoCrash, 'host is cut off', fails with the timeout counted at once (1 crash recorded, want 0) and passes.

--- a/hitchd/internal/edge/crashes.go
+++ b/hitchd/internal/edge/crashes.go
@@ -30,6 +30,10 @@
 	probation = time.Minute
 	// probeTimeout bounds the opening of a connection that probes a server.
 	probeTimeout = 300 * time.Millisecond
+	// heardTimeout is how long a host whose probe timed out waits for news of servers, which
+	// it reads at least that often, and heardInterval how often it looks.
+	heardTimeout  = 2 * time.Second
+	heardInterval = 50 * time.Millisecond
 	// abandonedDelay is the time from the end of an attempt without a response until its
 	// server is probed, and maxAbandoned bounds the attempts for which one probe counts.
 	abandonedDelay = 400 * time.Millisecond
@@ -49,9 +53,16 @@
 type CrashReports struct {
 	log      hclog.Logger
 	onChange func()
+	// connect opens a connection to an address and closes it.
+	connect func(ctx context.Context, addr string) error
+	// readSince reports whether this host has got the servers' table, from anywhere, since
+	// the time.
+	readSince func(time.Time) bool
 
-	mu       sync.Mutex
-	suspects *crash.Suspects
+	mu sync.Mutex
+	// responded is when a server last responded to this host.
+	responded time.Time
+	suspects  *crash.Suspects
 	// abandoned holds the attempts that ended before their server did anything, by the server's
 	// run, until the server is probed or responds to another request.
 	abandoned map[string][]attempt
@@ -59,7 +70,7 @@
 
 // NewCrashReports returns an empty record for the named host.
 func NewCrashReports(self string, log hclog.Logger) *CrashReports {
-	c := &CrashReports{log: log, onChange: func() {}, abandoned: make(map[string][]attempt), suspects: crash.New(self, crash.WithCrashThreshold(maxCrashes), crash.WithoutTrials(), crash.WithProbation(probation))}
+	c := &CrashReports{log: log, onChange: func() {}, connect: connect, readSince: func(time.Time) bool { return true }, abandoned: make(map[string][]attempt), suspects: crash.New(self, crash.WithCrashThreshold(maxCrashes), crash.WithoutTrials(), crash.WithProbation(probation))}
 	metrics.GetOrCreateGauge(`hitch_edge_suspects`, func() float64 {
 		c.mu.Lock()
 		defer c.mu.Unlock()
@@ -142,13 +153,14 @@
 // ConnectionLost is called when the connection to the server broke during the attempt. It
 // probes the server and records a crash if that fails.
 func (c *CrashReports) ConnectionLost(ctx context.Context, a attempt) {
-	err := probe(ctx, a.addr)
+	lost := clock.Now()
+	err := c.probe(ctx, a.addr)
 	if err == nil {
 		lostConnections("reachable").Inc()
 		c.log.Info("server is reachable after it broke a connection", "request", a.request, "print", uint64(a.fingerprints[0]), "server", a.server)
 		return
 	}
-	if !tellsOfServer(err) {
+	if !c.tellsOfServer(ctx, lost, err) {
 		lostConnections("failed").Inc()
 		c.log.Warn("could not probe the server after it broke a connection", "request", a.request, "server", a.server, "error", err)
 		return
@@ -182,7 +194,8 @@
 	if len(list) == 0 {
 		return
 	}
-	if err := connect(ctx, a.addr); err != nil && tellsOfServer(err) {
+	ended := clock.Now()
+	if err := c.connect(ctx, a.addr); err != nil && c.tellsOfServer(ctx, ended, err) {
 		for _, x := range list {
 			c.recordCrash(x, err)
 		}
@@ -193,6 +206,7 @@
 func (c *CrashReports) Responded(a attempt) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.responded = clock.Now()
 	if list, waiting := c.abandoned[a.run()]; waiting {
 		c.abandoned[a.run()] = list[:0]
 	}
@@ -214,14 +228,14 @@
 func (a attempt) run() string { return a.server + "@" + strconv.FormatInt(a.incarnation, 36) }
 
 // probe connects to the address after each of the probeDelays and returns the first error.
-func probe(ctx context.Context, addr string) error {
+func (c *CrashReports) probe(ctx context.Context, addr string) error {
 	for _, d := range probeDelays {
 		select {
 		case <-time.After(d):
 		case <-ctx.Done():
 			return ctx.Err()
 		}
-		if err := connect(ctx, addr); err != nil {
+		if err := c.connect(ctx, addr); err != nil {
 			return err
 		}
 	}
@@ -239,11 +253,30 @@
 }
 
 // tellsOfServer reports whether the error of a probe shows that the server doesn't accept
-// connections. This host may also lack file descriptors or ports.
-func tellsOfServer(err error) bool {
+// connections. This host may also lack file descriptors or ports. A timeout counts only if this host
+// isn't cut off: it has heard of servers since the time, for which tellsOfServer waits a little.
+func (c *CrashReports) tellsOfServer(ctx context.Context, since time.Time, err error) bool {
+	if errors.Is(err, syscall.ECONNREFUSED) || errors.Is(err, syscall.ECONNRESET) {
+		return true
+	}
 	var timeout net.Error
-	return errors.Is(err, syscall.ECONNREFUSED) || errors.Is(err, syscall.ECONNRESET) || errors.Is(err, syscall.EHOSTUNREACH) ||
-		errors.Is(err, syscall.ENETUNREACH) || errors.As(err, &timeout) && timeout.Timeout()
+	if !errors.Is(err, syscall.EHOSTUNREACH) && !errors.Is(err, syscall.ENETUNREACH) && !(errors.As(err, &timeout) && timeout.Timeout()) {
+		return false
+	}
+	for end := clock.Now().Add(heardTimeout); clock.Now().Before(end); {
+		c.mu.Lock()
+		heard := c.responded.After(since)
+		c.mu.Unlock()
+		if heard || c.readSince(since) {
+			return true
+		}
+		select {
+		case <-time.After(heardInterval):
+		case <-ctx.Done():
+			return false
+		}
+	}
+	return false
 }
 
 // OnChange sets a function that is called when there are reports that other hosts lack. It
--- a/hitchd/internal/edge/crashes_test.go
+++ b/hitchd/internal/edge/crashes_test.go
@@ -281,21 +281,35 @@
 	}
 }
 
-// A host that lacks file descriptors can't probe a server, which says nothing of the server.
+// A host that lacks file descriptors, or is cut off, can't probe a server, which says nothing of
+// the server.
 func TestFailedProbeIsNoCrash(t *testing.T) {
+	refused := &net.OpError{Op: "dial", Err: os.NewSyscallError("connect", syscall.ECONNREFUSED)}
+	timeout := &net.OpError{Op: "dial", Err: os.ErrDeadlineExceeded}
 	for _, c := range []struct {
-		err  error
-		want bool
+		name  string
+		err   error
+		heard bool
+		want  int
 	}{
-		{&net.OpError{Op: "dial", Err: os.NewSyscallError("connect", syscall.ECONNREFUSED)}, true},
-		{&net.OpError{Op: "dial", Err: os.ErrDeadlineExceeded}, true},
-		{&net.OpError{Op: "dial", Err: os.NewSyscallError("socket", syscall.EMFILE)}, false},
-		{&net.OpError{Op: "dial", Err: os.NewSyscallError("connect", syscall.EADDRNOTAVAIL)}, false},
-		{context.Canceled, false},
+		{"refused", refused, true, 1},
+		{"refused to a host that hears nothing else", refused, false, 1},
+		{"silent server", timeout, true, 1},
+		{"host is cut off", timeout, false, 0},
+		{"no file descriptors", &net.OpError{Op: "dial", Err: os.NewSyscallError("socket", syscall.EMFILE)}, true, 0},
+		{"no ports", &net.OpError{Op: "dial", Err: os.NewSyscallError("connect", syscall.EADDRNOTAVAIL)}, true, 0},
+		{"host stops", context.Canceled, true, 0},
 	} {
-		if got := tellsOfServer(c.err); got != c.want {
-			t.Errorf("%v tells of the server: %v, want %v", c.err, got, c.want)
-		}
+		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
+			r := newReports("a")
+			r.connect = func(context.Context, string) error { return c.err }
+			r.readSince = func(time.Time) bool { return c.heard }
+			r.ConnectionLost(t.Context(), attempt{fingerprints: culprit, server: "s0"})
+			if got := crashed(r); got != c.want {
+				t.Errorf("%d crashes recorded, want %d", got, c.want)
+			}
+		})
 	}
 }
 
--- a/hitchd/internal/edge/edge.go
+++ b/hitchd/internal/edge/edge.go
@@ -102,6 +102,7 @@
 	if e.crashes == nil {
 		e.crashes = NewCrashReports("", log)
 	}
+	e.crashes.readSince = func(t time.Time) bool { return e.state().ServersRead.After(t) }
 	return e
 }
 
