edge: take no timeout after a deadline for a crash

After the deadline only a refused connection counts now. With the connection lost during the request a timeout still does, if the host hears of other servers.

TestSlowServerIsNoCrash, with a timeout added, failed before (1 crash recorded, want none) and passes.

--- a/hitchd/internal/edge/crashes.go
+++ b/hitchd/internal/edge/crashes.go
@@ -171,7 +171,8 @@
 
 // Abandoned is called when the deadline or the caller ended the attempt before its server
 // responded. Unless the server responds to another request of this host, it is probed a
-// little later, and a failure recorded as a crash.
+// little later, and a refusal recorded as a crash. A timeout isn't: a host or server that is
+// overloaded has both.
 func (c *CrashReports) Abandoned(ctx context.Context, a attempt) {
 	run := a.run()
 	c.mu.Lock()
@@ -194,8 +195,7 @@
 	if len(list) == 0 {
 		return
 	}
-	ended := clock.Now()
-	if err := c.connect(ctx, a.addr); err != nil && c.tellsOfServer(ctx, ended, err) {
+	if err := c.connect(ctx, a.addr); refused(err) {
 		for _, x := range list {
 			c.recordCrash(x, err)
 		}
@@ -252,11 +252,14 @@
 	return conn.Close()
 }
 
+// refused reports whether the server refused a connection.
+func refused(err error) bool { return errors.Is(err, syscall.ECONNREFUSED) || errors.Is(err, syscall.ECONNRESET) }
+
 // tellsOfServer reports whether the error of a probe shows that the server doesn't accept
 // connections. This host may also lack file descriptors or ports. A timeout counts only if this host
 // isn't cut off: it has heard of servers since the time, for which tellsOfServer waits a little.
 func (c *CrashReports) tellsOfServer(ctx context.Context, since time.Time, err error) bool {
-	if errors.Is(err, syscall.ECONNREFUSED) || errors.Is(err, syscall.ECONNRESET) {
+	if refused(err) {
 		return true
 	}
 	var timeout net.Error
--- a/hitchd/internal/edge/crashes_test.go
+++ b/hitchd/internal/edge/crashes_test.go
@@ -229,8 +229,8 @@
 	}
 }
 
-// A server crashes by a request that it runs on after its deadline, or goes silent, so that no
-// connection tells of it.
+// A server crashes by a request that it runs on after its deadline, so that no connection tells
+// of it.
 func TestCrashAfterDeadlineIsRecorded(t *testing.T) {
 	s := newFixture(t, 3, routes.Route{Idempotent: true, MaxAttempts: 1, Timeout: 200 * time.Millisecond}, func(_ http.ResponseWriter, r *http.Request) {
 		<-r.Context().Done()
@@ -248,8 +248,8 @@
 	}
 }
 
-// Requests that time out at a server that responds to others, or still accepts connections, say
-// nothing of a crash, and a server that responds isn't probed.
+// Requests that time out at a server that responds to others, or accepts connections, or can't be
+// reached in time by an overloaded host, say nothing of a crash. One that responds isn't probed.
 func TestSlowServerIsNoCrash(t *testing.T) {
 	c := newReports("a")
 	l, err := net.Listen("tcp4", "127.0.0.1:0")
@@ -263,6 +263,8 @@
 		time.AfterFunc(abandonedDelay/4, func() { c.Responded(gone) })
 		c.Abandoned(t.Context(), gone)
 	}
+	c.connect = func(context.Context, string) error { return &net.OpError{Op: "dial", Err: os.ErrDeadlineExceeded} }
+	c.Abandoned(t.Context(), attempt{fingerprints: culprit, server: "s9"})
 	if got := crashed(c); got != 0 {
 		t.Errorf("%d crashes recorded, want none", got)
 	}
