--- a/hitchd/internal/edge/crashes.go
+++ b/hitchd/internal/edge/crashes.go
@@ -253,7 +253,9 @@
 }
 
 // refused reports whether the server refused a connection.
-func refused(err error) bool { return errors.Is(err, syscall.ECONNREFUSED) || errors.Is(err, syscall.ECONNRESET) }
+func refused(err error) bool {
+	return errors.Is(err, syscall.ECONNREFUSED) || errors.Is(err, syscall.ECONNRESET)
+}
 
 // tellsOfServer reports whether the error of a probe shows that the server doesn't accept
 // connections. This host may also lack file descriptors or ports. A timeout counts only if this host
