watch: log and count reads that are discarded as older than the replica

A read below the replica's version left no line, and neither did a configuration that isn't newer than the one in force, so that the hypotheses on the restored store couldn't be told apart. No decision is changed.

--- a/hitchd/internal/watch/watch.go
+++ b/hitchd/internal/watch/watch.go
@@ -122,6 +122,7 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	if version < w.operator.version {
+		w.discard("operator", version, w.operator.version)
 		return
 	}
 	w.applyOperatorRows(rows, full)
@@ -163,7 +164,7 @@
 	case err != nil:
 		w.log.Error("could not decode configuration, keeping the one in force", "row", r.Version, "error", err)
 	case w.table != nil && t.Version <= w.table.Version:
-		w.log.Debug("configuration is not newer than the one in force", "version", t.Version, "inForce", w.table.Version)
+		w.log.Info("configuration is not newer than the one in force", "version", t.Version, "inForce", w.table.Version)
 	default:
 		w.table = t
 		w.log.Info("configuration in force", "version", t.Version, "row", r.Version, "routes", t.Len())
@@ -177,6 +178,7 @@
 	now := clock.Now()
 	w.fleet.ReadSucceeded(now)
 	if version < w.servers.version {
+		w.discard("servers", version, w.servers.version)
 		return
 	}
 	w.applyServerRows(now, rows, full, w.fleet.RecordMissing)
@@ -227,6 +229,12 @@
 	}
 }
 
+// discard logs and counts a read that is older than the replica.
+func (w *Watch) discard(replica string, version, held int64) {
+	reads(replica, "discarded").Inc()
+	w.log.Warn("discarded a read that is older than the replica", "replica", replica, "version", version, "held", held)
+}
+
 // removals returns a removal for each held row that is missing in the full table.
 func removals(held map[string]plat.Change, full []plat.Change) []plat.Change {
 	present := make(map[string]bool, len(full))
@@ -246,6 +254,7 @@
 func (w *Watch) applyHosts(read time.Time, rows []plat.Change, full bool, version int64) {
 	w.mu.Lock()
 	if version < w.hosts.version {
+		w.discard("hosts", version, w.hosts.version)
 		w.mu.Unlock()
 		return
 	}
