--- a/hitchd/internal/relay/relay_test.go
+++ b/hitchd/internal/relay/relay_test.go
@@ -8,6 +8,7 @@
 	"sync"
 	"sync/atomic"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/hashicorp/go-hclog"
@@ -380,3 +381,38 @@
 		})
 	}
 }
+
+// putCounter is a store that counts the writes of rows.
+type putCounter struct {
+	noStore
+	puts atomic.Int64
+}
+
+func (s *putCounter) Put(context.Context, string, string, []byte) error {
+	s.puts.Add(1)
+	return nil
+}
+
+// A store that is restored from a copy lacks the rows of hosts that joined after the
+// copy was made. Nobody but the host itself can write its row again.
+func TestHostWritesItsRowAgain(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		defer clock.Replace(time.Now)()
+		self := host("a", "x")
+		s := &putCounter{}
+		r := newRelayWith(s, self)
+		r.SetRows(map[string]plat.Change{"b": hostRow(host("b", "y"), 1)})
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		go func() { _ = r.Register(ctx) }()
+		time.Sleep(time.Second)
+		if got := s.puts.Load(); got != 1 {
+			t.Fatalf("%d writes of the row at the start, want 1", got)
+		}
+		r.SetRows(map[string]plat.Change{"b": hostRow(host("b", "y"), 1)})
+		time.Sleep(3 * time.Second)
+		if got := s.puts.Load(); got != 2 {
+			t.Errorf("%d writes of the row 3 s after the restored table was read without it, want 2", got)
+		}
+	})
+}
--- a/hitchd/internal/watch/watch_test.go
+++ b/hitchd/internal/watch/watch_test.go
@@ -57,7 +57,7 @@
 	if s.fail != nil {
 		return nil, 0, s.fail
 	}
-	if removed && after < s.floor {
+	if removed && (after < s.floor || after > s.version) {
 		return nil, 0, plat.ErrCompacted
 	}
 	var out []plat.Change
@@ -89,6 +89,8 @@
 
 func (s *store) Rows(_ context.Context, table string) ([]plat.Change, int64, error) {
 	s.count()
+	// Without any latency, a host that reads in a loop would stop the virtual time.
+	time.Sleep(time.Millisecond)
 	if s.swallows(0) {
 		return nil, 0, plat.ErrDown
 	}
