--- a/hitchd/internal/claims/claims.go
+++ b/hitchd/internal/claims/claims.go
@@ -158,7 +158,7 @@
 // run claims the operation, dispatches it and records its outcome.
 func (c *Claims) run(ctx context.Context, r *call.Request, o *operation) (*call.Response, error) {
 	began := c.now()
-	rec, version, err := c.claim(ctx, o)
+	rec, at, err := c.claim(ctx, o)
 	metrics.GetOrCreateHistogram("hitch_claim_seconds").Update(c.now().Sub(began).Seconds())
 	if err != nil {
 		c.log.Info("claim", "request", r.ID, "operation", r.Operation, "refused", err)
@@ -171,7 +171,7 @@
 	}
 	if ctx.Err() != nil {
 		c.registry.end(o, claim.Released, nil)
-		c.recordOutcome(o.key, version, rec.WithState(claim.Released))
+		c.recordOutcome(o.key, at, rec.WithState(claim.Released))
 		return nil, result.NewNotRun(result.ReasonDeadline, "claim operation", c.members.Self().Name)
 	}
 	c.log.Debug("claim", "request", r.ID, "operation", r.Operation, "taken", rec.ID)
@@ -183,20 +183,20 @@
 			state = claim.Released
 		}
 		c.registry.end(o, state, nil)
-		c.recordOutcome(o.key, version, rec.WithState(state))
+		c.recordOutcome(o.key, at, rec.WithState(state))
 		return nil, err
 	}
-	return c.complete(a, o, rec, version)
+	return c.complete(a, o, rec, at)
 }
 
 // complete reads the response and records the operation as done. It stores the
 // response if the body has at most maxKeptBody bytes.
-func (c *Claims) complete(a *call.Response, o *operation, rec claim.Record, version int64) (*call.Response, error) {
+func (c *Claims) complete(a *call.Response, o *operation, rec claim.Record, at plat.Position) (*call.Response, error) {
 	defer a.Body.Close()
 	body, err := io.ReadAll(a.Body)
 	if err != nil {
 		c.registry.end(o, claim.Lost, nil)
-		c.recordOutcome(o.key, version, rec.WithState(claim.Lost))
+		c.recordOutcome(o.key, at, rec.WithState(claim.Lost))
 		return nil, result.NewUnknown(result.ReasonUpstream, "read answer", a.Server, err)
 	}
 	kept := &claim.Response{Status: a.Status, Header: a.Header, Body: body}
@@ -205,7 +205,7 @@
 		kept = nil
 	}
 	c.registry.end(o, claim.Done, kept)
-	c.recordOutcome(o.key, version, rec.WithResponse(kept))
+	c.recordOutcome(o.key, at, rec.WithResponse(kept))
 	return out, nil
 }
 
@@ -216,7 +216,7 @@
 // recordOutcome submits a write with the final state of the operation and
 // returns at once. A released record is deleted. The write is repeated while
 // the table is down.
-func (c *Claims) recordOutcome(key string, version int64, rec claim.Record) {
+func (c *Claims) recordOutcome(key string, at plat.Position, rec claim.Record) {
 	var value []byte
 	if rec.State != claim.Released {
 		var err error
@@ -225,11 +225,11 @@
 			return
 		}
 	}
-	w := write{ctx: context.Background(), key: key, version: version, value: value, done: make(chan writeResult, 1)}
+	w := write{ctx: context.Background(), key: key, at: at, value: value, done: make(chan writeResult, 1)}
 	c.writer.submit(w, false)
 	go func() {
 		if r := <-w.done; errors.Is(r.err, plat.ErrDown) {
-			c.retryOutcome(key, version, rec)
+			c.retryOutcome(key, at, rec)
 		}
 	}()
 }
@@ -238,8 +238,8 @@
 // while the table is down.
 const outcomeRetryInterval = 2 * time.Second
 
-func (c *Claims) retryOutcome(key string, version int64, rec claim.Record) {
-	time.AfterFunc(outcomeRetryInterval, func() { c.recordOutcome(key, version, rec) })
+func (c *Claims) retryOutcome(key string, at plat.Position, rec claim.Record) {
+	time.AfterFunc(outcomeRetryInterval, func() { c.recordOutcome(key, at, rec) })
 }
 
 // refuse turns the error of a failed claim into the response or the refusal for
--- a/hitchd/internal/claims/load_test.go
+++ b/hitchd/internal/claims/load_test.go
@@ -32,13 +32,13 @@
 				o := &operation{key: fmt.Sprint(keyPrefix, i), id: fmt.Sprint(i), done: make(chan struct{})}
 				d := c.hosts[c.draw(keepers)]
 				began := time.Now()
-				rec, version, err := d.claims.claim(context.Background(), o)
+				rec, at, err := d.claims.claim(context.Background(), o)
 				wait := time.Since(began)
 				if err != nil {
 					t.Errorf("claim %d: %v", i, err)
 					return
 				}
-				d.claims.recordOutcome(o.key, version, rec.WithResponse(nil))
+				d.claims.recordOutcome(o.key, at, rec.WithResponse(nil))
 				mu.Lock()
 				defer mu.Unlock()
 				waits = append(waits, wait)
--- a/hitchd/internal/claims/sweep.go
+++ b/hitchd/internal/claims/sweep.go
@@ -59,7 +59,7 @@
 		if json.Unmarshal(r.Value, &rec) != nil || !now.After(rec.Expires) {
 			continue
 		}
-		t.Checks = append(t.Checks, plat.Check{Key: r.Key, Version: r.Version})
+		t.Checks = append(t.Checks, plat.Check{Key: r.Key, At: r.At})
 		t.Deletes = append(t.Deletes, r.Key)
 	}
 	if len(t.Deletes) == 0 {
--- a/hitchd/internal/claims/take.go
+++ b/hitchd/internal/claims/take.go
@@ -53,12 +53,12 @@
 // doesn't extend the backoff.
 var errBackoff = errors.New("platform table failed recently and is not retried yet")
 
-// claim writes the operation's record and returns it with its version. It
+// claim writes the operation's record and returns it with its position. It
 // returns a [claimedError] if the existing record must not be replaced,
 // errBackoff, or an error of package plat.
-func (c *Claims) claim(ctx context.Context, o *operation) (claim.Record, int64, error) {
+func (c *Claims) claim(ctx context.Context, o *operation) (claim.Record, plat.Position, error) {
 	if c.now().UnixNano() < c.retryTableAt.Load() {
-		return claim.Record{}, 0, errBackoff
+		return claim.Record{}, plat.Position{}, errBackoff
 	}
 	self := c.members.Self()
 	rec := claim.Record{
@@ -71,21 +71,21 @@
 	}
 	value, err := json.Marshal(rec)
 	if err != nil {
-		return rec, 0, err
+		return rec, plat.Position{}, err
 	}
-	version := int64(0)
+	var at plat.Position
 	for range maxClaimAttempts {
-		w := write{ctx: ctx, key: o.key, version: version, value: value, done: make(chan writeResult, 1)}
+		w := write{ctx: ctx, key: o.key, at: at, value: value, done: make(chan writeResult, 1)}
 		c.writer.submit(w, true)
 		r, err := await(ctx, w)
 		if err == nil || !errors.Is(err, plat.ErrConflict) {
-			return rec, r.version, err
+			return rec, r.at, err
 		}
-		if version, err = c.checkExisting(ctx, o); err != nil {
-			return rec, 0, err
+		if at, err = c.checkExisting(ctx, o); err != nil {
+			return rec, plat.Position{}, err
 		}
 	}
-	return rec, 0, &claimedError{decision: claim.QueryHolder, peer: self.Name}
+	return rec, plat.Position{}, &claimedError{decision: claim.QueryHolder, peer: self.Name}
 }
 
 // await waits for the outcome of the write. It is plat.ErrUnknown if the
@@ -100,38 +100,38 @@
 }
 
 // checkExisting decides on the record that the operation's key already has. It
-// returns the version that may be overwritten, 0 if there is no record, or a
+// returns the position that may be overwritten, zero if there is no record, or a
 // [claimedError].
-func (c *Claims) checkExisting(ctx context.Context, o *operation) (int64, error) {
+func (c *Claims) checkExisting(ctx context.Context, o *operation) (plat.Position, error) {
 	row, err := c.table.Get(ctx, o.key)
 	if errors.Is(err, plat.ErrMissing) {
-		return 0, nil
+		return plat.Position{}, nil
 	}
 	if err != nil {
-		return 0, err
+		return plat.Position{}, err
 	}
 	var found claim.Record
 	if err := json.Unmarshal(row.Value, &found); err != nil {
-		return 0, errors.Wrapf(err, "decode row %s", o.key)
+		return plat.Position{}, errors.Wrapf(err, "decode row %s", o.key)
 	}
 	holder, alive := c.holder(found)
 	d := claim.Decide(time.Now(), found, o.fingerprint, alive)
 	if d != claim.QueryHolder {
 		if d == claim.Claim {
-			return row.Version, nil
+			return row.At, nil
 		}
-		return 0, &claimedError{decision: d, stored: found.Response, peer: found.Holder}
+		return plat.Position{}, &claimedError{decision: d, stored: found.Response, peer: found.Holder}
 	}
 	a := c.queryHolder(ctx, holder, o.key, found.ID)
 	switch a.State {
 	case claim.Released:
-		return row.Version, nil
+		return row.At, nil
 	case claim.Done:
-		return 0, &claimedError{decision: claim.Replay, stored: a.Response, peer: found.Holder}
+		return plat.Position{}, &claimedError{decision: claim.Replay, stored: a.Response, peer: found.Holder}
 	case claim.Claimed:
-		return 0, &claimedError{decision: claim.QueryHolder, peer: found.Holder}
+		return plat.Position{}, &claimedError{decision: claim.QueryHolder, peer: found.Holder}
 	}
-	return 0, &claimedError{decision: claim.Unknown, peer: found.Holder}
+	return plat.Position{}, &claimedError{decision: claim.Unknown, peer: found.Holder}
 }
 
 // holder returns the live host that made the record. It reports whether that
@@ -155,7 +155,7 @@
 		var found claim.Record
 		if err == nil && json.Unmarshal(row.Value, &found) == nil {
 			if found.ID == o.id {
-				c.recordOutcome(o.key, row.Version, found.WithState(claim.Released))
+				c.recordOutcome(o.key, row.At, found.WithState(claim.Released))
 			}
 			return
 		}
--- a/hitchd/internal/claims/writer.go
+++ b/hitchd/internal/claims/writer.go
@@ -32,21 +32,21 @@
 	flushTimeout = 2 * time.Second
 )
 
-// write puts or deletes a row on condition that it has the version. A nil value
+// write puts or deletes a row on condition that it is at the position. A nil value
 // deletes it.
 type write struct {
-	ctx     context.Context
-	key     string
-	version int64
-	value   []byte
+	ctx   context.Context
+	key   string
+	at    plat.Position
+	value []byte
 	// done receives the outcome.
 	done chan writeResult
 }
 
-// writeResult is the row's new version, or an error of package plat.
+// writeResult is the row's new position, or an error of package plat.
 type writeResult struct {
-	version int64
-	err     error
+	at  plat.Position
+	err error
 }
 
 // writer commits writes to the table in batches.
@@ -152,10 +152,10 @@
 // left.
 func (w *writer) commit(ctx context.Context, batch []write) {
 	for len(batch) > 0 {
-		version, err := w.table.Commit(ctx, transaction(batch))
+		at, err := w.table.Commit(ctx, transaction(batch))
 		switch {
 		case err == nil:
-			finish(batch, writeResult{version: version})
+			finish(batch, writeResult{at: at})
 			return
 		case errors.Is(err, plat.ErrConflict), errors.Is(err, plat.ErrUnknown):
 			batch = w.resolve(ctx, batch, err)
@@ -169,7 +169,7 @@
 func transaction(batch []write) plat.Txn {
 	var t plat.Txn
 	for _, b := range batch {
-		t.Checks = append(t.Checks, plat.Check{Key: b.key, Version: b.version})
+		t.Checks = append(t.Checks, plat.Check{Key: b.key, At: b.at})
 		if b.value == nil {
 			t.Deletes = append(t.Deletes, b.key)
 		} else {
@@ -201,8 +201,8 @@
 		case err != nil:
 			b.done <- writeResult{err: errors.Wrapf(plat.ErrUnknown, "resolve write of row %s after: %v", b.key, cause)}
 		case applied(b, row):
-			b.done <- writeResult{version: row.Version}
-		case row.Version != b.version:
+			b.done <- writeResult{at: row.At}
+		case row.At != b.at:
 			b.done <- writeResult{err: errors.Wrapf(plat.ErrConflict, "write row %s", b.key)}
 		case b.ctx.Err() != nil && errors.Is(cause, plat.ErrUnknown):
 			b.done <- writeResult{err: errors.Wrapf(plat.ErrUnknown, "write row %s", b.key)}
@@ -220,9 +220,9 @@
 // contains a unique claim id, so equal bytes prove it.
 func applied(b write, row plat.Row) bool {
 	if b.value == nil {
-		return row.Version == 0
+		return row.At.IsZero()
 	}
-	return row.Version > b.version && bytes.Equal(row.Value, b.value)
+	return b.at.Before(row.At) && bytes.Equal(row.Value, b.value)
 }
 
 func pause(ctx context.Context, d time.Duration) {
--- a/hitchd/internal/hosts/bench_test.go
+++ b/hitchd/internal/hosts/bench_test.go
@@ -9,6 +9,7 @@
 	"github.com/vmihailenco/msgpack/v5"
 
 	"magnoliahitch/links/mem"
+	"magnoliahitch/steer/eras"
 	"magnoliahitch/steer/lease"
 	"magnoliahitch/steer/member"
 )
@@ -60,7 +61,7 @@
 			regions[m.Region] = r
 		}
 		r.hosts[m.Name] = m
-		r.leases = append(r.leases, lease.Stored{Row: lease.Row{ID: lease.ID{Host: m.Name, Term: 1}}, Version: 1})
+		r.leases = append(r.leases, lease.Stored{Row: lease.Row{ID: lease.ID{Host: m.Name, Term: 1}}, At: eras.Position{Version: 1}})
 		digests.Merge(now, member.Digest{Region: m.Region, Domain: m.Domain, Revision: 1, Loads: make([]member.Load, 4)})
 	}
 	h := New(self, mem.New(), nil, hclog.NewNullLogger(), WithClock(func() time.Time { return now }))
--- a/hitchd/internal/hosts/cells.go
+++ b/hitchd/internal/hosts/cells.go
@@ -6,6 +6,8 @@
 
 	"magnoliahitch/steer/lease"
 	"magnoliahitch/steer/place"
+
+	"magnoliahitch/links/plat"
 )
 
 // minHostAge is the time for which the lease of a host must have been seen before cells
@@ -46,25 +48,25 @@
 	if !due {
 		return
 	}
-	version, outcome := h.commit(ctx, assignKey(h.self.Region), local.version, next)
+	at, outcome := h.commit(ctx, assignKey(h.self.Region), local.at, next)
 	if outcome != lease.Committed {
 		h.log.Warn("write of assignment not committed", "region", h.self.Region, "outcome", outcome)
 		signal(h.readSignal)
 		return
 	}
-	h.adopt(next, version, released)
+	h.adopt(next, at, released)
 	h.notifyChange(ctx)
 }
 
 // adopt puts an assignment that this host committed into force, unless a newer one was
 // read meanwhile, and discards the handovers of the released cells.
-func (h *Hosts) adopt(next place.Assignment, version int64, released map[place.Key][]byte) {
+func (h *Hosts) adopt(next place.Assignment, at plat.Position, released map[place.Key][]byte) {
 	now := h.clock()
 	h.mu.Lock()
 	old := h.regions[h.self.Region]
-	if version > old.version {
+	if old.at.Before(at) {
 		r := *old
-		r.cells, r.version = next, version
+		r.cells, r.at = next, at
 		h.regions[h.self.Region] = &r
 	}
 	h.assignedAt = now
@@ -89,7 +91,7 @@
 		return false
 	}
 	seen, ok := h.firstSeen[s.Self]
-	if first := h.regions[h.self.Region].version == 0; first && (!ok || now.Sub(seen) < firstAssignDelay) {
+	if first := h.regions[h.self.Region].at.IsZero(); first && (!ok || now.Sub(seen) < firstAssignDelay) {
 		return false
 	}
 	first := s.Candidates[0].Host.Name
--- a/hitchd/internal/hosts/loop.go
+++ b/hitchd/internal/hosts/loop.go
@@ -169,7 +169,7 @@
 	if !began.After(h.assignedAt) {
 		// The read may not contain this host's last write of the assignment.
 		last := h.regions[h.self.Region]
-		local.cells, local.version = last.cells, last.version
+		local.cells, local.at = last.cells, last.at
 	}
 	h.node.Observe(began, now, local.leases)
 	firstSeen := make(map[lease.ID]time.Time, len(local.leases))
@@ -206,10 +206,10 @@
 	}
 	region := h.self.Region
 	h.mu.RUnlock()
-	version, outcome := h.commit(ctx, leaseKey(region, w.Row.Host), w.Version, leaseRow{Lease: w.Row, Host: host})
+	at, outcome := h.commit(ctx, leaseKey(region, w.Row.Host), w.At, leaseRow{Lease: w.Row, Host: host})
 	now := h.clock()
 	h.mu.Lock()
-	h.node.RecordOutcome(now, w, outcome, version)
+	h.node.RecordOutcome(now, w, outcome, at)
 	h.mu.Unlock()
 	if outcome != lease.Committed {
 		h.log.Warn("write lease", "purpose", w.Purpose, "host", w.Row.Host, "outcome", outcome)
@@ -218,27 +218,27 @@
 	return true
 }
 
-// commit writes a row if its version in the table is the given one, and returns the new
-// version. The outcome is Conflicted for another version, Failed when nothing was written,
+// commit writes a row if its position in the table is the given one, and returns the new
+// one. The outcome is Conflicted for another position, Failed when nothing was written,
 // and Unknown when the write may have taken effect.
-func (h *Hosts) commit(ctx context.Context, key string, version int64, value any) (int64, lease.Outcome) {
+func (h *Hosts) commit(ctx context.Context, key string, at plat.Position, value any) (plat.Position, lease.Outcome) {
 	data, err := json.Marshal(value)
 	if err != nil {
-		return 0, lease.Failed
+		return plat.Position{}, lease.Failed
 	}
 	ctx, cancel := context.WithTimeout(ctx, tableTimeout)
 	defer cancel()
 	v, err := h.table.Commit(ctx, plat.Txn{
-		Checks: []plat.Check{{Key: key, Version: version}},
+		Checks: []plat.Check{{Key: key, At: at}},
 		Puts:   []plat.Put{{Key: key, Value: data}},
 	})
 	switch {
 	case err == nil:
 		return v, lease.Committed
 	case errors.Is(err, plat.ErrConflict):
-		return 0, lease.Conflicted
+		return plat.Position{}, lease.Conflicted
 	case errors.Is(err, plat.ErrDown):
-		return 0, lease.Failed
+		return plat.Position{}, lease.Failed
 	}
-	return 0, lease.Unknown
+	return plat.Position{}, lease.Unknown
 }
--- a/hitchd/internal/hosts/rows.go
+++ b/hitchd/internal/hosts/rows.go
@@ -32,12 +32,12 @@
 }
 
 // region is the state of a region in the table: the leases and hosts, and the assignment of
-// cells with the version of its row. It is not modified after it was stored in Hosts.
+// cells with the position of its row. It is not modified after it was stored in Hosts.
 type region struct {
-	leases  []lease.Stored
-	hosts   map[string]member.Host
-	cells   place.Assignment
-	version int64
+	leases []lease.Stored
+	hosts  map[string]member.Host
+	cells  place.Assignment
+	at     plat.Position
 }
 
 func newRegion() *region {
@@ -76,14 +76,14 @@
 // add decodes a row. The name is its key after the prefix of the region.
 func (r *region) add(name string, row plat.Row) error {
 	if name == assignName {
-		r.version = row.Version
+		r.at = row.At
 		return json.Unmarshal(row.Value, &r.cells)
 	}
 	var l leaseRow
 	if err := json.Unmarshal(row.Value, &l); err != nil {
 		return err
 	}
-	r.leases = append(r.leases, lease.Stored{Row: l.Lease, Version: row.Version})
+	r.leases = append(r.leases, lease.Stored{Row: l.Lease, At: row.At})
 	r.hosts[l.Host.Name] = l.Host
 	return nil
 }
--- a/hitchd/internal/hosts/simulation_test.go
+++ b/hitchd/internal/hosts/simulation_test.go
@@ -234,13 +234,13 @@
 
 // Commit implements [plat.Table]. A write that was sent before a pause takes effect after it,
 // also when its context has ended by then.
-func (p *simulatedHost) Commit(ctx context.Context, t plat.Txn) (int64, error) {
+func (p *simulatedHost) Commit(ctx context.Context, t plat.Txn) (plat.Position, error) {
 	if ok, _ := p.awaitAccess(); !ok {
-		return 0, plat.ErrDown
+		return plat.Position{}, plat.ErrDown
 	}
 	v, err := p.sim.store.Commit(context.WithoutCancel(ctx), t)
 	if _, _ = p.awaitAccess(); ctx.Err() != nil {
-		return 0, plat.ErrUnknown
+		return plat.Position{}, plat.ErrUnknown
 	}
 	return v, err
 }
--- a/hitchd/internal/relay/crashes_test.go
+++ b/hitchd/internal/relay/crashes_test.go
@@ -85,14 +85,14 @@
 			if err != nil {
 				t.Fatal(err)
 			}
-			rows[self.Name] = plat.Change{Row: plat.Row{Key: self.Name, Version: int64(len(rows) + 1), Value: value}}
+			rows[self.Name] = plat.Change{Row: plat.Row{Key: self.Name, At: plat.Position{Version: int64(len(rows) + 1)}, Value: value}}
 			hosts, records = append(hosts, r), append(records, c)
 		}
 	}
 	ctx, cancel := context.WithCancel(t.Context())
 	var g sync.WaitGroup
 	for _, r := range hosts {
-		r.SetRows(rows)
+		r.SetRows(rows, plat.Position{})
 		for _, f := range []func(context.Context) error{r.Run, r.RunExchange, r.RunRegions} {
 			g.Go(func() { _ = f(ctx) })
 		}
--- a/hitchd/internal/relay/poll.go
+++ b/hitchd/internal/relay/poll.go
@@ -33,13 +33,13 @@
 	pollsFailed   = metrics.NewCounter(`hitch_relay_polls_total{result="failed"}`)
 )
 
-// pollRequest requests the changes since the versions, and the lists whose digest
+// pollRequest requests the changes since the positions, and the lists whose digest
 // differs.
 type pollRequest struct {
-	Self     member.Host       `msgpack:"self"`
-	Versions watch.Versions    `msgpack:"versions"`
-	Digests  map[string]uint64 `msgpack:"sums"`
-	Crashes  crashRequest      `msgpack:"crashes"`
+	Self      member.Host       `msgpack:"self"`
+	Positions watch.Positions   `msgpack:"positions"`
+	Digests   map[string]uint64 `msgpack:"sums"`
+	Crashes   crashRequest      `msgpack:"crashes"`
 }
 
 // pollResponse holds the changes that the polling host lacks.
@@ -66,7 +66,7 @@
 // poll requests the changes that this host lacks from the host h and applies them.
 func (r *Relay) poll(ctx context.Context, h member.Host) error {
 	r.mu.Lock()
-	request := pollRequest{Self: r.self, Versions: r.watch.Versions(), Digests: r.members.Digests(), Crashes: r.crashRequest(clock.Now(), h.Name)}
+	request := pollRequest{Self: r.self, Positions: r.watch.Positions(), Digests: r.members.Digests(), Crashes: r.crashRequest(clock.Now(), h.Name)}
 	r.mu.Unlock()
 	sentAt := clock.Now()
 	var a pollResponse
@@ -133,7 +133,7 @@
 }
 
 func (r *Relay) respond(now time.Time, in pollRequest) pollResponse {
-	a := pollResponse{Update: r.watch.Since(in.Versions), Crashes: r.respondCrashes(now, in.Crashes)}
+	a := pollResponse{Update: r.watch.Since(in.Positions), Crashes: r.respondCrashes(now, in.Crashes)}
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if r.members.RecordPoll(now, in.Self) {
--- a/hitchd/internal/relay/relay.go
+++ b/hitchd/internal/relay/relay.go
@@ -83,6 +83,8 @@
 	members *Members
 	// rows holds the hosts in the table, by name.
 	rows map[string]row
+	// rowsAt is the position of the table.
+	rowsAt plat.Position
 	// backoffs holds the hosts that didn't respond, by name.
 	backoffs map[string]backoff
 	source   string
--- a/hitchd/internal/relay/relay_test.go
+++ b/hitchd/internal/relay/relay_test.go
@@ -109,15 +109,17 @@
 // noStore is a store that fails every call.
 type noStore struct{}
 
-func (noStore) Rows(context.Context, string) ([]plat.Change, int64, error) {
-	return nil, 0, plat.ErrDown
+func (noStore) Rows(context.Context, string) ([]plat.Change, plat.Position, error) {
+	return nil, plat.Position{}, plat.ErrDown
 }
 
-func (noStore) Changes(context.Context, string, int64, time.Duration) ([]plat.Change, int64, error) {
-	return nil, 0, plat.ErrDown
+func (noStore) Changes(context.Context, string, plat.Position, time.Duration) ([]plat.Change, plat.Position, error) {
+	return nil, plat.Position{}, plat.ErrDown
 }
-func (noStore) Put(context.Context, string, string, []byte) error   { return plat.ErrDown }
-func (noStore) Delete(context.Context, string, string, int64) error { return plat.ErrDown }
+func (noStore) Put(context.Context, string, string, []byte) (plat.Position, error) {
+	return plat.Position{}, plat.ErrDown
+}
+func (noStore) Delete(context.Context, string, string, plat.Position) error { return plat.ErrDown }
 
 // noCrashReports is an empty record of crashes.
 type noCrashReports struct{}
@@ -151,7 +153,7 @@
 }
 
 func hostRow(h member.Host, version int64) plat.Change {
-	return plat.Change{Row: plat.Row{Key: h.Name, Version: version, Value: []byte(`{"name":"` + h.Name + `","region":"north","domain":"` + h.Domain +
+	return plat.Change{Row: plat.Row{Key: h.Name, At: plat.Position{Version: version}, Value: []byte(`{"name":"` + h.Name + `","region":"north","domain":"` + h.Domain +
 		`","peerAddr":"` + h.PeerAddr + `","incarnation":1}`)}}
 }
 
@@ -165,30 +167,32 @@
 	others atomic.Int64
 }
 
-func (s *filling) read(table string) ([]plat.Change, int64, error) {
+func (s *filling) read(table string) ([]plat.Change, plat.Position, error) {
 	if table != "hosts" {
 		s.others.Add(1)
-		return nil, 0, plat.ErrDown
+		return nil, plat.Position{}, plat.ErrDown
 	}
 	s.hosts.Add(1)
 	if time.Now().Before(s.full) {
-		return nil, 0, nil
+		return nil, plat.Position{}, nil
 	}
-	return s.rows, 5, nil
+	return s.rows, plat.Position{Version: 5}, nil
 }
 
-func (s *filling) Rows(_ context.Context, table string) ([]plat.Change, int64, error) {
+func (s *filling) Rows(_ context.Context, table string) ([]plat.Change, plat.Position, error) {
 	return s.read(table)
 }
 
-func (s *filling) Changes(ctx context.Context, table string, _ int64, wait time.Duration) ([]plat.Change, int64, error) {
+func (s *filling) Changes(ctx context.Context, table string, _ plat.Position, wait time.Duration) ([]plat.Change, plat.Position, error) {
 	select {
 	case <-ctx.Done():
 	case <-time.After(wait):
 	}
 	return s.read(table)
 }
-func (s *filling) Put(context.Context, string, string, []byte) error { return nil }
+func (s *filling) Put(context.Context, string, string, []byte) (plat.Position, error) {
+	return plat.Position{}, nil
+}
 
 // All hosts of a system start at once for the first time. One that knows no others yet
 // must not take itself for the first of its domain: all hosts would read all tables.
@@ -199,8 +203,8 @@
 	server := httptest.NewServer(first.Handler())
 	defer server.Close()
 	first.watch.Adopt(clock.Now(), watch.Update{
-		Operator: watch.TableUpdate{Version: 9, Full: true, Rows: []plat.Change{{Row: plat.Row{Key: "config", Version: 8, Value: []byte("xyz")}}}},
-		Servers:  watch.TableUpdate{Version: 9, Full: true, Rows: []plat.Change{{Row: plat.Row{Key: "s1", Version: 7}}}},
+		Operator: watch.TableUpdate{Progress: watch.Progress{At: plat.Position{Version: 9}}, Full: true, Rows: []plat.Change{{Row: plat.Row{Key: "config", At: plat.Position{Version: 8}, Value: []byte("xyz")}}}},
+		Servers:  watch.TableUpdate{Progress: watch.Progress{At: plat.Position{Version: 9}}, Full: true, Rows: []plat.Change{{Row: plat.Row{Key: "s1", At: plat.Position{Version: 7}}}}},
 	})
 	a.PeerAddr = strings.TrimPrefix(server.URL, "http://")
 	store := &filling{rows: []plat.Change{hostRow(a, 1), hostRow(b, 2)}, full: time.Now().Add(400 * time.Millisecond)}
@@ -236,13 +240,13 @@
 	defer s.Close()
 	now := clock.Now()
 	first.watch.Adopt(now, watch.Update{
-		Operator: watch.TableUpdate{Version: 9, Full: true, Rows: []plat.Change{{Row: plat.Row{Key: "config", Version: 8, Value: []byte("xyz")}}}},
-		Servers:  watch.TableUpdate{Version: 9, Full: true, Rows: []plat.Change{{Row: plat.Row{Key: "s1", Version: 7}}}},
+		Operator: watch.TableUpdate{Progress: watch.Progress{At: plat.Position{Version: 9}}, Full: true, Rows: []plat.Change{{Row: plat.Row{Key: "config", At: plat.Position{Version: 8}, Value: []byte("xyz")}}}},
+		Servers:  watch.TableUpdate{Progress: watch.Progress{At: plat.Position{Version: 9}}, Full: true, Rows: []plat.Change{{Row: plat.Row{Key: "s1", At: plat.Position{Version: 7}}}}},
 	})
 	second := newRelay(host("b", "x"))
 	a := host("a", "x")
 	a.PeerAddr = strings.TrimPrefix(s.URL, "http://")
-	second.SetRows(map[string]plat.Change{"a": hostRow(a, 1)})
+	second.SetRows(map[string]plat.Change{"a": hostRow(a, 1)}, plat.Position{})
 	if err := second.poll(t.Context(), a); err != nil {
 		t.Fatal(err)
 	}
@@ -268,9 +272,9 @@
 	a := host("a", "y")
 	a.PeerAddr = addr
 	old.watch.Adopt(clock.Now(), watch.Update{
-		Operator: watch.TableUpdate{Version: 9, Full: true, Rows: []plat.Change{{Row: plat.Row{Key: "config", Version: 8, Value: []byte("xyz")}}}},
-		Servers:  watch.TableUpdate{Version: 9, Full: true, Rows: []plat.Change{{Row: plat.Row{Key: "s1", Version: 7}}}},
-		Hosts:    watch.TableUpdate{Version: 9, Full: true, Rows: []plat.Change{hostRow(a, 3)}},
+		Operator: watch.TableUpdate{Progress: watch.Progress{At: plat.Position{Version: 9}}, Full: true, Rows: []plat.Change{{Row: plat.Row{Key: "config", At: plat.Position{Version: 8}, Value: []byte("xyz")}}}},
+		Servers:  watch.TableUpdate{Progress: watch.Progress{At: plat.Position{Version: 9}}, Full: true, Rows: []plat.Change{{Row: plat.Row{Key: "s1", At: plat.Position{Version: 7}}}}},
+		Hosts:    watch.TableUpdate{Progress: watch.Progress{At: plat.Position{Version: 9}}, Full: true, Rows: []plat.Change{hostRow(a, 3)}},
 	})
 	r := newRelay(host("b", "x"), WithSeeds("127.0.0.1:1", addr))
 	ctx, cancel := context.WithCancel(t.Context())
@@ -295,7 +299,7 @@
 // affected.
 func TestBackoff(t *testing.T) {
 	r := newRelay(host("c", "x"))
-	r.SetRows(map[string]plat.Change{"a": hostRow(host("a", "x"), 1), "b": hostRow(host("b", "x"), 2), "c": hostRow(host("c", "x"), 3), "d": hostRow(host("d", "y"), 4)})
+	r.SetRows(map[string]plat.Change{"a": hostRow(host("a", "x"), 1), "b": hostRow(host("b", "x"), 2), "c": hostRow(host("c", "x"), 3), "d": hostRow(host("d", "y"), 4)}, plat.Position{})
 	all := r.sources(clock.Now(), "x")
 	want := order([]member.Host{host("a", "x"), host("b", "x"), host("c", "x")})
 	i := slices.IndexFunc(want, func(h member.Host) bool { return h.Name == "c" })
@@ -333,7 +337,7 @@
 	if got := names(r.Registered(clock.Now())); len(got) != 0 {
 		t.Errorf("registered = %v before the hosts' table was received, want none", got)
 	}
-	r.SetRows(map[string]plat.Change{"a": hostRow(host("a", "x"), 1), "b": hostRow(host("b", "y"), 2)})
+	r.SetRows(map[string]plat.Change{"a": hostRow(host("a", "x"), 1), "b": hostRow(host("b", "y"), 2)}, plat.Position{})
 	got := names(r.Registered(clock.Now()))
 	slices.Sort(got)
 	if want := []string{"a", "b"}; !slices.Equal(got, want) {
@@ -362,7 +366,7 @@
 			if c.known {
 				rows["a"] = hostRow(self, 2)
 			}
-			r.SetRows(rows)
+			r.SetRows(rows, plat.Position{})
 			if err := r.register(t.Context(), self); err != nil {
 				t.Fatal(err)
 			}
@@ -382,15 +386,15 @@
 	}
 }
 
-// putCounter is a store that counts the writes of rows.
+// putCounter is a store in an era that counts the writes of rows.
 type putCounter struct {
 	noStore
-	puts atomic.Int64
+	era, puts atomic.Int64
 }
 
-func (s *putCounter) Put(context.Context, string, string, []byte) error {
+func (s *putCounter) Put(context.Context, string, string, []byte) (plat.Position, error) {
 	s.puts.Add(1)
-	return nil
+	return plat.Position{Era: s.era.Load(), Version: 5}, nil
 }
 
 // A store that is restored from a copy lacks the rows of hosts that joined after the
@@ -400,8 +404,9 @@
 		defer clock.Replace(time.Now)()
 		self := host("a", "x")
 		s := &putCounter{}
+		s.era.Store(1)
 		r := newRelayWith(s, self)
-		r.SetRows(map[string]plat.Change{"b": hostRow(host("b", "y"), 1)})
+		r.SetRows(map[string]plat.Change{"b": hostRow(host("b", "y"), 1)}, plat.Position{Era: 1, Version: 4})
 		ctx, cancel := context.WithCancel(t.Context())
 		defer cancel()
 		go func() { _ = r.Register(ctx) }()
@@ -409,7 +414,8 @@
 		if got := s.puts.Load(); got != 1 {
 			t.Fatalf("%d writes of the row at the start, want 1", got)
 		}
-		r.SetRows(map[string]plat.Change{"b": hostRow(host("b", "y"), 1)})
+		s.era.Store(2)
+		r.SetRows(map[string]plat.Change{"b": hostRow(host("b", "y"), 1)}, plat.Position{Era: 2, Version: 4})
 		time.Sleep(3 * time.Second)
 		if got := s.puts.Load(); got != 2 {
 			t.Errorf("%d writes of the row 3 s after the restored table was read without it, want 2", got)
--- a/hitchd/internal/spread/cluster_test.go
+++ b/hitchd/internal/spread/cluster_test.go
@@ -257,9 +257,9 @@
 	return n.store.List(ctx, prefix, after, limit)
 }
 
-func (n *node) Commit(ctx context.Context, t plat.Txn) (int64, error) {
+func (n *node) Commit(ctx context.Context, t plat.Txn) (plat.Position, error) {
 	if err := n.checkStore(); err != nil {
-		return 0, err
+		return plat.Position{}, err
 	}
 	return n.store.Commit(ctx, t)
 }
--- a/hitchd/internal/spread/commit.go
+++ b/hitchd/internal/spread/commit.go
@@ -81,7 +81,7 @@
 
 // commitEntry sends the transaction until its outcome is known. Every attempt
 // requires the same version of the head row, so at most one takes effect.
-func (s *Spread) commitEntry(ctx context.Context, e config.Entry, version int64) error {
+func (s *Spread) commitEntry(ctx context.Context, e config.Entry, version plat.Position) error {
 	unknown := false
 	for delay := commitRetryDelay; ; delay = min(2*delay, maxCommitRetryDelay) {
 		_, err := s.putEntries(ctx, []config.Entry{e}, version)
--- a/hitchd/internal/spread/override.go
+++ b/hitchd/internal/spread/override.go
@@ -96,7 +96,7 @@
 
 // overwrite writes the head, the base and the rows of the changes in one
 // transaction, on condition that the head row has the version.
-func (s *Spread) overwrite(ctx context.Context, from config.Position, rows []config.Entry, version int64) error {
+func (s *Spread) overwrite(ctx context.Context, from config.Position, rows []config.Entry, version plat.Position) error {
 	h, err := putHead(rows[len(rows)-1])
 	if err != nil {
 		return err
@@ -106,7 +106,7 @@
 		return errors.Wrap(err, "encode base")
 	}
 	txn := plat.Txn{
-		Checks: []plat.Check{{Key: headKey, Version: version}},
+		Checks: []plat.Check{{Key: headKey, At: version}},
 		Puts:   []plat.Put{h, {Key: baseKey, Value: b}},
 	}
 	for _, e := range rows {
--- a/hitchd/internal/spread/snap.go
+++ b/hitchd/internal/spread/snap.go
@@ -174,7 +174,7 @@
 		return errors.Wrap(err, "encode base")
 	}
 	txn := plat.Txn{
-		Checks: []plat.Check{{Key: baseKey, Version: version}},
+		Checks: []plat.Check{{Key: baseKey, At: version}},
 		Puts:   []plat.Put{{Key: baseKey, Value: value}},
 	}
 	for r := first; r <= last; r++ {
--- a/hitchd/internal/spread/table.go
+++ b/hitchd/internal/spread/table.go
@@ -48,26 +48,26 @@
 
 func changeKey(revision uint64) string { return fmt.Sprintf("%s%020d", logPrefix, revision) }
 
-// head returns the head row's value and version.
-func (s *Spread) head(ctx context.Context) (head, int64, error) {
+// head returns the head row's value and position in the store.
+func (s *Spread) head(ctx context.Context) (head, plat.Position, error) {
 	var h head
 	version, err := s.row(ctx, headKey, &h)
 	return h, version, err
 }
 
-// row decodes a row into out and returns its version, or 0 if there is no row.
-func (s *Spread) row(ctx context.Context, key string, out any) (int64, error) {
+// row decodes a row into out and returns its position in the store, or zero if there is no row.
+func (s *Spread) row(ctx context.Context, key string, out any) (plat.Position, error) {
 	row, err := s.table.Get(ctx, key)
 	if errors.Is(err, plat.ErrMissing) {
-		return 0, nil
+		return plat.Position{}, nil
 	}
 	if err != nil {
-		return 0, err
+		return plat.Position{}, err
 	}
 	if err := json.Unmarshal(row.Value, out); err != nil {
-		return 0, errors.Wrapf(err, "decode row %s", key)
+		return plat.Position{}, errors.Wrapf(err, "decode row %s", key)
 	}
-	return row.Version, nil
+	return row.At, nil
 }
 
 func putHead(e config.Entry) (plat.Put, error) {
@@ -233,7 +233,7 @@
 
 // repair writes the changes that a table restored from an old copy has lost
 // back to it. It returns [ErrLost] if this host no longer holds them.
-func (s *Spread) repair(ctx context.Context, held config.Log, at config.Position, version int64) error {
+func (s *Spread) repair(ctx context.Context, held config.Log, at config.Position, version plat.Position) error {
 	for at != held.End() {
 		entries, ok := held.After(at.Revision, config.MaxLogBytes)
 		if !ok {
@@ -254,12 +254,12 @@
 
 // putEntries writes the rows of the entries and moves the head to the last one,
 // on condition that the head row has the version.
-func (s *Spread) putEntries(ctx context.Context, entries []config.Entry, version int64) (int64, error) {
+func (s *Spread) putEntries(ctx context.Context, entries []config.Entry, version plat.Position) (plat.Position, error) {
 	h, err := putHead(entries[len(entries)-1])
 	if err != nil {
-		return 0, err
+		return plat.Position{}, err
 	}
-	txn := plat.Txn{Checks: []plat.Check{{Key: headKey, Version: version}}, Puts: []plat.Put{h}}
+	txn := plat.Txn{Checks: []plat.Check{{Key: headKey, At: version}}, Puts: []plat.Put{h}}
 	for _, e := range entries {
 		txn.Puts = append(txn.Puts, plat.Put{Key: changeKey(e.Change.Revision), Value: e.Raw})
 	}
--- a/hitchd/internal/watch/follow.go
+++ b/hitchd/internal/watch/follow.go
@@ -49,7 +49,7 @@
 	// the starts of two reads.
 	wait, interval time.Duration
 	replica        *replica
-	apply          func(read time.Time, rows []plat.Change, whole bool, version int64)
+	apply          func(read time.Time, rows []plat.Change, whole bool, at plat.Position) bool
 	onFailure      func(now time.Time)
 	// bootstrap is set for the table that every host reads itself once, since it
 	// names the hosts from which the other tables can be fetched.
@@ -58,10 +58,12 @@
 	loaded bool
 	// failures is the number of consecutive failed reads.
 	failures int
-	// full is set when the store has compacted the changes since the replica's
-	// version; the next read is then a complete one.
-	full bool
-	down bool
+	// full is set when the store doesn't have the changes since the replica's
+	// position; the next read is then a complete one. compactions counts these
+	// without changes that could be read in between.
+	full        bool
+	compactions int
+	down        bool
 }
 
 // RunOperator keeps the operator's table current until the context ends.
@@ -119,7 +121,7 @@
 func (w *Watch) tableReadable(f *follower) <-chan struct{} {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	if f.bootstrap && !f.loaded && f.replica.version == 0 {
+	if f.bootstrap && !f.loaded && f.replica.at.IsZero() {
 		return closed
 	}
 	return w.readable
@@ -145,17 +147,21 @@
 	return nil
 }
 
-// read reads the changes of the table since the replica's version, or the
-// complete table.
+// errStale reports a response of the store that is before the replica, such as one that
+// a restored store gave late.
+var errStale = errors.New("response is before the replica")
+
+// read reads the changes of the table since the replica's position, or the
+// complete table. It returns errStale for a response that is before the replica.
 func (w *Watch) read(ctx context.Context, f *follower) error {
 	w.mu.Lock()
-	since := f.replica.version
+	since := f.replica.at
 	w.mu.Unlock()
 	var rows []plat.Change
-	var version int64
+	var at plat.Position
 	var err error
 	read := clock.Now()
-	full := f.full || since == 0 && !f.loaded
+	full := f.full || since.IsZero() && !f.loaded
 	wait := f.wait
 	if f.down {
 		// The timeout of a call includes its wait. Without a wait, a call that a cut
@@ -163,9 +169,9 @@
 		wait = 0
 	}
 	if full {
-		rows, version, err = w.store.Rows(ctx, f.table)
+		rows, at, err = w.store.Rows(ctx, f.table)
 	} else {
-		rows, version, err = w.store.Changes(ctx, f.table, since, wait)
+		rows, at, err = w.store.Changes(ctx, f.table, since, wait)
 	}
 	if err != nil {
 		return err
@@ -175,24 +181,41 @@
 		// response may have waited in this process, which was paused.
 		read = now
 	}
+	if !f.apply(read, rows, full, at) {
+		return errors.Wrapf(errStale, "read table %s: got version %d of era %d", f.table, at.Version, at.Era)
+	}
 	reads(f.table, "read").Inc()
-	f.apply(read, rows, full, version)
 	f.full, f.failures, f.loaded = false, 0, true
+	if !full {
+		f.compactions = 0
+	}
 	if f.down {
 		f.down = false
-		w.log.Info("store regained", "table", f.table, "version", version)
+		w.log.Info("store regained", "table", f.table, "era", at.Era, "version", at.Version)
 	}
 	return nil
 }
 
 // readFailed records a failed read and returns the time from its start to the
-// next read. It is 0 when the store has compacted the changes.
+// next read. It is 0 when the store doesn't have the changes, except after a complete
+// read that didn't help.
 func (w *Watch) readFailed(f *follower, err error) time.Duration {
-	if errors.Is(err, plat.ErrCompacted) {
+	switch {
+	case errors.Is(err, plat.ErrCompacted):
 		reads(f.table, "compacted").Inc()
-		w.log.Info("changes of the table were compacted, reading the complete table", "table", f.table)
+		w.log.Info("store doesn't have the changes of the table, reading the complete table", "table", f.table, "reason", err)
 		f.full = true
-		return 0
+		f.compactions++
+		if f.compactions == 1 {
+			return 0
+		}
+		return f.backoff(retryMax)
+	case errors.Is(err, errStale):
+		// The replica may have got ahead by what another host sent meanwhile.
+		reads(f.table, "discarded").Inc()
+		w.log.Info("discarded a read", "table", f.table, "reason", err)
+		f.full = false
+		return f.backoff(retryMax)
 	}
 	reads(f.table, "failed").Inc()
 	if !f.down {
@@ -206,6 +229,12 @@
 	if w.sourced.Load() {
 		limit = retryMaxSourced
 	}
+	return f.backoff(limit)
+}
+
+// backoff counts a failed read and returns the time until the next one, which is at most
+// one and a half times the limit.
+func (f *follower) backoff(limit time.Duration) time.Duration {
 	pause := min(limit, retryBase<<min(f.failures, 4))
 	f.failures++
 	return pause/2 + rand.N(pause)
--- a/hitchd/internal/watch/restore_test.go
+++ b/hitchd/internal/watch/restore_test.go
@@ -23,11 +23,20 @@
 	return c
 }
 
-// restore brings back the copy. The store has no history from before.
+// restore brings back the copy and begins a new era without any history.
 func (s *store) restore(c *store) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	c = c.snapshot()
+	s.era++
+	for _, rows := range c.rows {
+		for key, r := range rows {
+			r.At.Era = s.era
+			if rows[key] = r; r.Removed {
+				delete(rows, key)
+			}
+		}
+	}
 	s.rows, s.version, s.floor = c.rows, c.version, c.version
 }
 
@@ -114,14 +123,14 @@
 		reader, cut := newWatch(s), newWatch(newStore())
 		go func() {
 			time.Sleep(time.Second)
-			cut.Adopt(clock.Now(), reader.Since(cut.Versions()))
+			cut.Adopt(clock.Now(), reader.Since(cut.Positions()))
 			s.restore(old)
 			time.Sleep(2 * time.Second)
 			s.set("op", "config", `{"version":9}`)
 			s.set("servers", "b", "ready")
 		}()
 		run(t, reader, 5*time.Second)
-		cut.Adopt(clock.Now(), reader.Since(cut.Versions()))
+		cut.Adopt(clock.Now(), reader.Since(cut.Positions()))
 		if got := cut.State().Table.Version; got != 9 || !slices.Contains(ids(cut), "b") {
 			t.Errorf("the host that is cut off has configuration %d and servers %v, want 9 and b among them", got, ids(cut))
 		}
--- a/hitchd/internal/watch/update.go
+++ b/hitchd/internal/watch/update.go
@@ -1,22 +1,27 @@
 package watch
 
 import (
+	"maps"
+	"slices"
 	"time"
 
 	"magnoliahitch/links/clock"
 	"magnoliahitch/links/plat"
 )
 
-// maxRemoved is the number of removed rows that a replica retains, so that it can
-// list them as changes.
-const maxRemoved = 512
+// Progress tells which changes of a table a host has.
+type Progress struct {
+	// At is the position of its replica, zero without one.
+	At plat.Position `msgpack:"at"`
+	// Merged is the last position of an older era of which it has the changes.
+	Merged plat.Position `msgpack:"merged"`
+}
 
-// Versions holds the store's version of each replica of a host, 0 for a table
-// of which the host has no replica.
-type Versions struct {
-	Operator int64 `msgpack:"operator"`
-	Servers  int64 `msgpack:"servers"`
-	Hosts    int64 `msgpack:"hosts"`
+// Positions holds a host's progress in each table.
+type Positions struct {
+	Operator Progress `msgpack:"operatorAt"`
+	Servers  Progress `msgpack:"serversAt"`
+	Hosts    Progress `msgpack:"hostsAt"`
 }
 
 // Update is the part of its replicas that one host sends to another.
@@ -26,161 +31,159 @@
 	Hosts    TableUpdate `msgpack:"hosts"`
 }
 
-// TableUpdate is the content of one table, or its changes since a version.
+// TableUpdate is the content of one table, or its changes since a position.
 type TableUpdate struct {
-	Version int64 `msgpack:"version"`
+	Progress
 	// Age is the time since the replica was last confirmed as current.
 	Age  time.Duration `msgpack:"age"`
 	Rows []plat.Change `msgpack:"rows"`
 	// Full reports that Rows is the complete table, so that all other rows are
-	// removed.
+	// removed. It has those too that an older era has removed.
 	Full bool `msgpack:"whole"`
 	// Settled reports that no server's record is missing because of an outage of
 	// the store. It is only set for the servers' table.
 	Settled bool `msgpack:"settled"`
 }
 
-// replica is this host's replica of a table.
-type replica struct {
-	rows    map[string]plat.Change
-	version int64
-	// confirmed is when the replica was last known to be current.
-	confirmed time.Time
-	// removed holds the versions at which rows were removed, by key. Removals up
-	// to the version floor may have been discarded.
-	removed map[string]int64
-	floor   int64
-}
-
-func newReplica() replica {
-	return replica{rows: make(map[string]plat.Change), removed: make(map[string]int64)}
-}
-
-// confirm records that the replica at the version was current at the time.
-func (c *replica) confirm(version int64, read time.Time) {
-	c.version = version
-	if read.After(c.confirmed) {
-		c.confirmed = read
-	}
-}
-
-// lastCurrent returns a time at which the replica was certainly current, so that all
-// changes which it lacks are later; zero if there is none. A response counts as current
-// when it arrives, at most maxResponseDelay after the store sent it.
-func (c *replica) lastCurrent() time.Time {
-	if c.confirmed.IsZero() {
-		return time.Time{}
+// changesSince returns the changes of the table that a host with the progress lacks, or
+// the complete table if it has no replica of this era, lacks changes of an older one, or
+// removals may have been discarded.
+func (c *replica) changesSince(p Progress, now time.Time) TableUpdate {
+	u := TableUpdate{Progress: c.progress(), Age: now.Sub(c.confirmed)}
+	older := c.at.Era < p.At.Era
+	merges := p.Merged.Before(c.merged)
+	switch {
+	case c.at.IsZero():
+		return u
+	case older && !p.Merged.Before(c.at), !older && !merges && !p.At.Before(c.at):
+		return u
 	}
-	return c.confirmed.Add(-maxResponseDelay)
-}
-
-func (c *replica) put(r plat.Change) {
-	if !r.Removed {
-		c.rows[r.Key] = r
-		delete(c.removed, r.Key)
-		return
+	u.Full = older || merges || p.At.Era < c.at.Era || p.At.IsZero() || p.At.Before(c.floor)
+	for _, r := range c.rows {
+		if u.Full || p.At.Before(r.At) {
+			u.Rows = append(u.Rows, r)
+		}
 	}
-	delete(c.rows, r.Key)
-	if len(c.removed) >= maxRemoved {
-		for _, v := range c.removed {
-			c.floor = max(c.floor, v)
+	for _, r := range c.removed {
+		if u.Full && (older || r.At.Era < c.at.Era) || !u.Full && p.At.Before(r.At) {
+			u.Rows = append(u.Rows, r)
 		}
-		clear(c.removed)
 	}
-	c.removed[r.Key] = r.Version
+	if u.Full {
+		u.Rows = slices.AppendSeq(u.Rows, maps.Values(c.doubtful))
+	}
+	return u
 }
 
-// changesSince returns the changes of the table after the version, or the
-// complete table if the version is 0 or removals after it may have been discarded.
-func (c *replica) changesSince(version int64, now time.Time) TableUpdate {
-	p := TableUpdate{Version: c.version, Age: now.Sub(c.confirmed)}
-	if c.version == 0 || version >= c.version {
-		return p
+func (c *replica) progress() Progress { return Progress{c.at, c.merged} }
+
+// adopt applies what another host sent. It returns what that changes and reports whether
+// the replica is as current as the other host's now.
+func (c *replica) adopt(now time.Time, u TableUpdate) (changed []plat.Change, current bool) {
+	if u.At.IsZero() {
+		return nil, false
 	}
-	p.Full = version == 0 || version < c.floor
-	for _, r := range c.rows {
-		if p.Full || r.Version > version {
-			p.Rows = append(p.Rows, r)
+	if u.At.Before(c.at) {
+		// The other host may know more of an older era.
+		if known := u.lastBefore(c.at.Era); c.merged.Before(known) && u.Full {
+			for _, r := range u.Rows {
+				if r.At.Era < c.at.Era {
+					changed = c.merge(changed, r)
+				}
+			}
+			c.merged = known
 		}
+		return changed, false
 	}
-	if p.Full {
-		return p
-	}
-	for key, v := range c.removed {
-		if v > version {
-			p.Rows = append(p.Rows, plat.Change{Row: plat.Row{Key: key, Version: v}, Removed: true})
+	enters := c.at.Era < u.At.Era
+	changed, current = c.update(now, u.Rows, u.Full, u.At)
+	if current {
+		c.merged = plat.Later(c.merged, u.Merged)
+		if enters && u.Settled {
+			changed = append(changed, c.dropMissing()...)
 		}
 	}
-	return p
+	return changed, current
 }
 
-// Versions returns the store's version of each replica.
-func (w *Watch) Versions() Versions {
+// lastBefore returns the last position before the era of which the update has the
+// changes.
+func (u *TableUpdate) lastBefore(era int64) plat.Position {
+	if u.At.Era < era {
+		return u.At
+	}
+	return u.Merged
+}
+
+// Positions returns this host's progress in each table.
+func (w *Watch) Positions() Positions {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	return Versions{Operator: w.operator.version, Servers: w.servers.version, Hosts: w.hosts.version}
+	return Positions{w.operator.progress(), w.servers.progress(), w.hosts.progress()}
 }
 
-// Since returns the changes that a host with replicas at the versions needs.
-func (w *Watch) Since(v Versions) Update {
+// Since returns the changes that a host with the progress needs.
+func (w *Watch) Since(p Positions) Update {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	now := clock.Now()
-	u := Update{Operator: w.operator.changesSince(v.Operator, now), Servers: w.servers.changesSince(v.Servers, now), Hosts: w.hosts.changesSince(v.Hosts, now)}
-	u.Servers.Settled = w.fleet.Settled(now)
+	u := Update{Operator: w.operator.changesSince(p.Operator, now), Servers: w.servers.changesSince(p.Servers, now), Hosts: w.hosts.changesSince(p.Hosts, now)}
+	u.Operator.Settled, u.Hosts.Settled = w.operator.settled(), w.hosts.settled()
+	u.Servers.Settled = w.servers.settled() && w.fleet.Settled(now)
 	return u
 }
 
 // Adopt updates the replicas from those of another host, which were requested at
-// the time. Tables older than this host's replicas are ignored.
+// the time. Of tables before this host's replicas it takes what only they know of an
+// older era.
 func (w *Watch) Adopt(asked time.Time, u Update) {
 	w.mu.Lock()
-	changed := w.adoptOperator(asked, u.Operator)
-	changed = w.adoptServers(asked, u.Servers) || changed
-	hosts := w.adoptHosts(asked, u.Hosts)
-	if changed {
-		w.publish()
-	}
+	w.adoptOperator(asked, u.Operator)
+	w.adoptServers(asked, u.Servers)
+	hosts, at := w.adoptHosts(asked, u.Hosts)
+	w.publish()
 	w.mu.Unlock()
 	if hosts != nil {
-		w.onHosts(hosts)
+		w.onHosts(hosts, at)
 	}
 }
 
-func (w *Watch) adoptOperator(asked time.Time, p TableUpdate) bool {
-	if p.Version == 0 || p.Version < w.operator.version {
-		return false
+func (w *Watch) adoptOperator(asked time.Time, u TableUpdate) {
+	changed, current := w.operator.adopt(clock.Now(), u)
+	w.useOperator(changed)
+	if current {
+		w.confirmOperator(u.At, asked.Add(-u.Age))
 	}
-	w.applyOperatorRows(p.Rows, p.Full)
-	w.operator.confirm(p.Version, asked.Add(-p.Age))
-	return true
 }
 
 // adoptServers updates the replica of the servers' table. If the other host's
 // records are complete again after an outage (settled), a record that is missing
 // there is dropped at once; otherwise it may stay valid for a while.
-func (w *Watch) adoptServers(asked time.Time, p TableUpdate) bool {
-	if p.Version == 0 || p.Version < w.servers.version {
-		return false
-	}
+func (w *Watch) adoptServers(asked time.Time, u TableUpdate) {
 	now := clock.Now()
+	changed, current := w.servers.adopt(now, u)
 	remove := w.fleet.RecordMissing
-	if p.Settled {
+	if current && u.Settled {
 		w.fleet.ReadSucceeded(now)
 		remove = func(_ time.Time, id string) { w.fleet.Remove(id) }
 	}
-	w.applyServerRows(now, p.Rows, p.Full, remove)
-	w.servers.confirm(p.Version, asked.Add(-p.Age))
-	return true
+	w.useServers(now, changed, remove)
+	if current {
+		w.confirmServers(now, u.At, asked.Add(-u.Age))
+	}
 }
 
-func (w *Watch) adoptHosts(asked time.Time, p TableUpdate) map[string]plat.Change {
-	if p.Version == 0 || p.Version < w.hosts.version {
-		return nil
+// adoptHosts updates the replica of the hosts' table. It returns its rows with its
+// position, or nil if nothing changed.
+func (w *Watch) adoptHosts(asked time.Time, u TableUpdate) (map[string]plat.Change, plat.Position) {
+	changed, current := w.hosts.adopt(clock.Now(), u)
+	if current {
+		w.hosts.confirm(u.At, asked.Add(-u.Age))
+		w.logEra("hosts", &w.hosts)
+		changed = append(changed, w.hosts.settle()...)
 	}
-	defer w.hosts.confirm(p.Version, asked.Add(-p.Age))
-	if len(p.Rows) == 0 && !p.Full {
-		return nil
+	if len(changed) == 0 && len(u.Rows) == 0 && !(u.Full && current) {
+		return nil, plat.Position{}
 	}
-	return w.applyHostRows(p.Rows, p.Full)
+	return maps.Clone(w.hosts.rows), w.hosts.at
 }
--- a/hitchd/internal/watch/watch.go
+++ b/hitchd/internal/watch/watch.go
@@ -1,6 +1,8 @@
 package watch
 
 import (
+	"bytes"
+	"cmp"
 	"maps"
 	"sync"
 	"sync/atomic"
@@ -31,10 +33,9 @@
 	Table *routes.Table
 	Fleet *fleet.View
 	// OperatorRead and ServersRead are when the replicas of these tables were last
-	// confirmed as current, OperatorVersion and ServersVersion the store's versions
-	// then.
-	OperatorRead, ServersRead       time.Time
-	OperatorVersion, ServersVersion int64
+	// confirmed as current, OperatorAt and ServersAt the store's positions then.
+	OperatorRead, ServersRead time.Time
+	OperatorAt, ServersAt     plat.Position
 }
 
 // Ready reports whether requests can be served: a configuration is in force and
@@ -56,7 +57,7 @@
 	hosts    replica
 	table    *routes.Table
 	fleet    *fleet.Fleet
-	onHosts  func(map[string]plat.Change)
+	onHosts  func(map[string]plat.Change, plat.Position)
 	// readable is closed while this host reads the store itself, which readsStore
 	// reports.
 	readable   chan struct{}
@@ -65,6 +66,15 @@
 	operatorWait, serversWait time.Duration
 }
 
+// Times within which the writers of a table write again what the copy lacks from which
+// the store was restored, and within which what nobody writes expires. Servers write
+// each 1.5 s and expire after three missed heartbeats.
+var (
+	operatorGrace = grace{missing: 3 * time.Second, doubtful: 2 * time.Second}
+	serversGrace  = grace{missing: fleet.ReturnGrace, doubtful: 6 * time.Second}
+	hostsGrace    = grace{missing: 3 * time.Second, doubtful: 3 * time.Second}
+)
+
 // Option configures a [Watch].
 type Option func(*Watch)
 
@@ -76,13 +86,15 @@
 }
 
 // New returns a watch of the store. OnHosts is called with all rows of the hosts'
-// table after each read of that table, or when another host sent changes.
-func New(store plat.Feed, codec Codec, log hclog.Logger, onHosts func(map[string]plat.Change), options ...Option) *Watch {
+// table and its position after each read of that table, or when another host sent
+// changes. Rows of an older era than the position's are missing in the table.
+func New(store plat.Feed, codec Codec, log hclog.Logger, onHosts func(map[string]plat.Change, plat.Position), options ...Option) *Watch {
 	w := &Watch{
 		store: store, codec: codec, log: log, fleet: fleet.New(), onHosts: onHosts,
-		operator: newReplica(), servers: newReplica(), hosts: newReplica(), readable: make(chan struct{}),
+		hosts: newReplica(compareBytes, hostsGrace), readable: make(chan struct{}),
 		operatorWait: defaultOperatorWait, serversWait: defaultServersWait,
 	}
+	w.operator, w.servers = newReplica(w.compareOperator, operatorGrace), newReplica(w.compareServers, serversGrace)
 	for _, o := range options {
 		o(w)
 	}
@@ -104,7 +116,7 @@
 	}
 	w.current.Store(&State{
 		Table: w.table, Fleet: view, OperatorRead: w.operator.confirmed, ServersRead: w.servers.confirmed,
-		OperatorVersion: w.operator.version, ServersVersion: w.servers.version,
+		OperatorAt: w.operator.at, ServersAt: w.servers.at,
 	})
 }
 
@@ -117,43 +129,75 @@
 	w.publish()
 }
 
-// applyOperator updates the state from a read of the operator's table.
-func (w *Watch) applyOperator(read time.Time, rows []plat.Change, full bool, version int64) {
+// logEra logs the start of a new era in a replica.
+func (w *Watch) logEra(table string, c *replica) {
+	before := c.enteredFrom
+	c.enteredFrom = plat.Position{}
+	if before.IsZero() {
+		return
+	}
+	reads(table, "newEra").Inc()
+	missing := 0
+	for _, r := range c.rows {
+		if r.At.Era < c.at.Era {
+			missing++
+		}
+	}
+	w.log.Warn("store was restored from a copy", "table", table, "era", c.at.Era, "version", c.at.Version,
+		"heldEra", before.Era, "heldVersion", before.Version, "missing", missing, "doubtful", len(c.doubtful))
+}
+
+// applyOperator updates the state from a read of the operator's table. It reports
+// whether the read isn't before the replica.
+func (w *Watch) applyOperator(read time.Time, rows []plat.Change, full bool, at plat.Position) bool {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	if version < w.operator.version {
-		w.discard("operator", version, w.operator.version)
-		return
+	changed, current := w.operator.update(clock.Now(), rows, full, at)
+	if !current {
+		return false
 	}
-	w.applyOperatorRows(rows, full)
-	w.operator.confirm(version, read)
+	w.useOperator(changed)
+	w.confirmOperator(at, read)
 	w.publish()
+	return true
 }
 
-func (w *Watch) applyOperatorRows(rows []plat.Change, full bool) {
-	if full {
-		rows = append(removals(w.operator.rows, rows), rows...)
-	}
-	for _, r := range rows {
-		w.applyOperatorRow(r)
-	}
+// confirmOperator records that the replica is current, and ends the grace of an era
+// that has passed.
+func (w *Watch) confirmOperator(at plat.Position, read time.Time) {
+	w.operator.confirm(at, read)
+	w.logEra("operator", &w.operator)
+	w.useOperator(w.operator.settle())
 }
 
-func (w *Watch) applyOperatorRow(r plat.Change) {
-	if held, ok := w.operator.rows[r.Key]; ok && held.Version >= r.Version && !r.Removed {
-		return
+// useOperator updates the state by changes of the replica.
+func (w *Watch) useOperator(changed []plat.Change) {
+	for _, r := range changed {
+		if domain, ok := w.codec.Evacuated(r.Key); ok {
+			w.fleet.Evacuate(clock.Now(), domain, !r.Removed)
+			w.log.Info("evacuation", "domain", domain, "on", !r.Removed, "era", r.At.Era, "row", r.At.Version)
+		}
+		if r.Key == w.codec.ConfigKey && !r.Removed {
+			w.applyConfig(r)
+		}
 	}
-	if r.Removed && w.operator.removed[r.Key] >= r.Version {
-		return
+}
+
+// compareOperator compares two records of the operator's table: configurations by their
+// own versions.
+func (w *Watch) compareOperator(key string, a, b []byte) int {
+	if key != w.codec.ConfigKey || bytes.Equal(a, b) {
+		return compareBytes(key, a, b)
 	}
-	if domain, ok := w.codec.Evacuated(r.Key); ok {
-		w.fleet.Evacuate(clock.Now(), domain, !r.Removed)
-		w.log.Info("evacuation", "domain", domain, "on", !r.Removed, "row", r.Version)
+	s, err := w.codec.Config(a)
+	if err != nil {
+		return -1
 	}
-	if r.Key == w.codec.ConfigKey && !r.Removed {
-		w.applyConfig(r)
+	t, err := w.codec.Config(b)
+	if err != nil {
+		return 1
 	}
-	w.operator.put(r)
+	return cmp.Compare(s.Version, t.Version)
 }
 
 // applyConfig puts a configuration in force if it is newer than the present one. A
@@ -162,115 +206,106 @@
 	t, err := w.codec.Config(r.Value)
 	switch {
 	case err != nil:
-		w.log.Error("could not decode configuration, keeping the one in force", "row", r.Version, "error", err)
+		w.log.Error("could not decode configuration, keeping the one in force", "row", r.At.Version, "error", err)
 	case w.table != nil && t.Version <= w.table.Version:
 		w.log.Info("configuration is not newer than the one in force", "version", t.Version, "inForce", w.table.Version)
 	default:
 		w.table = t
-		w.log.Info("configuration in force", "version", t.Version, "row", r.Version, "routes", t.Len())
+		w.log.Info("configuration in force", "version", t.Version, "era", r.At.Era, "row", r.At.Version, "routes", t.Len())
 	}
 }
 
-// applyServers updates the state from a read of the servers' table.
-func (w *Watch) applyServers(read time.Time, rows []plat.Change, full bool, version int64) {
+// applyServers updates the state from a read of the servers' table. It reports whether
+// the read isn't before the replica.
+func (w *Watch) applyServers(read time.Time, rows []plat.Change, full bool, at plat.Position) bool {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	now := clock.Now()
 	w.fleet.ReadSucceeded(now)
-	if version < w.servers.version {
-		w.discard("servers", version, w.servers.version)
-		return
+	changed, current := w.servers.update(now, rows, full, at)
+	if !current {
+		return false
 	}
-	w.applyServerRows(now, rows, full, w.fleet.RecordMissing)
-	w.servers.confirm(version, read)
+	w.useServers(now, changed, w.fleet.RecordMissing)
+	w.confirmServers(now, at, read)
 	w.publish()
 	if wait := w.fleet.UntilSettled(now); wait > 0 {
 		// Servers that left during an outage are removed as soon as that is certain.
 		time.AfterFunc(wait, func() { w.Tick(clock.Now()) })
 	}
+	return true
 }
 
-func (w *Watch) applyServerRows(now time.Time, rows []plat.Change, full bool, remove func(time.Time, string)) {
-	if full {
-		rows = append(removals(w.servers.rows, rows), rows...)
-	}
+// confirmServers records that the replica is current, and ends the grace of an era
+// that has passed.
+func (w *Watch) confirmServers(now time.Time, at plat.Position, read time.Time) {
+	w.servers.confirm(at, read)
+	w.logEra("servers", &w.servers)
+	w.useServers(now, w.servers.settle(), w.fleet.RecordMissing)
+}
+
+// useServers updates the fleet by changes of the replica.
+func (w *Watch) useServers(now time.Time, changed []plat.Change, remove func(time.Time, string)) {
 	writtenAfter := w.servers.lastCurrent()
-	for _, r := range rows {
-		w.applyServerRow(now, writtenAfter, r, remove)
+	for _, r := range changed {
+		w.useServer(now, writtenAfter, r, remove)
 	}
 	w.fleet.RemoveMissing(now)
 }
 
-func (w *Watch) applyServerRow(now, writtenAfter time.Time, r plat.Change, remove func(time.Time, string)) {
-	row, known := w.servers.rows[r.Key]
+func (w *Watch) useServer(now, writtenAfter time.Time, r plat.Change, remove func(time.Time, string)) {
 	if r.Removed {
-		if known {
+		if _, known := w.fleet.Server(r.Key); known {
 			remove(now, r.Key)
-			w.servers.put(r)
-			w.log.Info("server record is gone", "server", r.Key, "version", r.Version)
+			w.log.Info("server record is gone", "server", r.Key, "era", r.At.Era, "version", r.At.Version)
 		}
 		return
 	}
-	if known && row.Version >= r.Version {
-		return
-	}
-	w.servers.put(r)
 	s, err := w.codec.Server(now, r.Key, r.Value)
 	if err != nil {
 		w.fleet.RecordMissing(now, r.Key)
-		w.log.Warn("server record names no server", "server", r.Key, "version", r.Version, "error", err)
+		w.log.Warn("server record names no server", "server", r.Key, "version", r.At.Version, "error", err)
 		return
 	}
 	s.WrittenAfter = writtenAfter
 	held, wasHeld := w.fleet.Server(s.ID)
 	if w.fleet.Put(s) && (!wasHeld || s.Draining || s.Incarnation != held.Incarnation || s.Cold(now) && !held.Cold(now)) {
 		w.log.Info("server record", "server", s.ID, "service", s.Service, "domain", s.Domain,
-			"draining", s.Draining, "coldMs", max(0, s.ColdUntil.Sub(now)).Milliseconds(), "incarnation", s.Incarnation, "version", r.Version)
+			"draining", s.Draining, "coldMs", max(0, s.ColdUntil.Sub(now)).Milliseconds(), "incarnation", s.Incarnation, "version", r.At.Version)
 	}
 }
 
-// discard logs and counts a read that is older than the replica.
-func (w *Watch) discard(replica string, version, held int64) {
-	reads(replica, "discarded").Inc()
-	w.log.Warn("discarded a read that is older than the replica", "replica", replica, "version", version, "held", held)
-}
-
-// removals returns a removal for each held row that is missing in the full table.
-func removals(held map[string]plat.Change, full []plat.Change) []plat.Change {
-	present := make(map[string]bool, len(full))
-	for _, r := range full {
-		present[r.Key] = true
+// compareServers compares two records of a server by its incarnation and sequence.
+func (w *Watch) compareServers(key string, a, b []byte) int {
+	if bytes.Equal(a, b) {
+		return 0
 	}
-	var out []plat.Change
-	for key, r := range held {
-		if !present[key] {
-			out = append(out, plat.Change{Row: plat.Row{Key: key, Version: r.Version}, Removed: true})
-		}
+	now := clock.Now()
+	s, err := w.codec.Server(now, key, a)
+	if err != nil {
+		return 1
 	}
-	return out
+	t, err := w.codec.Server(now, key, b)
+	if err != nil {
+		return 1
+	}
+	return cmp.Or(cmp.Compare(s.Incarnation, t.Incarnation), cmp.Compare(s.Sequence, t.Sequence))
 }
 
-// applyHosts updates the replica from a read of the hosts' table.
-func (w *Watch) applyHosts(read time.Time, rows []plat.Change, full bool, version int64) {
+// applyHosts updates the replica from a read of the hosts' table. It reports whether the
+// read isn't before the replica.
+func (w *Watch) applyHosts(read time.Time, rows []plat.Change, full bool, at plat.Position) bool {
 	w.mu.Lock()
-	if version < w.hosts.version {
-		w.discard("hosts", version, w.hosts.version)
+	_, current := w.hosts.update(clock.Now(), rows, full, at)
+	if !current {
 		w.mu.Unlock()
-		return
+		return false
 	}
-	hosts := w.applyHostRows(rows, full)
-	w.hosts.confirm(version, read)
+	w.hosts.confirm(at, read)
+	w.logEra("hosts", &w.hosts)
+	w.hosts.settle()
+	hosts := maps.Clone(w.hosts.rows)
 	w.mu.Unlock()
-	w.onHosts(hosts)
-}
-
-// applyHostRows updates the replica with the rows and returns all its rows.
-func (w *Watch) applyHostRows(rows []plat.Change, full bool) map[string]plat.Change {
-	if full {
-		rows = append(removals(w.hosts.rows, rows), rows...)
-	}
-	for _, r := range rows {
-		w.hosts.put(r)
-	}
-	return maps.Clone(w.hosts.rows)
+	w.onHosts(hosts, at)
+	return true
 }
--- a/hitchd/internal/watch/watch_test.go
+++ b/hitchd/internal/watch/watch_test.go
@@ -24,6 +24,8 @@
 	mu      sync.Mutex
 	rows    map[string]map[string]plat.Change
 	version int64
+	// era is 0 until the store is restored for the first time.
+	era int64
 	// floor is the version below which changes are compacted.
 	floor int64
 	fail  error
@@ -47,26 +49,26 @@
 	if s.rows[table] == nil {
 		s.rows[table] = make(map[string]plat.Change)
 	}
-	s.rows[table][key] = plat.Change{Row: plat.Row{Key: key, Value: []byte(value), Version: s.version}, Removed: value == ""}
+	s.rows[table][key] = plat.Change{Row: plat.Row{Key: key, Value: []byte(value), At: plat.Position{Era: s.era, Version: s.version}}, Removed: value == ""}
 }
 
-func (s *store) read(table string, after int64, removed bool) ([]plat.Change, int64, error) {
+func (s *store) read(table string, after plat.Position, removed bool) ([]plat.Change, plat.Position, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.calls++
 	if s.fail != nil {
-		return nil, 0, s.fail
+		return nil, plat.Position{}, s.fail
 	}
-	if removed && (after < s.floor || after > s.version) {
-		return nil, 0, plat.ErrCompacted
+	if removed && !after.IsZero() && (after.Version < s.floor || after.Version > s.version || after.Era != s.era) {
+		return nil, plat.Position{}, plat.ErrCompacted
 	}
 	var out []plat.Change
 	for _, r := range s.rows[table] {
-		if r.Version > after && (removed || !r.Removed) {
+		if after.Before(r.At) && (removed || !r.Removed) {
 			out = append(out, r)
 		}
 	}
-	return out, s.version, nil
+	return out, plat.Position{Era: s.era, Version: s.version}, nil
 }
 
 func (s *store) count() {
@@ -87,21 +89,21 @@
 	return silent
 }
 
-func (s *store) Rows(_ context.Context, table string) ([]plat.Change, int64, error) {
+func (s *store) Rows(_ context.Context, table string) ([]plat.Change, plat.Position, error) {
 	s.count()
 	// Without any latency, a host that reads in a loop would stop the virtual time.
 	time.Sleep(time.Millisecond)
 	if s.swallows(0) {
-		return nil, 0, plat.ErrDown
+		return nil, plat.Position{}, plat.ErrDown
 	}
-	return s.read(table, 0, false)
+	return s.read(table, plat.Position{}, false)
 }
 
-func (s *store) Changes(ctx context.Context, table string, after int64, wait time.Duration) ([]plat.Change, int64, error) {
+func (s *store) Changes(ctx context.Context, table string, after plat.Position, wait time.Duration) ([]plat.Change, plat.Position, error) {
 	s.count()
 	for end := time.Now().Add(wait); ; {
 		if s.swallows(time.Until(end)) {
-			return nil, 0, plat.ErrDown
+			return nil, plat.Position{}, plat.ErrDown
 		}
 		rows, version, err := s.read(table, after, true)
 		if err != nil || len(rows) > 0 || !time.Now().Before(end) || ctx.Err() != nil {
@@ -111,12 +113,12 @@
 	}
 }
 
-func (s *store) Put(_ context.Context, table, key string, value []byte) error {
+func (s *store) Put(_ context.Context, table, key string, value []byte) (plat.Position, error) {
 	s.set(table, key, string(value))
-	return nil
+	return plat.Position{}, nil
 }
 
-func (s *store) Delete(_ context.Context, table, key string, _ int64) error {
+func (s *store) Delete(_ context.Context, table, key string, _ plat.Position) error {
 	s.set(table, key, "")
 	return nil
 }
@@ -141,8 +143,10 @@
 	},
 }
 
+func at(version int64) plat.Position { return plat.Position{Version: version} }
+
 func newWatch(s *store) *Watch {
-	return New(s, codec, hclog.NewNullLogger(), func(map[string]plat.Change) {})
+	return New(s, codec, hclog.NewNullLogger(), func(map[string]plat.Change, plat.Position) {})
 }
 
 // run follows all tables for the duration.
@@ -212,8 +216,8 @@
 	w := newWatch(newStore())
 	now := clock.Now()
 	for i, value := range []string{`{"version":7}`, `{"version":5}`, `{"vers`, `{"version":7}`} {
-		row := plat.Change{Row: plat.Row{Key: "config", Version: int64(i + 1), Value: []byte(value)}}
-		w.applyOperator(now, []plat.Change{row}, false, int64(i+1))
+		row := plat.Change{Row: plat.Row{Key: "config", At: at(int64(i + 1)), Value: []byte(value)}}
+		w.applyOperator(now, []plat.Change{row}, false, at(int64(i+1)))
 		if got := w.State().Table.Version; got != 7 {
 			t.Errorf("version after %s = %d, want 7", value, got)
 		}
@@ -326,7 +330,7 @@
 	delay time.Duration
 }
 
-func (s *delayed) Changes(ctx context.Context, table string, after int64, wait time.Duration) ([]plat.Change, int64, error) {
+func (s *delayed) Changes(ctx context.Context, table string, after plat.Position, wait time.Duration) ([]plat.Change, plat.Position, error) {
 	rows, version, err := s.store.Changes(ctx, table, after, wait)
 	time.Sleep(s.delay)
 	s.delay = 0
@@ -360,17 +364,17 @@
 func TestAdopt(t *testing.T) {
 	a, b := newWatch(newStore()), newWatch(newStore())
 	now := clock.Now()
-	a.applyOperator(now, []plat.Change{{Row: plat.Row{Key: "config", Version: 3, Value: []byte(`{"version":4}`)}}}, true, 5)
+	a.applyOperator(now, []plat.Change{{Row: plat.Row{Key: "config", At: at(3), Value: []byte(`{"version":4}`)}}}, true, at(5))
 	a.applyServers(now, []plat.Change{
-		{Row: plat.Row{Key: "x", Version: 1, Value: []byte("ready")}},
-		{Row: plat.Row{Key: "y", Version: 2, Value: []byte("ready")}},
-	}, true, 5)
-	b.Adopt(now, a.Since(b.Versions()))
+		{Row: plat.Row{Key: "x", At: at(1), Value: []byte("ready")}},
+		{Row: plat.Row{Key: "y", At: at(2), Value: []byte("ready")}},
+	}, true, at(5))
+	b.Adopt(now, a.Since(b.Positions()))
 	if got, want := ids(b), []string{"x", "y"}; !slices.Equal(got, want) || b.State().Table.Version != 4 {
 		t.Fatalf("servers = %v, want %v", got, want)
 	}
-	a.applyServers(now, []plat.Change{{Row: plat.Row{Key: "x", Version: 6}, Removed: true}, {Row: plat.Row{Key: "z", Version: 7, Value: []byte("ready")}}}, false, 7)
-	c := a.Since(b.Versions())
+	a.applyServers(now, []plat.Change{{Row: plat.Row{Key: "x", At: at(6)}, Removed: true}, {Row: plat.Row{Key: "z", At: at(7), Value: []byte("ready")}}}, false, at(7))
+	c := a.Since(b.Positions())
 	if got := len(c.Servers.Rows); got != 2 || c.Servers.Full {
 		t.Errorf("%d rows, full %v, want only the 2 changed rows", got, c.Servers.Full)
 	}
@@ -379,8 +383,8 @@
 		t.Errorf("servers = %v, want %v", got, want)
 	}
 	old := newWatch(newStore())
-	old.applyServers(now, []plat.Change{{Row: plat.Row{Key: "x", Version: 1, Value: []byte("ready")}}}, true, 1)
-	b.Adopt(now, old.Since(Versions{}))
+	old.applyServers(now, []plat.Change{{Row: plat.Row{Key: "x", At: at(1), Value: []byte("ready")}}}, true, at(1))
+	b.Adopt(now, old.Since(Positions{}))
 	if got, want := ids(b), []string{"y", "z"}; !slices.Equal(got, want) {
 		t.Errorf("servers = %v after an older copy, want %v", got, want)
 	}
@@ -390,8 +394,8 @@
 func TestAgeAddsUp(t *testing.T) {
 	a, b := newWatch(newStore()), newWatch(newStore())
 	now := clock.Now()
-	a.applyServers(now.Add(-3*time.Second), nil, true, 5)
-	b.Adopt(now, a.Since(Versions{}))
+	a.applyServers(now.Add(-3*time.Second), nil, true, at(5))
+	b.Adopt(now, a.Since(Positions{}))
 	if age := now.Sub(b.State().ServersRead); age < 3*time.Second || age > 4*time.Second {
 		t.Errorf("age = %v, want 3 s as at the sending host", age)
 	}
@@ -400,15 +404,15 @@
 // Changes since a version whose removals were discarded are sent as the complete
 // table.
 func TestDiscardedRemovals(t *testing.T) {
-	c := newReplica()
+	c := newReplica(compareBytes, grace{})
 	for i := range int64(maxRemoved + 10) {
-		c.put(plat.Change{Row: plat.Row{Key: "k" + string(rune('a'+i%26)) + time.Duration(i).String(), Version: i + 1}, Removed: true})
+		c.remove(nil, plat.Change{Row: plat.Row{Key: "k" + string(rune('a'+i%26)) + time.Duration(i).String(), At: at(i + 1)}, Removed: true})
 	}
-	c.confirm(maxRemoved+10, clock.Now())
-	if p := c.changesSince(1, clock.Now()); !p.Full {
+	c.confirm(at(maxRemoved+10), clock.Now())
+	if p := c.changesSince(Progress{At: at(1)}, clock.Now()); !p.Full {
 		t.Error("changes since a discarded removal are not sent as the complete table")
 	}
-	if p := c.changesSince(maxRemoved+9, clock.Now()); p.Full {
+	if p := c.changesSince(Progress{At: at(maxRemoved + 9)}, clock.Now()); p.Full {
 		t.Error("changes since a retained removal are sent as the complete table")
 	}
 }
@@ -419,24 +423,24 @@
 func TestRecordsTellWhenWritten(t *testing.T) {
 	writtenAfter := func(w *Watch) time.Time { return w.State().Fleet.Servers("loans")[0].WrittenAfter }
 	row := func(version int64) []plat.Change {
-		return []plat.Change{{Row: plat.Row{Key: "a", Version: version, Value: []byte("ready")}}}
+		return []plat.Change{{Row: plat.Row{Key: "a", At: at(version), Value: []byte("ready")}}}
 	}
 	w := newWatch(newStore())
 	base := clock.Now()
-	at := func(d time.Duration) time.Time { return base.Add(d) }
-	w.applyServers(at(0), row(1), true, 1)
+	after := func(d time.Duration) time.Time { return base.Add(d) }
+	w.applyServers(after(0), row(1), true, at(1))
 	if got := writtenAfter(w); !got.IsZero() {
 		t.Errorf("first record is written after %v, want no time", got)
 	}
-	w.applyServers(at(2*time.Second), nil, false, 1)
-	w.applyServers(at(5*time.Second), row(2), false, 2)
-	if got, want := writtenAfter(w), at(2*time.Second-maxResponseDelay); !got.Equal(want) {
+	w.applyServers(after(2*time.Second), nil, false, at(1))
+	w.applyServers(after(5*time.Second), row(2), false, at(2))
+	if got, want := writtenAfter(w), after(2*time.Second-maxResponseDelay); !got.Equal(want) {
 		t.Errorf("record is written after %v, want %v", got, want)
 	}
 	const age = 700 * time.Millisecond
-	w.Adopt(at(7*time.Second), Update{Servers: TableUpdate{Version: 3, Age: age}})
-	w.Adopt(at(9*time.Second), Update{Servers: TableUpdate{Version: 4, Rows: row(4)}})
-	if got, want := writtenAfter(w), at(7*time.Second-age-maxResponseDelay); !got.Equal(want) {
+	w.Adopt(after(7*time.Second), Update{Servers: TableUpdate{Progress: Progress{At: at(3)}, Age: age}})
+	w.Adopt(after(9*time.Second), Update{Servers: TableUpdate{Progress: Progress{At: at(4)}, Rows: row(4)}})
+	if got, want := writtenAfter(w), after(7*time.Second-age-maxResponseDelay); !got.Equal(want) {
 		t.Errorf("record of another host is written after %v, want %v", got, want)
 	}
 }
--- a/links/mem/mem.go
+++ b/links/mem/mem.go
@@ -31,8 +31,10 @@
 // Store is a table and an object store. It implements [plat.Table] and
 // [plat.Objects] and is safe for concurrent use.
 type Store struct {
-	mu      sync.Mutex
-	fault   Fault
+	mu    sync.Mutex
+	fault Fault
+	// era begins at 1 and increases with each [Store.Restore].
+	era     int64
 	version int64
 	rows    map[string]plat.Row
 	// removed holds the versions at which rows were removed, by key. Removals up to
@@ -46,7 +48,7 @@
 
 // New returns an empty store.
 func New() *Store {
-	return &Store{rows: make(map[string]plat.Row), removed: make(map[string]int64), objects: make(map[string][]byte)}
+	return &Store{era: 1, rows: make(map[string]plat.Row), removed: make(map[string]int64), objects: make(map[string][]byte)}
 }
 
 // SetFault replaces the injected faults.
@@ -67,17 +69,22 @@
 func (s *Store) Snapshot() *Store {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return &Store{version: s.version, rows: maps.Clone(s.rows), removed: maps.Clone(s.removed), floor: s.floor, objects: maps.Clone(s.objects)}
+	return &Store{era: s.era, version: s.version, rows: maps.Clone(s.rows), removed: maps.Clone(s.removed), floor: s.floor, objects: maps.Clone(s.objects)}
 }
 
-// Restore replaces the rows, objects and version by those of an older copy. The
-// faults and counts stay.
+// Restore replaces the rows, objects and version by those of an older copy and begins a
+// new era without any history. The faults and counts stay.
 func (s *Store) Restore(old *Store) {
 	c := old.Snapshot()
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.era++
 	s.version, s.rows, s.objects = c.version, c.rows, c.objects
-	s.removed, s.floor = c.removed, c.floor
+	s.removed, s.floor = make(map[string]int64), c.version
+	for k, r := range s.rows {
+		r.At.Era = s.era
+		s.rows[k] = r
+	}
 }
 
 // begin waits for the delay, and returns [plat.ErrDown] when the store is down or
@@ -143,9 +150,9 @@
 // Commit runs the transaction and returns the version of its writes. It returns
 // [plat.ErrConflict] when a check failed, [plat.ErrDown] when the store is down,
 // and [plat.ErrUnknown] when the response is lost.
-func (s *Store) Commit(ctx context.Context, t plat.Txn) (int64, error) {
+func (s *Store) Commit(ctx context.Context, t plat.Txn) (plat.Position, error) {
 	if err := s.begin(ctx); err != nil {
-		return 0, err
+		return plat.Position{}, err
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -161,28 +168,28 @@
 			// The sender has its response already and can't be told of a conflict.
 			_ = s.apply(t)
 		})
-		return 0, plat.ErrUnknown
+		return plat.Position{}, plat.ErrUnknown
 	}
 	if err := s.apply(t); err != nil {
-		return 0, err
+		return plat.Position{}, err
 	}
 	if lost {
-		return 0, plat.ErrUnknown
+		return plat.Position{}, plat.ErrUnknown
 	}
-	return s.version, nil
+	return plat.Position{Era: s.era, Version: s.version}, nil
 }
 
 // apply runs the transaction, or returns [plat.ErrConflict] without effect. The
 // caller holds the lock.
 func (s *Store) apply(t plat.Txn) error {
 	for _, k := range t.Checks {
-		if s.rows[k.Key].Version != k.Version {
+		if s.rows[k.Key].At != k.At {
 			return plat.ErrConflict
 		}
 	}
 	s.version++
 	for _, p := range t.Puts {
-		s.rows[p.Key] = plat.Row{Key: p.Key, Version: s.version, Value: p.Value}
+		s.rows[p.Key] = plat.Row{Key: p.Key, At: plat.Position{Era: s.era, Version: s.version}, Value: p.Value}
 		delete(s.removed, p.Key)
 	}
 	for _, k := range t.Deletes {
@@ -202,11 +209,11 @@
 	_ = s.apply(plat.Txn{Deletes: []string{key}})
 }
 
-// Version returns the version of the newest transaction.
-func (s *Store) Version() int64 {
+// At returns the position of the newest transaction.
+func (s *Store) At() plat.Position {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.version
+	return plat.Position{Era: s.era, Version: s.version}
 }
 
 // Compact discards the removals of rows up to the present version.
@@ -217,34 +224,35 @@
 	clear(s.removed)
 }
 
-// Changes returns the changes of rows with the prefix after the version, in the
-// order of versions, and the newest version. It returns [plat.ErrCompacted] when
-// removals after the version may have been discarded.
-func (s *Store) Changes(ctx context.Context, prefix string, after int64) ([]plat.Change, int64, error) {
+// Changes returns the changes of rows with the prefix after the version of the present
+// era, in the order of versions, and the newest position. It returns
+// [plat.ErrCompacted] when removals after the version may have been discarded, or when
+// the store doesn't have the version.
+func (s *Store) Changes(ctx context.Context, prefix string, after int64) ([]plat.Change, plat.Position, error) {
 	if err := s.begin(ctx); err != nil {
-		return nil, 0, err
+		return nil, plat.Position{}, err
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.reads++
-	if after < s.floor {
-		return nil, 0, plat.ErrCompacted
+	if after < s.floor || after > s.version {
+		return nil, plat.Position{}, plat.ErrCompacted
 	}
 	var out []plat.Change
 	for k, r := range s.rows {
-		if r.Version > after && strings.HasPrefix(k, prefix) {
+		if r.At.Version > after && strings.HasPrefix(k, prefix) {
 			out = append(out, plat.Change{Row: r})
 		}
 	}
 	for k, v := range s.removed {
 		if v > after && strings.HasPrefix(k, prefix) {
-			out = append(out, plat.Change{Row: plat.Row{Key: k, Version: v}, Removed: true})
+			out = append(out, plat.Change{Row: plat.Row{Key: k, At: plat.Position{Era: s.era, Version: v}}, Removed: true})
 		}
 	}
 	slices.SortFunc(out, func(a, b plat.Change) int {
-		return cmp.Or(cmp.Compare(a.Version, b.Version), cmp.Compare(a.Key, b.Key))
+		return cmp.Or(a.At.Compare(b.At), cmp.Compare(a.Key, b.Key))
 	})
-	return out, s.version, nil
+	return out, plat.Position{Era: s.era, Version: s.version}, nil
 }
 
 // Load returns the object, or [plat.ErrMissing].
--- a/links/plat/plat.go
+++ b/links/plat/plat.go
@@ -18,18 +18,18 @@
 	ErrDown = errors.New("platform down")
 )
 
-// Row is a row of the table. Its version increases with each write.
+// Row is a row of the table. Its position increases with each write.
 type Row struct {
-	Key     string `json:"key"`
-	Version int64  `json:"version"`
-	Value   []byte `json:"value"`
+	Key   string   `json:"key"`
+	At    Position `json:"at"`
+	Value []byte   `json:"value"`
 }
 
-// Check is the condition that a row has a version. Version 0 is the condition that
-// the row doesn't exist.
+// Check is the condition that a row is at a position. It fails for a position of an
+// older era. The zero position is the condition that the row doesn't exist.
 type Check struct {
-	Key     string `json:"key"`
-	Version int64  `json:"version"`
+	Key string   `json:"key"`
+	At  Position `json:"at"`
 }
 
 // Put writes a row.
@@ -53,10 +53,10 @@
 	// List returns at most limit rows with the prefix whose keys come after the key
 	// after, in the order of keys.
 	List(ctx context.Context, prefix, after string, limit int) ([]Row, error)
-	// Commit runs the transaction and returns the version of its writes. It returns
+	// Commit runs the transaction and returns the position of its writes. It returns
 	// [ErrConflict] or [ErrDown] when nothing was written, and [ErrUnknown] when the
 	// writes may have taken effect.
-	Commit(ctx context.Context, t Txn) (int64, error)
+	Commit(ctx context.Context, t Txn) (Position, error)
 }
 
 // Objects is the platform's object store.
--- a/standin/internal/soak/fleet.go
+++ b/standin/internal/soak/fleet.go
@@ -8,6 +8,7 @@
 	"sync"
 	"time"
 
+	"magnoliahitch/links/plat"
 	"magnoliahitch/platform"
 )
 
@@ -110,7 +111,7 @@
 		if obsolete {
 			return false
 		}
-		if f.store.Put(f.ctx, platform.ServerTable, x.ID, value) == nil {
+		if _, err := f.store.Put(f.ctx, platform.ServerTable, x.ID, value); err == nil {
 			return true
 		}
 		sleep(f.ctx, retryInterval)
@@ -156,7 +157,7 @@
 // acknowledges it. It reports false when the context ended before.
 func (f *fleet) unregister(id string) bool {
 	for f.ctx.Err() == nil {
-		if f.store.Delete(f.ctx, platform.ServerTable, id, 0) == nil {
+		if f.store.Delete(f.ctx, platform.ServerTable, id, plat.Position{}) == nil {
 			return true
 		}
 		sleep(f.ctx, retryInterval)
--- a/standin/internal/soak/operator.go
+++ b/standin/internal/soak/operator.go
@@ -10,6 +10,7 @@
 	"sync"
 	"time"
 
+	"magnoliahitch/links/plat"
 	"magnoliahitch/platform"
 )
 
@@ -118,7 +119,7 @@
 // acknowledges it. It reports false when the context ended before.
 func (o *operator) write(ctx context.Context, key string, value []byte) bool {
 	for ctx.Err() == nil {
-		if o.store.Put(ctx, platform.OperatorTable, key, value) == nil {
+		if _, err := o.store.Put(ctx, platform.OperatorTable, key, value); err == nil {
 			return true
 		}
 		sleep(ctx, retryInterval)
@@ -142,7 +143,7 @@
 	cool()
 	sleep(ctx, coolBeforeEnd)
 	o.ledger.Evacuated(time.Time{}, domain)
-	for ctx.Err() == nil && o.store.Delete(ctx, platform.OperatorTable, key, 0) != nil {
+	for ctx.Err() == nil && o.store.Delete(ctx, platform.OperatorTable, key, plat.Position{}) != nil {
 		sleep(ctx, retryInterval)
 	}
 }
--- a/standin/internal/store/rows.go
+++ b/standin/internal/store/rows.go
@@ -41,7 +41,7 @@
 // wireRow converts a row of the in-memory store to its wire format.
 func wireRow(r plat.Row) row {
 	f := strings.SplitN(r.Key, separator, 3)
-	return row{Table: f[0], Part: f[1], Key: f[2], Value: r.Value, Ver: r.Version}
+	return row{Table: f[0], Part: f[1], Key: f[2], Value: r.Value, Ver: r.At.Version}
 }
 
 // rowsResponse is the response to reads and transactions.
@@ -64,12 +64,12 @@
 	if from := c.QueryParam("from"); from != "" {
 		after = keyBefore(prefix + from)
 	}
-	version := s.store.Version()
+	at := s.store.At()
 	list, err := s.store.List(c.Request().Context(), prefix, after, limit+1)
 	if err != nil {
 		return respond(c, nil, err)
 	}
-	out := rowsResponse{Rows: []row{}, Ver: version}
+	out := rowsResponse{Rows: []row{}, Ver: at.Version}
 	for _, r := range list {
 		w := wireRow(r)
 		if to := c.QueryParam("to"); to != "" && w.Key >= to {
@@ -105,14 +105,19 @@
 	if err != nil {
 		return echo.ErrBadRequest
 	}
+	era := s.store.At().Era
 	end := time.Now().Add(min(maxFeedWait, time.Duration(wait)*time.Millisecond))
 	for {
-		changes, version, err := s.store.Changes(c.Request().Context(), c.QueryParam("table")+separator, after)
+		changes, at, err := s.store.Changes(c.Request().Context(), c.QueryParam("table")+separator, after)
+		if err == nil && at.Era != era {
+			// The store was restored during the wait.
+			err = plat.ErrCompacted
+		}
 		if err != nil {
 			return respond(c, nil, err)
 		}
 		if len(changes) > 0 || !time.Now().Before(end) {
-			return respond(c, rowsResponse{Rows: wireChanges(changes), Ver: version}, nil)
+			return respond(c, rowsResponse{Rows: wireChanges(changes), Ver: at.Version}, nil)
 		}
 		select {
 		case <-c.Request().Context().Done():
@@ -151,8 +156,13 @@
 		return echo.NewHTTPError(http.StatusBadRequest, "too many entries in a transaction")
 	}
 	var t plat.Txn
+	era := s.store.At().Era
 	for _, r := range in.Expected {
-		t.Checks = append(t.Checks, plat.Check{Key: r.storeKey(), Version: r.Ver})
+		check := plat.Check{Key: r.storeKey()}
+		if r.Ver != 0 {
+			check.At = plat.Position{Era: era, Version: r.Ver}
+		}
+		t.Checks = append(t.Checks, check)
 	}
 	for _, r := range in.Writes {
 		t.Puts = append(t.Puts, plat.Put{Key: r.storeKey(), Value: r.Value})
@@ -160,6 +170,6 @@
 	for _, r := range in.Remove {
 		t.Deletes = append(t.Deletes, r.storeKey())
 	}
-	version, err := s.store.Commit(context.WithoutCancel(c.Request().Context()), t)
-	return respond(c, rowsResponse{Rows: []row{}, Ver: version}, err)
+	at, err := s.store.Commit(context.WithoutCancel(c.Request().Context()), t)
+	return respond(c, rowsResponse{Rows: []row{}, Ver: at.Version}, err)
 }
--- a/standin/internal/store/store.go
+++ b/standin/internal/store/store.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"net/url"
+	"strconv"
 	"sync"
 	"time"
 
@@ -51,6 +52,25 @@
 	s.store.SetFault(f.Fault)
 }
 
+// Save takes a snapshot of the store, which [Server.Restore] brings back.
+func (s *Server) Save() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.snapshot = s.store.Snapshot()
+}
+
+// Restore brings back the snapshot and begins a new era. It reports false without a
+// snapshot.
+func (s *Server) Restore() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.snapshot == nil {
+		return false
+	}
+	s.store.Restore(s.snapshot)
+	return true
+}
+
 // Compact discards the store's record of removed rows.
 func (s *Server) Compact() { s.store.Compact() }
 
@@ -63,7 +83,7 @@
 // Handler returns the platform's HTTP handler.
 func (s *Server) Handler() http.Handler {
 	e := echo.New()
-	api := e.Group("/api", s.limitCalls)
+	api := e.Group("/api", s.tellEra, s.limitCalls)
 	api.GET("/rows-get", s.rows)
 	api.GET("/rows-feed", s.feed)
 	api.POST("/rows-tx", s.transact)
@@ -97,6 +117,19 @@
 	return echo.ErrServiceUnavailable
 }
 
+// headerEra is the header of each response with the era of the store.
+const headerEra = "Store-Era"
+
+// tellEra sets the header with the era in which the store responds.
+func (s *Server) tellEra(next echo.HandlerFunc) echo.HandlerFunc {
+	return func(c echo.Context) error {
+		c.Response().Before(func() {
+			c.Response().Header().Set(headerEra, strconv.FormatInt(s.store.At().Era, 10))
+		})
+		return next(c)
+	}
+}
+
 // limitCalls refuses the calls of clients in RefusedClients and those that exceed the rate.
 func (s *Server) limitCalls(next echo.HandlerFunc) echo.HandlerFunc {
 	return func(c echo.Context) error {
@@ -200,19 +233,14 @@
 
 // save takes a snapshot of the store, which restore brings back.
 func (s *Server) save(c echo.Context) error {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.snapshot = s.store.Snapshot()
+	s.Save()
 	return c.NoContent(http.StatusNoContent)
 }
 
 func (s *Server) restore(c echo.Context) error {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if s.snapshot == nil {
+	if !s.Restore() {
 		return echo.NewHTTPError(http.StatusConflict, "no snapshot to restore")
 	}
-	s.store.Restore(s.snapshot)
 	return c.NoContent(http.StatusNoContent)
 }
 
--- a/standin/internal/store/store_test.go
+++ b/standin/internal/store/store_test.go
@@ -33,7 +33,7 @@
 	}
 }
 
-func commit(t *testing.T, c *platform.Store, x plat.Txn) int64 {
+func commit(t *testing.T, c *platform.Store, x plat.Txn) plat.Position {
 	t.Helper()
 	v, err := c.Commit(t.Context(), x)
 	if err != nil {
@@ -50,13 +50,13 @@
 	}
 	v := commit(t, c, plat.Txn{Checks: []plat.Check{{Key: "a"}}, Puts: []plat.Put{{Key: "a", Value: []byte("1")}}})
 	row, err := c.Get(ctx, "a")
-	if err != nil || string(row.Value) != "1" || row.Version != v {
-		t.Errorf("row = %+v, error = %v, want version %d", row, err, v)
+	if err != nil || string(row.Value) != "1" || row.At != v {
+		t.Errorf("row = %+v, error = %v, want position %v", row, err, v)
 	}
-	if _, err := c.Commit(ctx, plat.Txn{Checks: []plat.Check{{Key: "a", Version: v + 1}}, Deletes: []string{"a"}}); !errors.Is(err, plat.ErrConflict) {
+	if _, err := c.Commit(ctx, plat.Txn{Checks: []plat.Check{{Key: "a", At: plat.Position{Era: v.Era, Version: v.Version + 1}}}, Deletes: []string{"a"}}); !errors.Is(err, plat.ErrConflict) {
 		t.Errorf("error = %v, want a conflict", err)
 	}
-	commit(t, c, plat.Txn{Checks: []plat.Check{{Key: "a", Version: v}}, Deletes: []string{"a"}})
+	commit(t, c, plat.Txn{Checks: []plat.Check{{Key: "a", At: v}}, Deletes: []string{"a"}})
 	if _, err := c.Get(ctx, "a"); !errors.Is(err, plat.ErrMissing) {
 		t.Errorf("error = %v, want missing", err)
 	}
@@ -86,7 +86,7 @@
 func TestFeed(t *testing.T) {
 	c, post := open(t)
 	ctx := t.Context()
-	if err := c.Put(ctx, "t", "a", []byte("1")); err != nil {
+	if _, err := c.Put(ctx, "t", "a", []byte("1")); err != nil {
 		t.Fatal(err)
 	}
 	rows, v, err := c.Rows(ctx, "t")
@@ -94,7 +94,7 @@
 		t.Fatalf("rows = %v, error = %v", rows, err)
 	}
 	time.AfterFunc(50*time.Millisecond, func() {
-		if err := c.Put(ctx, "t", "b", []byte("2")); err != nil {
+		if _, err := c.Put(ctx, "t", "b", []byte("2")); err != nil {
 			t.Error(err)
 		}
 	})
@@ -102,7 +102,7 @@
 	if err != nil || len(rows) != 1 || rows[0].Key != "b" {
 		t.Errorf("rows = %v, error = %v, want b", rows, err)
 	}
-	if err := c.Delete(ctx, "t", "a", 0); err != nil {
+	if err := c.Delete(ctx, "t", "a", plat.Position{}); err != nil {
 		t.Fatal(err)
 	}
 	rows, _, err = c.Changes(ctx, "t", v, 0)
@@ -113,9 +113,17 @@
 	if _, _, err := c.Changes(ctx, "t", v, 0); !errors.Is(err, plat.ErrCompacted) {
 		t.Errorf("error = %v, want compacted", err)
 	}
-	if rows, _, err := c.Changes(ctx, "other", v+10, 0); err != nil || len(rows) != 0 {
+	_, v, err = c.Rows(ctx, "t")
+	if err != nil {
+		t.Fatal(err)
+	}
+	if rows, _, err := c.Changes(ctx, "other", v, 0); err != nil || len(rows) != 0 {
 		t.Errorf("rows of another table = %v, error = %v, want none", rows, err)
 	}
+	v.Version += 10
+	if rows, _, err := c.Changes(ctx, "t", v, 0); !errors.Is(err, plat.ErrCompacted) {
+		t.Errorf("changes after a version that the store doesn't have = %v, error = %v, want compacted", rows, err)
+	}
 }
 
 func TestObjects(t *testing.T) {
@@ -139,7 +147,7 @@
 		t.Errorf("error = %v, want down", err)
 	}
 	post("/standin/fault", `{"loseCommits":1}`)
-	if err := c.Put(ctx, "t", "a", []byte("1")); !errors.Is(err, plat.ErrUnknown) {
+	if _, err := c.Put(ctx, "t", "a", []byte("1")); !errors.Is(err, plat.ErrUnknown) {
 		t.Errorf("error = %v, want unknown", err)
 	}
 	if rows, _, err := c.Rows(ctx, "t"); err != nil || len(rows) != 1 {
@@ -160,14 +168,14 @@
 func TestLostWriteTakesEffectLater(t *testing.T) {
 	c, post := open(t)
 	post("/standin/fault", `{"loseCommits":1,"lateMs":100}`)
-	if err := c.Put(t.Context(), "op", "a", []byte("1")); !errors.Is(err, plat.ErrUnknown) {
+	if _, err := c.Put(t.Context(), "op", "a", []byte("1")); !errors.Is(err, plat.ErrUnknown) {
 		t.Fatalf("error = %v, want unknown", err)
 	}
-	rows, version, err := c.Rows(t.Context(), "op")
+	rows, at, err := c.Rows(t.Context(), "op")
 	if err != nil || len(rows) != 0 {
 		t.Errorf("rows = %v, error = %v, want none yet", rows, err)
 	}
-	rows, _, err = c.Changes(t.Context(), "op", version, 10*time.Second)
+	rows, _, err = c.Changes(t.Context(), "op", at, 10*time.Second)
 	if err != nil || len(rows) != 1 || rows[0].Key != "a" {
 		t.Errorf("changes = %v, error = %v, want the late write", rows, err)
 	}
@@ -186,3 +194,40 @@
 		t.Errorf("calls of a client that isn't listed: error = %v, want none", err)
 	}
 }
+
+// A restored store tells its era in each response, refusals too, gives versions out again
+// and doesn't have the changes since a version that it has lost.
+func TestRestore(t *testing.T) {
+	c, post := open(t)
+	commit(t, c, plat.Txn{Puts: []plat.Put{{Key: "a", Value: []byte("1")}}})
+	post("/standin/save", "")
+	lost := commit(t, c, plat.Txn{Puts: []plat.Put{{Key: "a", Value: []byte("2")}}})
+	post("/standin/restore", "")
+	if _, _, err := c.Changes(t.Context(), "t", lost, 0); !errors.Is(err, plat.ErrCompacted) {
+		t.Errorf("changes after a lost version: error = %v, want compacted", err)
+	}
+	row, err := c.Get(t.Context(), "a")
+	if err != nil || string(row.Value) != "1" || !lost.Before(row.At) {
+		t.Errorf("row = %+v, error = %v, want the one of the copy, after %v", row, err, lost)
+	}
+	again := commit(t, c, plat.Txn{Puts: []plat.Put{{Key: "b"}}})
+	if again.Version != lost.Version || again.Era != lost.Era+1 {
+		t.Errorf("position = %v, want version %d again in the next era", again, lost.Version)
+	}
+	// The row that has the lost version now isn't the one of the check.
+	if _, err := c.Commit(t.Context(), plat.Txn{Checks: []plat.Check{{Key: "b", At: lost}}, Deletes: []string{"b"}}); !errors.Is(err, plat.ErrConflict) {
+		t.Errorf("commit with a check of the older era: error = %v, want a conflict", err)
+	}
+	post("/standin/fault", `{"callsPerS":1}`)
+	post("/standin/restore", "")
+	for range 3 {
+		// Only the era of the refusals tells.
+		_, _, err = c.Rows(t.Context(), "t")
+	}
+	if !errors.Is(err, plat.ErrDown) {
+		t.Fatalf("error = %v, want a refusal", err)
+	}
+	if _, _, err := c.Changes(t.Context(), "t", again, 0); !errors.Is(err, plat.ErrCompacted) {
+		t.Errorf("changes since an older era while the store refuses calls: error = %v, want compacted", err)
+	}
+}
--- a/steer/fleet/fleet.go
+++ b/steer/fleet/fleet.go
@@ -12,9 +12,9 @@
 	// minExpiryOutage is the shortest outage that can make records expire. Heartbeats
 	// are written every 1.5 s, and a record survives two missed ones.
 	minExpiryOutage = 2500 * time.Millisecond
-	// returnGrace is the time within which servers register again after an
+	// ReturnGrace is the time within which servers register again after an
 	// outage. The platform's contract sets it.
-	returnGrace = 2 * time.Second
+	ReturnGrace = 2 * time.Second
 )
 
 // maxRemoved bounds the number of removed servers whose last record is kept. When it
@@ -94,7 +94,7 @@
 // register again since the last such outage.
 func (f *Fleet) Settled(now time.Time) bool {
 	inLongOutage := !f.outageStart.IsZero() && now.Sub(f.outageStart) >= minExpiryOutage
-	return !inLongOutage && (f.outageEnd.IsZero() || now.Sub(f.outageEnd) >= returnGrace)
+	return !inLongOutage && (f.outageEnd.IsZero() || now.Sub(f.outageEnd) >= ReturnGrace)
 }
 
 // UntilSettled returns the time until the servers whose records disappeared are
@@ -103,7 +103,7 @@
 	if len(f.missing) == 0 {
 		return 0
 	}
-	return max(0, f.outageEnd.Add(returnGrace).Sub(now))
+	return max(0, f.outageEnd.Add(ReturnGrace).Sub(now))
 }
 
 // Put adds or replaces a record, unless a newer record of the same id is or was
--- a/steer/lease/check_test.go
+++ b/steer/lease/check_test.go
@@ -4,6 +4,8 @@
 	"fmt"
 	"testing"
 	"time"
+
+	"magnoliahitch/steer/eras"
 )
 
 // The model check explores, up to these bounds, all interleavings of the steps of
@@ -120,7 +122,7 @@
 		version:        2,
 	}
 	for i := range w.watch {
-		w.watch[i] = w.watch[i].WithRow(at(0), at(0), 1, 0).WithRow(at(0), at(0), 2, 0)
+		w.watch[i] = w.watch[i].WithRow(at(0), at(0), position(1), 0).WithRow(at(0), at(0), position(2), 0)
 	}
 	return w
 }
@@ -255,17 +257,17 @@
 	}
 	w.adopted = true
 	w.version++
-	w.watch[1] = w.watch[1].WithRow(at(w.now), at(w.now), w.version, 0)
+	w.watch[1] = w.watch[1].WithRow(at(w.now), at(w.now), position(w.version), 0)
 	return w, true
 }
 
 func (w state) successorReads(rule) (state, bool) {
-	w.watch[0] = w.watch[0].WithRow(at(w.now), at(w.now), w.version, 0)
+	w.watch[0] = w.watch[0].WithRow(at(w.now), at(w.now), position(w.version), 0)
 	return w, w.owner == byHolder
 }
 
 func (w state) otherReads(rule) (state, bool) {
-	w.watch[1] = w.watch[1].WithRow(at(w.now), at(w.now), w.version, 0)
+	w.watch[1] = w.watch[1].WithRow(at(w.now), at(w.now), position(w.version), 0)
 	return w, w.owner == byHolder
 }
 
@@ -273,7 +275,7 @@
 	if !w.successorValid() || !w.watch[0].MayEvict(at(w.now), !w.adopted) || w.owner != byHolder {
 		return w, false
 	}
-	w.evicting = w.watch[0].Version()
+	w.evicting = w.watch[0].At().Version
 	w.watch[0] = w.watch[0].WithEvicting(without != noPledgeWhileEvicting)
 	if !w.scope.delayedEviction {
 		return w.evictionCommits(without)
@@ -292,7 +294,7 @@
 
 func (w state) otherEvicts(rule) (state, bool) {
 	v := w.watch[1]
-	if !v.MayEvict(at(w.now), w.adopted) || v.Version() != w.version || w.owner != byHolder {
+	if !v.MayEvict(at(w.now), w.adopted) || v.At() != position(w.version) || w.owner != byHolder {
 		return w, false
 	}
 	w.version++
@@ -409,7 +411,7 @@
 	put(int8(w.owner))
 	flag(w.requestsToOther, w.successorEnded, w.adopted, w.evicting != 0, w.evicting == w.version)
 	for _, v := range w.watch {
-		flag(v.open, v.evicting, v.taken, v.ended, v.version == w.version)
+		flag(v.open, v.evicting, v.taken, v.ended, v.at == position(w.version))
 		put(int8(v.regime))
 		put(int8(v.endedRegime))
 		after(v.firstSeen, -checkMaxExtension)
@@ -496,3 +498,5 @@
 		})
 	}
 }
+
+func position(version int64) eras.Position { return eras.Position{Era: 1, Version: version} }
--- a/steer/lease/node.go
+++ b/steer/lease/node.go
@@ -5,6 +5,8 @@
 	"maps"
 	"slices"
 	"time"
+
+	"magnoliahitch/steer/eras"
 )
 
 // renewDivisor sets the interval between two renewals or claims: the length of
@@ -18,7 +20,7 @@
 	self        Row
 	incarnation uint64
 	holder      Holder
-	version     int64
+	at          eras.Position
 	rows        map[string]Stored
 	watches     map[ID]Watch
 	// reports holds, for each lease to whose holder this host pledged, which
@@ -145,10 +147,10 @@
 		if !ok {
 			w = NewWatch(n.params)
 		}
-		if w.Version() != r.Version && r.Ended {
+		if w.At() != r.At && r.Ended {
 			w = w.WithEnded()
 		}
-		n.watches[r.ID] = w.WithRow(began, now, r.Version, r.Regime)
+		n.watches[r.ID] = w.WithRow(began, now, r.At, r.Regime)
 	}
 	maps.DeleteFunc(n.watches, func(id ID, _ Watch) bool { return !seen[id] })
 	if began.After(n.outcomeAt) {
@@ -157,7 +159,7 @@
 }
 
 func (n *Node) observeOwn(r Stored) {
-	if w := n.pending; w != nil && r.Version != w.Version {
+	if w := n.pending; w != nil && r.At != w.At {
 		// The row is no longer at the version that the write requires: either
 		// the write has committed or it never will.
 		n.pending = nil
@@ -171,10 +173,10 @@
 	if n.self.Term == 0 {
 		return
 	}
-	if n.version != r.Version {
+	if n.at != r.At {
 		n.successorInDoubt = false
 	}
-	n.version = r.Version
+	n.at = r.At
 	n.self.Successor = r.Successor
 	n.holder = n.holder.WithSuccessorInDoubt(n.successorInDoubt || n.pending != nil && n.pending.Row.Successor != r.Successor)
 	n.followSuccessor(r.Successor)
--- a/steer/lease/ring_test.go
+++ b/steer/lease/ring_test.go
@@ -8,6 +8,8 @@
 	"time"
 
 	"pgregory.net/rapid"
+
+	"magnoliahitch/steer/eras"
 )
 
 func init() {
@@ -41,7 +43,7 @@
 	now         time.Duration
 	events      []event
 	table       map[string]Stored
-	version     int64
+	at          eras.Position
 	nodes       [simNodes]*simNode
 	tableDown   bool
 	tableDelay  time.Duration
@@ -183,30 +185,30 @@
 func (r *ring) write(n *simNode, w Write) {
 	r.schedule(r.tableDelay+r.delay(), func() {
 		outcome := Failed
-		var version int64
+		var position eras.Position
 		if r.tableReachable(n) {
-			outcome, version = r.commit(w)
+			outcome, position = r.commit(w)
 		}
 		if !r.faultFree && r.random.IntN(15) == 0 {
 			outcome = Unknown
 		}
 		r.schedule(r.delay(), func() {
-			r.whenRunning(n, func() { n.writing = false; n.RecordOutcome(r.clock(n), w, outcome, version) })
+			r.whenRunning(n, func() { n.writing = false; n.RecordOutcome(r.clock(n), w, outcome, position) })
 		})
 	})
 	if !r.faultFree && r.random.IntN(30) == 0 {
 		// The outcome is unknown at first; the write takes effect later.
-		r.whenRunning(n, func() { n.writing = false; n.RecordOutcome(r.clock(n), w, Unknown, 0) })
+		r.whenRunning(n, func() { n.writing = false; n.RecordOutcome(r.clock(n), w, Unknown, eras.Position{}) })
 	}
 }
 
-func (r *ring) commit(w Write) (Outcome, int64) {
-	if r.table[w.Row.Host].Version != w.Version {
-		return Conflicted, 0
+func (r *ring) commit(w Write) (Outcome, eras.Position) {
+	if r.table[w.Row.Host].At != w.At {
+		return Conflicted, eras.Position{}
 	}
-	r.version++
-	r.table[w.Row.Host] = Stored{Row: w.Row, Version: r.version}
-	return Committed, r.version
+	r.at.Version++
+	r.table[w.Row.Host] = Stored{Row: w.Row, At: r.at}
+	return Committed, r.at
 }
 
 func (r *ring) send(n *simNode, m Message) {
--- a/steer/lease/row.go
+++ b/steer/lease/row.go
@@ -3,6 +3,8 @@
 import (
 	"cmp"
 	"slices"
+
+	"magnoliahitch/steer/eras"
 )
 
 // ID identifies one lease of a host.
@@ -34,10 +36,10 @@
 	Ended bool `json:"over,omitempty"`
 }
 
-// Stored is a row with its version in the table.
+// Stored is a row with its position in the table.
 type Stored struct {
 	Row
-	Version int64
+	At eras.Position
 }
 
 // successorOf returns the successor for the host's lease. The rows form a ring
--- a/steer/lease/watch.go
+++ b/steer/lease/watch.go
@@ -1,12 +1,16 @@
 package lease
 
-import "time"
+import (
+	"time"
+
+	"magnoliahitch/steer/eras"
+)
 
 // Watch is an observer's view of another host's lease.
 type Watch struct {
 	params Params
-	// version is the row's version as last read.
-	version int64
+	// at is the row's position as last read.
+	at eras.Position
 	// firstSeen is when the first read that showed the version ended.
 	firstSeen time.Time
 	// readBegan is when the last read began.
@@ -43,21 +47,21 @@
 // NewWatch returns a watch of a row that has not been read yet.
 func NewWatch(t Params) Watch { return Watch{params: t} }
 
-// Version returns the row's version as last read.
-func (w Watch) Version() int64 { return w.version }
+// At returns the row's position as last read.
+func (w Watch) At() eras.Position { return w.at }
 
 // Open reports whether the observer pledged in a regime that has not ended.
 func (w Watch) Open() bool { return w.open }
 
 // WithRow processes a read of the row that began at began and ended at now. All
 // regimes up to and including endedRegime have ended.
-func (w Watch) WithRow(began, now time.Time, version int64, endedRegime uint64) Watch {
-	if version != w.version {
+func (w Watch) WithRow(began, now time.Time, at eras.Position, endedRegime uint64) Watch {
+	if at != w.at {
 		w.noRights = false
 		w.endedRegime = max(w.endedRegime, endedRegime)
 		w.open = w.open && w.regime > w.endedRegime
 		w.notBefore = w.readBegan
-		w.version, w.firstSeen = version, now
+		w.at, w.firstSeen = at, now
 		// An eviction that requires the previous version can't commit any more.
 		w.evicting = false
 	}
@@ -131,7 +135,7 @@
 // successor, its pledge has expired and the row has been unchanged for
 // [Params.Length]. Successor tells whether the row names the observer as successor.
 func (w Watch) MayEvict(now time.Time, successor bool) bool {
-	if w.version == 0 || w.ended {
+	if w.at.IsZero() || w.ended {
 		return false
 	}
 	if w.taken && now.Before(w.takenUntil) {
@@ -145,7 +149,7 @@
 
 // MayReplace reports whether the row has been unchanged for longer than the length
 // of a lease, so that the next process at the holder's address may end the lease.
-func (w Watch) MayReplace(now time.Time) bool { return w.version != 0 && w.unchanged(now) }
+func (w Watch) MayReplace(now time.Time) bool { return !w.at.IsZero() && w.unchanged(now) }
 
 func (w Watch) unchanged(now time.Time) bool {
 	return !now.Before(w.firstSeen.Add(w.params.Wait(w.params.Length)))
--- a/steer/lease/write.go
+++ b/steer/lease/write.go
@@ -1,6 +1,10 @@
 package lease
 
-import "time"
+import (
+	"time"
+
+	"magnoliahitch/steer/eras"
+)
 
 // Purpose is what a write of a row is for.
 type Purpose uint8
@@ -28,11 +32,11 @@
 }
 
 // Write is a transaction that writes a row on condition that the host's row in the
-// table is at Version. Zero requires that the host has no row.
+// table is at At. Zero requires that the host has no row.
 type Write struct {
 	Purpose Purpose
 	Row     Row
-	Version int64
+	At      eras.Position
 	Sent    time.Time
 	// Retry is set on an eviction if an earlier one may still take effect.
 	Retry bool
@@ -79,7 +83,7 @@
 	row := n.self
 	row.Ended = true
 	row.Sequence = n.sequence + 1
-	w := Write{Purpose: End, Row: row, Version: n.version, Sent: now}
+	w := Write{Purpose: End, Row: row, At: n.at, Sent: now}
 	n.holder = n.holder.WithoutLease()
 	n.recordSent(w)
 	return w, true
@@ -103,10 +107,10 @@
 
 // RecordOutcome processes the outcome of a write, received at now. An unknown outcome
 // becomes known by the next read that shows another version of the row.
-func (n *Node) RecordOutcome(now time.Time, w Write, o Outcome, version int64) {
+func (n *Node) RecordOutcome(now time.Time, w Write, o Outcome, at eras.Position) {
 	n.outcomeAt = now
 	if w.Row.Host != n.self.Host {
-		n.recordOtherOutcome(now, w, o, version)
+		n.recordOtherOutcome(now, w, o, at)
 		return
 	}
 	if n.pending == nil || *n.pending != w {
@@ -117,9 +121,9 @@
 	switch o {
 	case Committed:
 		n.pending = nil
-		n.rows[w.Row.Host] = Stored{Row: w.Row, Version: version}
+		n.rows[w.Row.Host] = Stored{Row: w.Row, At: at}
 		n.applyCommit(w)
-		n.version = version
+		n.at = at
 		n.self.Successor = w.Row.Successor
 		n.successorInDoubt = false
 	case Failed:
@@ -133,7 +137,7 @@
 	n.holder = n.holder.WithSuccessorInDoubt(n.successorInDoubt)
 }
 
-func (n *Node) recordOtherOutcome(now time.Time, w Write, o Outcome, version int64) {
+func (n *Node) recordOtherOutcome(now time.Time, w Write, o Outcome, at eras.Position) {
 	v, ok := n.watches[w.Row.ID]
 	if !ok {
 		return
@@ -143,12 +147,12 @@
 		n.counts.Evictions++
 		v = v.WithEnded()
 	case o == Committed:
-		v = v.WithRow(w.Sent, now, version, w.Row.Regime)
+		v = v.WithRow(w.Sent, now, at, w.Row.Regime)
 	case o == Failed && w.Purpose == Evict && !w.Retry:
 		v = v.WithEvicting(false)
 	}
 	if o == Committed {
-		n.rows[w.Row.Host] = Stored{Row: w.Row, Version: version}
+		n.rows[w.Row.Host] = Stored{Row: w.Row, At: at}
 	}
 	n.watches[w.Row.ID] = v
 }
@@ -204,7 +208,7 @@
 	row.Sequence = n.sequence + 1
 	row.Successor = n.chooseSuccessor()
 	row.Regime = n.holder.regime
-	w := Write{Purpose: Renew, Row: row, Version: n.version}
+	w := Write{Purpose: Renew, Row: row, At: n.at}
 	due := !now.Before(n.attempted.Add(n.params.Length / renewDivisor))
 	if n.holder.Mode() == Regime {
 		// Renewals don't extend the lease in a regime, so the only write is
@@ -218,14 +222,14 @@
 	if n.self.Leaving || now.Before(n.attempted.Add(n.params.Length/renewDivisor)) {
 		return Write{}, false
 	}
-	if r.Version != 0 && !r.Ended {
+	if !r.At.IsZero() && !r.Ended {
 		return n.replaceWrite(now, r)
 	}
 	row := n.self
 	row.Term = max(r.Term+1, n.incarnation)
 	row.Sequence = n.sequence + 1
 	row.Successor = n.chooseSuccessor()
-	return Write{Purpose: Claim, Row: row, Version: r.Version}, true
+	return Write{Purpose: Claim, Row: row, At: r.At}, true
 }
 
 // replaceWrite returns the write that records the end of the earlier process at
@@ -238,7 +242,7 @@
 		row.Ended = row.Ended && (o.Ended || o.ProcessEnded || o.Host == r.Host)
 	}
 	ok := row != r.Row && r.Address == n.self.Address && n.watches[r.ID].MayReplace(now)
-	return Write{Purpose: Replace, Row: row, Version: r.Version}, ok
+	return Write{Purpose: Replace, Row: row, At: r.At}, ok
 }
 
 // otherWrite returns an eviction or an adoption that is due for the lease of
@@ -251,11 +255,11 @@
 		row := r.Row
 		if n.mayEvict(now, r) {
 			row.Ended = true
-			return Write{Purpose: Evict, Row: row, Version: r.Version, Retry: n.watches[r.ID].evicting}, true
+			return Write{Purpose: Evict, Row: row, At: r.At, Retry: n.watches[r.ID].evicting}, true
 		}
 		if n.mayAdopt(now, r) {
 			row.Successor = n.self.ID
-			return Write{Purpose: Adopt, Row: row, Version: r.Version}, true
+			return Write{Purpose: Adopt, Row: row, At: r.At}, true
 		}
 	}
 	return Write{}, false
@@ -300,7 +304,7 @@
 		// This host must first adopt the role of that lease as a successor.
 		return false
 	}
-	return w.Version() == r.Version && w.MayEvict(now, successor)
+	return w.At() == r.At && w.MayEvict(now, successor)
 }
 
 // chooseSuccessor returns the successor to name in this host's row.
