watch: tell other hosts of removals that a complete read shows

What callers saw: a server that left, or an evacuation that ended, while the store's history was dropped could stay in use at each host that gets its replicas from another one.

Cause: the removal that a complete read shows had the version at which the row was written last, so that a host whose replica was read later than that was never sent it.

Change: the removal has the position of the table that shows it.

Evidence: TestRemovalInDroppedHistoryReachesOthers fails on (servers x and y, want y) and passes now.

--- a/hitchd/internal/watch/replica.go
+++ b/hitchd/internal/watch/replica.go
@@ -103,7 +103,7 @@
 	}
 	var out []plat.Change
 	if full {
-		out = c.removeMissing(rows)
+		out = c.removeMissing(rows, at)
 	}
 	// What an older era had removed tells which rows of this one are doubtful.
 	for _, r := range rows {
@@ -168,7 +168,8 @@
 	return out
 }
 
-// merge applies a row, or the last record of a removed row, of an older era.
+// merge applies a row, or the last record of a removed row, of an older era. Of a row of
+// the present era it takes the content if that is newer.
 func (c *replica) merge(out []plat.Change, r plat.Change) []plat.Change {
 	held, present := c.rows[r.Key]
 	gone, wasRemoved := c.removed[r.Key]
@@ -196,7 +197,7 @@
 		held.Removed = true
 		return append(out, held)
 	case !present:
-		if c.settled() || isDoubtful || wasRemoved && (r.At.Before(gone.At) || c.compare(r.Key, r.Value, gone.Value) <= 0) {
+		if c.settled() || isDoubtful || r.At.Era == c.at.Era || wasRemoved && (r.At.Before(gone.At) || c.compare(r.Key, r.Value, gone.Value) <= 0) {
 			return out
 		}
 		c.rows[r.Key] = r
@@ -259,9 +260,10 @@
 	return append(out, r)
 }
 
-// removeMissing removes the rows that are missing in the complete table. Rows of an
-// older era stay while the replica isn't settled.
-func (c *replica) removeMissing(table []plat.Change) []plat.Change {
+// removeMissing removes the rows that are missing in the complete table at the position.
+// Rows of an older era stay while the replica isn't settled. A removal has the position
+// of the table, because hosts that have read later than the row was written lack it too.
+func (c *replica) removeMissing(table []plat.Change, at plat.Position) []plat.Change {
 	present := make(map[string]bool, len(table))
 	for _, r := range table {
 		present[r.Key] = !r.Removed
@@ -269,13 +271,14 @@
 	var out []plat.Change
 	for key, r := range c.rows {
 		if !present[key] && (r.At.Era == c.at.Era || c.settled()) {
-			r.Removed = true
+			r.At, r.Removed = at, true
 			out = c.remove(out, r)
 		}
 	}
-	for key := range c.doubtful {
+	for key, r := range c.doubtful {
 		if !present[key] {
-			delete(c.doubtful, key)
+			r.At, r.Removed = at, true
+			out = c.remove(out, r)
 		}
 	}
 	return out
@@ -307,7 +310,7 @@
 	var out []plat.Change
 	for _, r := range c.rows {
 		if r.At.Era < c.at.Era {
-			r.Removed = true
+			r.At, r.Removed = c.at, true
 			out = c.remove(out, r)
 		}
 	}
--- a/hitchd/internal/watch/watch_test.go
+++ b/hitchd/internal/watch/watch_test.go
@@ -32,6 +32,8 @@
 	calls int
 	// requests counts the calls, each of which may look at the rows several times.
 	requests int
+	// written is when each key was written last.
+	written map[string]time.Time
 	// silent makes calls end with an error after their wait and silentMargin, also
 	// when the store responds again meanwhile.
 	silent bool
@@ -40,12 +42,15 @@
 // silentMargin is the timeout of a call beyond its wait.
 const silentMargin = time.Second
 
-func newStore() *store { return &store{rows: make(map[string]map[string]plat.Change)} }
+func newStore() *store {
+	return &store{rows: make(map[string]map[string]plat.Change), written: make(map[string]time.Time)}
+}
 
 func (s *store) set(table, key, value string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.version++
+	s.written[key] = time.Now()
 	if s.rows[table] == nil {
 		s.rows[table] = make(map[string]plat.Change)
 	}
@@ -245,6 +250,23 @@
 	})
 }
 
+// A host reads the complete table after the history was dropped, without a server that
+// left meanwhile. A host that gets its replicas from there, and had read later than the
+// server's record was written, must learn of the removal too.
+func TestRemovalInDroppedHistoryReachesOthers(t *testing.T) {
+	a, b := newWatch(newStore()), newWatch(newStore())
+	row := func(key string, version int64) plat.Change {
+		return plat.Change{Row: plat.Row{Key: key, At: at(version), Value: []byte("ready")}}
+	}
+	a.applyServers(clock.Now(), []plat.Change{row("x", 1), row("y", 2)}, true, at(5))
+	b.Adopt(clock.Now(), a.Since(b.Positions()))
+	a.applyServers(clock.Now(), []plat.Change{row("y", 2)}, true, at(8))
+	b.Adopt(clock.Now(), a.Since(b.Positions()))
+	if got, want := ids(b), []string{"y"}; !slices.Equal(got, want) {
+		t.Errorf("servers = %v, want %v: x left while the history was dropped", got, want)
+	}
+}
+
 func TestOutageKeepsState(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		s := newStore()
