watch: send the complete table to hosts that lack removals from before this one started

What callers saw: a host that was cut off from the store could go on using a server that had left, for good, when the host that it gets its replicas from had started after the removal.

Cause: a host that has read a complete table knows of no removal before it, but sent a host with an earlier replica only the changes, as if it knew all of them.

Change: removals up to the first read count as discarded.

Evidence: TestRemovalBeforeTheSourceStarted fails on (servers x and y, want y) and passes now.

--- a/hitchd/internal/watch/replica.go
+++ b/hitchd/internal/watch/replica.go
@@ -102,6 +102,10 @@
 		return c.enter(now, rows, at), true
 	}
 	var out []plat.Change
+	if c.at.IsZero() {
+		// What was removed before isn't known.
+		c.floor = at
+	}
 	if full {
 		out = c.removeMissing(rows, at)
 	}
--- a/hitchd/internal/watch/watch_test.go
+++ b/hitchd/internal/watch/watch_test.go
@@ -267,6 +267,21 @@
 	}
 }
 
+// A host that starts reads the complete table and knows of no removal before. A host
+// that was cut off meanwhile and gets its replicas from there must drop what was removed.
+func TestRemovalBeforeTheSourceStarted(t *testing.T) {
+	source, b := newWatch(newStore()), newWatch(newStore())
+	row := func(key string, version int64) plat.Change {
+		return plat.Change{Row: plat.Row{Key: key, At: at(version), Value: []byte("ready")}}
+	}
+	b.applyServers(clock.Now(), []plat.Change{row("x", 1), row("y", 2)}, true, at(5))
+	source.applyServers(clock.Now(), []plat.Change{row("y", 2)}, true, at(8))
+	b.Adopt(clock.Now(), source.Since(b.Positions()))
+	if got, want := ids(b), []string{"y"}; !slices.Equal(got, want) {
+		t.Errorf("servers = %v, want %v: x left before the source started", got, want)
+	}
+}
+
 func TestOutageKeepsState(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		s := newStore()
