watch, soak: hosts and stores restored at random

A host that has read the copy itself, at the same position as its source, now also takes the content of rows of which the source knows a newer record of an older era. Before, it kept the copy's configuration until the operator wrote it again (TestConfigurationOutlivesTheRestore, 4 and 6 instead of 9).

TestRestoresAtRandom runs five hosts on virtual time, with restores behind, at and ahead of their versions, hosts that are cut off or start, and changes. The soak restores the store once or twice a run, and its operator and servers write again and make a change.

--- a/hitchd/internal/watch/restore_test.go
+++ b/hitchd/internal/watch/restore_test.go
@@ -1,8 +1,12 @@
 package watch
 
 import (
+	"context"
+	"fmt"
 	"maps"
+	"math/rand/v2"
 	"slices"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -136,3 +140,288 @@
 		}
 	})
 }
+
+// age returns the time since the server's record was written last.
+func (s *store) age(id string) time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return time.Since(s.written[id])
+}
+
+func configOf(w *Watch) uint64 {
+	if t := w.State().Table; t != nil {
+		return t.Version
+	}
+	return 0
+}
+
+// restored returns a watch that has read a store up to lost, and reads it now after it
+// was restored from the copy, with the changes of again.
+func restored(t *testing.T, before, lost, again func(s *store)) (*Watch, *store, func(d time.Duration)) {
+	t.Helper()
+	s := newStore()
+	before(s)
+	old := s.snapshot()
+	lost(s)
+	w := newWatch(s)
+	run(t, w, time.Second)
+	s.restore(old)
+	again(s)
+	return w, s, func(d time.Duration) {
+		t.Helper()
+		w.SetReading(false)
+		run(t, w, d)
+	}
+}
+
+// The copy has a server that left after it was made, with the record that hosts saw last.
+// It must not be used again. A server that is still there when those that don't write
+// have expired lives.
+func TestServerThatLeftStaysAway(t *testing.T) {
+	for _, lives := range []bool{false, true} {
+		synctest.Test(t, func(t *testing.T) {
+			defer clock.Replace(time.Now)()
+			w, s, read := restored(t,
+				func(s *store) { s.set("servers", "a", "ready"); s.set("servers", "b", "ready") },
+				func(*store) {}, func(*store) {})
+			read(3 * time.Second)
+			s.set("servers", "a", "")
+			read(time.Second)
+			old := newStore()
+			old.set("servers", "a", "ready")
+			old.set("servers", "b", "ready")
+			s.restore(old)
+			for range 9 {
+				read(500 * time.Millisecond)
+				if got, want := ids(w), []string{"b"}; !slices.Equal(got, want) {
+					t.Fatalf("servers after the restore = %v, want %v: a left before", got, want)
+				}
+			}
+			want := []string{"a", "b"}
+			if !lives {
+				s.set("servers", "a", "")
+				want = want[1:]
+			}
+			read(4 * time.Second)
+			if got := ids(w); !slices.Equal(got, want) {
+				t.Errorf("servers after the records of dead servers have expired = %v, want %v", got, want)
+			}
+		})
+	}
+}
+
+// A server drained after the copy was made. The copy has it as ready.
+func TestDrainingServerStaysDraining(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		defer clock.Replace(time.Now)()
+		w, _, read := restored(t,
+			func(s *store) { s.set("servers", "a", "ready"); s.set("servers", "b", "ready") },
+			func(s *store) { s.set("servers", "a", "draining") }, func(*store) {})
+		for range 20 {
+			read(500 * time.Millisecond)
+			if got, want := ids(w), []string{"b"}; !slices.Equal(got, want) {
+				t.Fatalf("servers = %v, want %v: a drains", got, want)
+			}
+		}
+	})
+}
+
+// An evacuation began after the copy was made, and another one ended. Neither changes
+// with the restore, before the operator writes again what it wants.
+func TestEvacuationsOutliveTheRestore(t *testing.T) {
+	for _, again := range []bool{true, false} {
+		synctest.Test(t, func(t *testing.T) {
+			defer clock.Replace(time.Now)()
+			w, s, read := restored(t,
+				func(s *store) { s.set("op", "config", `{"version":4}`); s.set("op", "evacuate/y", "{}") },
+				func(s *store) { s.set("op", "evacuate/x", "{}") }, func(*store) {})
+			check := func(when string, x, y bool) {
+				t.Helper()
+				if f := w.State().Fleet; f.Evacuated("x") != x || f.Evacuated("y") != y {
+					t.Errorf("%s: x evacuated %v, y evacuated %v, want %v, %v", when, f.Evacuated("x"), f.Evacuated("y"), x, y)
+				}
+			}
+			read(500 * time.Millisecond)
+			check("0.5 s after the restore", true, true)
+			if again {
+				s.set("op", "evacuate/x", "{}")
+			}
+			s.set("op", "evacuate/y", "")
+			read(6 * time.Second)
+			check("6 s after the restore", again, false)
+			start := w.State().Fleet.Evacuation("x").Start
+			if again && start.IsZero() {
+				t.Error("the evacuation has no start")
+			}
+		})
+	}
+}
+
+// The copy has an older configuration, and what is written again may pass through older
+// ones. None of them comes into force, here or at a host that starts now.
+func TestConfigurationOutlivesTheRestore(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		defer clock.Replace(time.Now)()
+		w, s, read := restored(t,
+			func(s *store) { s.set("op", "config", `{"version":4}`) },
+			func(s *store) { s.set("op", "config", `{"version":6}`); s.set("op", "config", `{"version":9}`) },
+			func(*store) {})
+		for _, again := range []string{"", `{"version":6}`, `{"version":9}`, `{"version":12}`} {
+			if again != "" {
+				s.set("op", "config", again)
+			}
+			read(400 * time.Millisecond)
+			// The new host has read the copy itself, and then hears of this one.
+			fresh := newWatch(s)
+			run(t, fresh, 100*time.Millisecond)
+			fresh.Adopt(clock.Now(), w.Since(fresh.Positions()))
+			want := uint64(9)
+			if again == `{"version":12}` {
+				want = 12
+			}
+			if got, other := configOf(w), configOf(fresh); got != want || other != want {
+				t.Errorf("after writing %q: configuration %d, at a new host %d, want %d", again, got, other, want)
+			}
+		}
+	})
+}
+
+// A response of the old era that is late must not undo the new one.
+func TestLateResponseOfAnOlderEra(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		defer clock.Replace(time.Now)()
+		s := newStore()
+		w := newWatch(s)
+		era := func(era, version int64) plat.Position { return plat.Position{Era: era, Version: version} }
+		row := func(at plat.Position, value string) []plat.Change {
+			return []plat.Change{{Row: plat.Row{Key: "a", At: at, Value: []byte(value)}}}
+		}
+		w.applyServers(clock.Now(), row(era(1, 400), "ready"), true, era(1, 400))
+		w.applyServers(clock.Now(), row(era(2, 310), "draining"), true, era(2, 310))
+		if w.applyServers(clock.Now(), row(era(1, 405), "ready"), false, era(1, 405)) {
+			t.Error("a response of an older era is taken")
+		}
+		if got := ids(w); len(got) != 0 {
+			t.Errorf("servers = %v, want none: a drains", got)
+		}
+	})
+}
+
+// hostOf is a host of the simulation: its watch, and whether it reaches the store.
+type hostOf struct {
+	*Watch
+	cut bool
+}
+
+// Hosts read a store that is restored at random, behind, at or ahead of their versions,
+// while some are cut off from it or start. Acknowledged configurations are in force
+// everywhere in time and never revert, what left stays away, what lives is used.
+func TestRestoresAtRandom(t *testing.T) {
+	const inTime = 3500 * time.Millisecond
+	for seed := range uint64(60) {
+		synctest.Test(t, func(t *testing.T) {
+			defer clock.Replace(time.Now)()
+			r := rand.New(rand.NewPCG(seed, 7))
+			s := newStore()
+			config, id := 1, 0
+			living := make(map[string]bool)
+			gone := make(map[string]time.Time)
+			configure := func() { s.set("op", "config", fmt.Sprintf(`{"version":%d}`, config)) }
+			join := func() { id++; living[fmt.Sprint("s", id)] = true; s.set("servers", fmt.Sprint("s", id), "ready") }
+			configure()
+			for range 6 {
+				join()
+			}
+			var hosts []*hostOf
+			ctx, cancel := context.WithCancel(t.Context())
+			var g sync.WaitGroup
+			defer g.Wait()
+			defer cancel()
+			start := func() *hostOf {
+				h := &hostOf{Watch: newWatch(s)}
+				h.SetReading(true)
+				g.Go(func() { _ = h.RunOperator(ctx, "op") })
+				g.Go(func() { _ = h.RunServers(ctx, "servers") })
+				return h
+			}
+			for range 5 {
+				hosts = append(hosts, start())
+			}
+			copies := []*store{s.snapshot()}
+			changed, calm := time.Now(), time.Now()
+			inForce := make(map[*hostOf]uint64)
+			for step := range 400 {
+				time.Sleep(100 * time.Millisecond)
+				if step%10 == 0 {
+					copies = append(copies, s.snapshot())
+				}
+				switch now := time.Now(); r.IntN(25) {
+				case 0:
+					config += 1 + r.IntN(3)
+					changed = now
+					configure()
+				case 1:
+					join()
+				case 2:
+					if v := slices.Sorted(maps.Keys(living)); len(v) > 0 {
+						delete(living, v[0])
+						gone[v[0]] = now
+						s.set("servers", v[0], "")
+					}
+				case 3:
+					h := hosts[1+r.IntN(len(hosts)-1)]
+					h.cut = !h.cut
+					h.SetReading(!h.cut)
+				case 4:
+					if r.IntN(3) > 0 {
+						break
+					}
+					s.restore(copies[max(0, len(copies)-1-r.IntN(8))])
+					calm = now.Add(2 * time.Second)
+					// Writers write again; dead servers expire. The counter may pass hosts' versions.
+					time.AfterFunc(time.Duration(r.IntN(300))*time.Millisecond, configure)
+					for _, v := range slices.Sorted(maps.Keys(living)) {
+						time.AfterFunc(time.Duration(r.IntN(1500))*time.Millisecond, func() {
+							if living[v] {
+								s.set("servers", v, "ready")
+							}
+						})
+					}
+					for v := range gone {
+						time.AfterFunc(4500*time.Millisecond, func() { s.set("servers", v, "") })
+					}
+				case 5:
+					hosts[r.IntN(len(hosts))] = start()
+				}
+				// Each host polls the one before it.
+				for i, h := range hosts {
+					h.Adopt(time.Now(), hosts[(i+len(hosts)-1)%len(hosts)].Since(h.Positions()))
+				}
+				now := time.Now()
+				for i, h := range hosts {
+					got := configOf(h.Watch)
+					if got < inForce[h] {
+						t.Fatalf("seed %d, step %d: host %d goes back from configuration %d to %d", seed, step, i, inForce[h], got)
+					}
+					inForce[h] = got
+					if now.Sub(changed) > inTime && now.Sub(calm) > inTime && got != 0 && got != uint64(config) {
+						t.Fatalf("seed %d, step %d: host %d has configuration %d %v after %d", seed, step, i, got, now.Sub(changed), config)
+					}
+					used := ids(h.Watch)
+					for _, v := range used {
+						if at, ok := gone[v]; ok && now.Sub(at) > inTime && now.Sub(calm) > inTime+2*time.Second {
+							t.Fatalf("seed %d, step %d: host %d uses %s, which left %v ago", seed, step, i, v, now.Sub(at))
+						}
+					}
+					if len(used) > 0 && now.Sub(calm) > inTime {
+						for v := range living {
+							if !slices.Contains(used, v) && s.age(v) > inTime {
+								t.Fatalf("seed %d, step %d: host %d doesn't use %s, which lives", seed, step, i, v)
+							}
+						}
+					}
+				}
+			}
+		})
+	}
+}
--- a/hitchd/internal/watch/update.go
+++ b/hitchd/internal/watch/update.go
@@ -83,36 +83,23 @@
 	if u.At.IsZero() {
 		return nil, false
 	}
-	if u.At.Before(c.at) {
-		// The other host may know more of an older era.
-		if known := u.lastBefore(c.at.Era); c.merged.Before(known) && u.Full {
-			for _, r := range u.Rows {
-				if r.At.Era < c.at.Era {
-					changed = c.merge(changed, r)
-				}
-			}
-			c.merged = known
-		}
-		return changed, false
-	}
 	enters := c.at.Era < u.At.Era
 	changed, current = c.update(now, u.Rows, u.Full, u.At)
-	if current {
-		c.merged = plat.Later(c.merged, u.Merged)
-		if enters && u.Settled {
-			changed = append(changed, c.dropMissing()...)
+	// The other host may know more of an older era, also if it is behind in this one.
+	known := u.Merged
+	if u.At.Era < c.at.Era {
+		known = u.At
+	}
+	if u.Full && c.merged.Before(known) {
+		for _, r := range u.Rows {
+			changed = c.merge(changed, r)
 		}
+		c.merged = known
 	}
-	return changed, current
-}
-
-// lastBefore returns the last position before the era of which the update has the
-// changes.
-func (u *TableUpdate) lastBefore(era int64) plat.Position {
-	if u.At.Era < era {
-		return u.At
+	if enters && current && u.Settled {
+		changed = append(changed, c.dropMissing()...)
 	}
-	return u.Merged
+	return changed, current
 }
 
 // Positions returns this host's progress in each table.
--- a/standin/internal/soak/act.go
+++ b/standin/internal/soak/act.go
@@ -74,6 +74,8 @@
 		w.injectLinkFault(ctx, e, l, partLink(l.Addr()))
 	case HostRefused, StoreDown, StoreSlow, StoreLose, StoreLate, StoreCompact:
 		w.injectStoreFault(ctx, e, h)
+	case StoreRestore:
+		w.restoreStore(ctx, e)
 	case ServerCrash, ServerDrain, ServerVanish, ServerReplace, ServerAdd:
 		return w.changeServers(ctx, e)
 	case ServerSlow, ServerFail, ServerLose, ServerGarble, ServerForget:
@@ -202,6 +204,35 @@
 	w.store.SetFault(w.storeFault.merge(mergeStoreFaults))
 }
 
+// maxRestoreOutage bounds the outage in which the store is restored.
+const maxRestoreOutage = 3 * time.Second
+
+// restoreStore makes a copy of the store, and after e.For an outage from which the store is
+// back as in the copy. The operator and the servers write again what they want
+// then, and the operator makes a change.
+func (w *World) restoreStore(ctx context.Context, e Event) {
+	w.store.Save()
+	sleep(ctx, e.For)
+	end := w.disturbances.Disturb(time.Now(), partStore)
+	defer func() { end(time.Now()) }()
+	w.mu.Lock()
+	n := w.storeFault.add(store.Fault{Fault: mem.Fault{Down: true}})
+	w.store.SetFault(w.storeFault.merge(mergeStoreFaults))
+	w.mu.Unlock()
+	sleep(ctx, time.Duration(e.Share*float64(maxRestoreOutage)))
+	restored := w.store.Restore()
+	w.mu.Lock()
+	w.storeFault.remove(n)
+	w.store.SetFault(w.storeFault.merge(mergeStoreFaults))
+	w.mu.Unlock()
+	if restored {
+		go w.fleet.writeAgain()
+		w.operator.writeAgain(ctx)
+		// Its version may be one that hosts have seen before.
+		w.operator.configure(ctx)
+	}
+}
+
 // storeUp reports whether the store is up.
 func (w *World) storeUp() bool {
 	w.mu.Lock()
--- a/standin/internal/soak/fleet.go
+++ b/standin/internal/soak/fleet.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 
@@ -297,6 +298,45 @@
 	return f.start(b, "", true)
 }
 
+// writeAgain makes each server write its record to a store that was restored from a copy,
+// within a heartbeat. Records of the copy whose servers have left expire.
+func (f *fleet) writeAgain() {
+	var rows []plat.Change
+	for f.ctx.Err() == nil {
+		var err error
+		if rows, _, err = f.store.Rows(f.ctx, platform.ServerTable); err == nil {
+			break
+		}
+		sleep(f.ctx, retryInterval)
+	}
+	f.mu.Lock()
+	living := make(map[string]bool)
+	for _, s := range f.endpoints {
+		x := s.server
+		if x == nil || s.unregistered || x.ended.Load() {
+			continue
+		}
+		living[x.ID] = true
+		time.AfterFunc(rand.N(f.world.bounds.Heartbeat), func() { f.register(s, x) })
+	}
+	f.mu.Unlock()
+	for _, r := range rows {
+		if !living[r.Key] {
+			time.AfterFunc(f.world.bounds.RecordTTL, func() { f.unregisterGone(r.Key) })
+		}
+	}
+}
+
+// unregisterGone deletes the record of a server that doesn't run.
+func (f *fleet) unregisterGone(id string) {
+	f.mu.Lock()
+	runs := slices.ContainsFunc(f.endpoints, func(s *endpoint) bool { return s.server != nil && s.server.ID == id && !s.unregistered })
+	f.mu.Unlock()
+	if !runs {
+		f.unregister(id)
+	}
+}
+
 // expireRecords drops the records of all servers while the store is down. The
 // servers write them again, each within a heartbeat after the store is back.
 func (f *fleet) expireRecords(ctx context.Context, back func() bool) {
--- a/standin/internal/soak/operator.go
+++ b/standin/internal/soak/operator.go
@@ -59,10 +59,16 @@
 	// configMu guards version and is held until the store has acknowledged a configuration.
 	configMu sync.Mutex
 	version  int
+	config   []byte
+
+	// mu guards evacuated, which has each failure domain that was evacuated since the start
+	// and whether it still is.
+	mu        sync.Mutex
+	evacuated map[string]bool
 }
 
 func newOperator(store *platform.Store, l *Ledger, disturbances *Disturbances) *operator {
-	return &operator{store: store, ledger: l, disturbances: disturbances}
+	return &operator{store: store, ledger: l, disturbances: disturbances, evacuated: make(map[string]bool)}
 }
 
 // Newest returns the version of the newest configuration. It waits while one is being written.
@@ -84,7 +90,8 @@
 	only := fmt.Sprintf("%s%d/", versionPrefix, o.version)
 	routes[only] = services[0]
 	o.ledger.Configure(time.Now(), o.version, routes)
-	if o.write(ctx, platform.ConfigKey, encodeConfig(o.version, routes)) {
+	o.config = encodeConfig(o.version, routes)
+	if o.write(ctx, platform.ConfigKey, o.config) {
 		o.ledger.Configured(time.Now())
 	}
 }
@@ -134,8 +141,8 @@
 // evacuate requests the evacuation of the failure domain and withdraws it after d, but
 // not before all hosts must know of it. Shortly before the end it calls cool.
 func (o *operator) evacuate(ctx context.Context, domain string, d time.Duration, cool func()) {
-	key := "evacuate/" + domain
-	if !o.write(ctx, key, []byte("{}")) {
+	o.setEvacuated(domain, true)
+	if !o.write(ctx, evacuateKey(domain), []byte("{}")) {
 		return
 	}
 	o.ledger.Evacuated(time.Now(), domain)
@@ -143,11 +150,45 @@
 	cool()
 	sleep(ctx, coolBeforeEnd)
 	o.ledger.Evacuated(time.Time{}, domain)
+	o.setEvacuated(domain, false)
+	o.remove(ctx, evacuateKey(domain))
+}
+
+func evacuateKey(domain string) string { return "evacuate/" + domain }
+
+func (o *operator) setEvacuated(domain string, on bool) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.evacuated[domain] = on
+}
+
+// remove removes a row of the operator table and retries until the store acknowledges it
+// or the context ends.
+func (o *operator) remove(ctx context.Context, key string) {
 	for ctx.Err() == nil && o.store.Delete(ctx, platform.OperatorTable, key, plat.Position{}) != nil {
 		sleep(ctx, retryInterval)
 	}
 }
 
+// writeAgain writes the newest configuration and the evacuations to a store that was
+// restored from a copy, and removes evacuations that have ended.
+func (o *operator) writeAgain(ctx context.Context) {
+	o.configMu.Lock()
+	o.write(ctx, platform.ConfigKey, o.config)
+	o.configMu.Unlock()
+	for _, d := range domains {
+		o.mu.Lock()
+		on, known := o.evacuated[d.name]
+		o.mu.Unlock()
+		switch {
+		case on:
+			o.write(ctx, evacuateKey(d.name), []byte("{}"))
+		case known:
+			o.remove(ctx, evacuateKey(d.name))
+		}
+	}
+}
+
 // probeInterval is the pause between two probes of a host.
 const probeInterval = 250 * time.Millisecond
 
--- a/standin/internal/soak/plan.go
+++ b/standin/internal/soak/plan.go
@@ -47,6 +47,8 @@
 	StoreLose    Kind = "storeLose"
 	StoreLate    Kind = "storeLate"
 	StoreCompact Kind = "storeForget"
+	// StoreRestore makes a copy of the store, to which the store goes back later.
+	StoreRestore Kind = "storeRestore"
 
 	// Servers. ServerVanish removes a record without a drain, ServerReplace swaps
 	// the addresses of two servers, ServerLose and ServerGarble lose or corrupt
@@ -126,6 +128,7 @@
 		last = e
 	}
 	out = append(out, drawQueryOfDeath(seed, length))
+	out = append(out, drawRestores(seed, length)...)
 	slices.SortStableFunc(out, func(a, b Event) int { return int(a.At - b.At) })
 	return out
 }
@@ -139,6 +142,27 @@
 	return e
 }
 
+// Duration from a copy of the store to the outage after which it is back.
+const (
+	minCopyAge = time.Second
+	maxCopyAge = 9 * time.Second
+)
+
+// drawRestores returns one restore of the store from a copy, or two that follow each other.
+// It has random numbers of its own, as [drawQueryOfDeath].
+func drawRestores(seed uint64, length time.Duration) []Event {
+	r := rand.New(rand.NewPCG(seed, 3))
+	n := 1 + r.IntN(2)
+	var out []Event
+	for i := range n {
+		part := length / time.Duration(n)
+		age := min(minCopyAge+time.Duration(r.Int64N(int64(maxCopyAge-minCopyAge))), part/2)
+		begin := time.Duration(i)*part + time.Duration(r.Int64N(int64(part-age)+1))
+		out = append(out, Event{At: begin, For: age, Kind: StoreRestore, Target: r.Uint32(), Share: r.Float64()})
+	}
+	return out
+}
+
 // activeFaults holds the faults that are active at one link, server or store.
 type activeFaults[T any] struct {
 	next   int
--- a/standin/internal/soak/routing.go
+++ b/standin/internal/soak/routing.go
@@ -81,7 +81,7 @@
 		l.addViolation(now, RightService, r, "service %s ran a request on route %s", service, r.Route)
 	case newest < seen.version && r.Sent.Sub(seen.at) > l.revertBound(r, seen.at, now):
 		l.addViolation(now, ConfigNeverReverts, r, "version %d was applied %s after version %d", newest, r.Sent.Sub(seen.at), seen.version)
-	case !timely && l.undisturbed(late, now, r):
+	case !timely && l.mustApply(late, now, r):
 		l.addViolation(now, ConfigInForce, r, "sent %s after version %d was superseded, but routed by it", r.Sent.Sub(late), newest)
 	}
 	if oldest > seen.version {
@@ -89,6 +89,13 @@
 	}
 }
 
+// mustApply reports whether the host of the request must apply a configuration that was
+// acknowledged at the time: it was sent later than bounds.Apply after that, and nothing
+// was disturbed since shortly before the acknowledgement, or shortly before the request.
+func (l *Ledger) mustApply(acked, now time.Time, r *record) bool {
+	return r.Sent.Sub(acked) > l.bounds.Apply && (l.undisturbed(acked, now, r) || l.undisturbed(r.Sent, now, r))
+}
+
 // disturbedFactor is the factor by which Bounds.Revert is longer for a disturbed host.
 const disturbedFactor = 8
 
@@ -122,7 +129,7 @@
 	case status != http.StatusNotFound || !newest || last.acked.IsZero():
 	case seen.version >= last.version && r.Sent.Sub(seen.at) > l.revertBound(r, seen.at, now):
 		l.addViolation(now, ConfigNeverReverts, r, "route %s of version %d is missing %s after it was applied", r.Route, last.version, r.Sent.Sub(seen.at))
-	case r.Sent.Sub(last.acked) > l.bounds.Apply && l.undisturbed(last.acked, now, r):
+	case l.mustApply(last.acked, now, r):
 		l.addViolation(now, ConfigInForce, r, "route %s of version %d is missing %s after its acknowledgement", r.Route, last.version, r.Sent.Sub(last.acked))
 	}
 }
