watch: take a row that the source only keeps from an older era for missing

A host that had read the restored table before a server left kept the server for good, when it got its replicas from a host that had read the table after that: the source sent the record that it keeps from the older era, and the receiver counted it as present in the table.

Evidence: TestRemovalBetweenTwoFirstReads fails on the commit before (a row, want none).

--- a/hitchd/internal/watch/replica.go
+++ b/hitchd/internal/watch/replica.go
@@ -270,7 +270,7 @@
 func (c *replica) removeMissing(table []plat.Change, at plat.Position) []plat.Change {
 	present := make(map[string]bool, len(table))
 	for _, r := range table {
-		present[r.Key] = !r.Removed
+		present[r.Key] = !r.Removed && r.At.Era == at.Era
 	}
 	var out []plat.Change
 	for key, r := range c.rows {
--- a/hitchd/internal/watch/restore_test.go
+++ b/hitchd/internal/watch/restore_test.go
@@ -307,6 +307,24 @@
 	})
 }
 
+// A server left just after the restore. A host that reads the table later keeps its record,
+// which may only be missing in the copy; one that had read it before must drop it.
+func TestRemovalBetweenTwoFirstReads(t *testing.T) {
+	early, late := newWatch(newStore()), newWatch(newStore())
+	era := func(era, version int64) plat.Position { return plat.Position{Era: era, Version: version} }
+	row := func(at plat.Position) []plat.Change {
+		return []plat.Change{{Row: plat.Row{Key: "a", At: at, Value: []byte("ready")}}}
+	}
+	now := clock.Now()
+	late.applyServers(now, row(era(1, 6)), true, era(1, 20))
+	late.applyServers(now, nil, true, era(2, 20))
+	early.applyServers(now, row(era(2, 6)), true, era(2, 19))
+	early.Adopt(now, late.Since(early.Positions()))
+	if got := early.servers.rows; len(got) != 0 {
+		t.Errorf("rows = %v, want none: a was removed after the table was read", got)
+	}
+}
+
 // hostOf is a host of the simulation: its watch, and whether it reaches the store.
 type hostOf struct {
 	*Watch
