claims: run no operation again that ran here, though the table lost its claim

What callers saw: a repeated reservation would run once more after the table was restored from a copy that lacks its claim (on the product's own interface; the platform's path has no claims).

Cause: the claim in the table alone told that an operation had run. A restored table lacks what was written after the copy, and nobody writes claims again.

Change: the host remembers the operations that ran on it and their outcome by key, within the bounds that it has for ended operations, and answers a repeat from there. A repeat at another host, or after this one has forgotten, still runs: open, see docs/design/at-most-once.md.

Evidence: TestClaimThatTheRestoredTableLost fails before (3 runs, want 1) and passes now.

--- a/hitchd/internal/claims/bench_test.go
+++ b/hitchd/internal/claims/bench_test.go
@@ -41,7 +41,7 @@
 				r := newRegistry()
 				for i := range n {
 					o := &operation{key: fmt.Sprint(keyPrefix, "reservations/", i), id: fmt.Sprint(i), fingerprint: "9f33a47835611ef7-18", done: make(chan struct{})}
-					r.start(o)
+					r.start(time.Now(), o)
 					r.end(o, claim.Done, &claim.Response{Status: http.StatusOK, Body: make([]byte, 512)})
 				}
 				runtime.GC()
--- a/hitchd/internal/claims/claims.go
+++ b/hitchd/internal/claims/claims.go
@@ -111,7 +111,7 @@
 
 // Do passes idempotent requests to the next stage and claims other requests
 // first. A request whose operation already runs on this host waits for its
-// response.
+// response, and one whose operation ran on it lately gets its outcome.
 func (c *Claims) Do(ctx context.Context, r *call.Request) (*call.Response, error) {
 	if r.Idempotent() {
 		return c.next.Do(ctx, r)
@@ -128,6 +128,7 @@
 		key:         keyPrefix + scope(r) + "/" + r.Operation,
 		id:          uuid.NewString(),
 		fingerprint: claim.Fingerprint(r.Method, r.Path, r.Query, body),
+		expires:     c.now().Add(Window),
 		done:        make(chan struct{}),
 	}
 	// The operation continues until its deadline when the caller disconnects, so
@@ -135,7 +136,7 @@
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), r.Deadline.Sub(c.now()))
 	defer cancel()
 	for {
-		first, ok := c.registry.start(o)
+		first, ok := c.registry.start(c.now(), o)
 		if ok {
 			return c.run(ctx, r, o)
 		}
--- a/hitchd/internal/claims/claims_test.go
+++ b/hitchd/internal/claims/claims_test.go
@@ -181,6 +181,25 @@
 	})
 }
 
+// The table is restored from a copy that lacks a claim. The host that ran the operation must
+// not run it again when the caller repeats it.
+func TestClaimThatTheRestoredTableLost(t *testing.T) {
+	simulate(t, 1, 1, func(_ context.Context, c *cluster) {
+		old := c.store.Snapshot()
+		for i := range 3 {
+			got, err := send(c.hosts[0], newOperation(fmt.Sprint(i), "op", "body", time.Second))
+			if want := "answer to op"; err != nil || got != want {
+				t.Errorf("send %d: got %q, %v, want %q", i, got, err, want)
+			}
+			time.Sleep(time.Second)
+			c.store.Restore(old)
+		}
+		if got, want := c.runs["op"], 1; got != want {
+			t.Errorf("got %d runs, want %d", got, want)
+		}
+	})
+}
+
 // A repeated operation must not run again after its route changed to another
 // service: a scope of the request applies to all services.
 func TestScopeSurvivesARouteChange(t *testing.T) {
--- a/hitchd/internal/claims/running.go
+++ b/hitchd/internal/claims/running.go
@@ -2,6 +2,7 @@
 
 import (
 	"sync"
+	"time"
 
 	"github.com/cespare/xxhash/v2"
 
@@ -22,6 +23,8 @@
 // operation is an operation that runs or ran on this host.
 type operation struct {
 	key, id, fingerprint string
+	// expires is when the id may be used for another operation.
+	expires time.Time
 	// state and response are set before done is closed.
 	state    claim.State
 	response *claim.Response
@@ -42,6 +45,8 @@
 	// first.
 	ended map[string]*operation
 	order []string
+	// endedByKey holds the last ended operation of each key that may have run.
+	endedByKey map[string]*operation
 	// bytes is the total size of the stored bodies of ended operations.
 	bytes int
 }
@@ -51,6 +56,7 @@
 	for i := range r.shards {
 		r.shards[i].byKey = make(map[string]*operation)
 		r.shards[i].ended = make(map[string]*operation)
+		r.shards[i].endedByKey = make(map[string]*operation)
 	}
 	return &r
 }
@@ -59,15 +65,19 @@
 	return &r.shards[xxhash.Sum64String(key)%shards]
 }
 
-// start adds the operation. It returns the running operation and false if there
-// is one with the same key.
-func (r *registry) start(o *operation) (*operation, bool) {
+// start adds the operation at now. It returns the operation with the same key and false if
+// there is one that runs, or that may have run and hasn't expired: a table that was
+// restored from a copy may have lost its claim.
+func (r *registry) start(now time.Time, o *operation) (*operation, bool) {
 	s := r.shard(o.key)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if first := s.byKey[o.key]; first != nil {
 		return first, false
 	}
+	if last := s.endedByKey[o.key]; last != nil && now.Before(last.expires) {
+		return last, false
+	}
 	s.byKey[o.key] = o
 	return o, true
 }
@@ -82,6 +92,9 @@
 	close(o.done)
 	delete(s.byKey, o.key)
 	s.ended[o.id] = o
+	if state != claim.Released {
+		s.endedByKey[o.key] = o
+	}
 	s.order = append(s.order, o.id)
 	s.bytes += o.size()
 	for len(s.order) > maxEnded || s.bytes > maxEndedBytes {
@@ -93,8 +106,12 @@
 // isn't changed.
 func (s *shard) evictOldest() {
 	id := s.order[0]
-	s.bytes -= s.ended[id].size()
+	o := s.ended[id]
+	s.bytes -= o.size()
 	delete(s.ended, id)
+	if s.endedByKey[o.key] == o {
+		delete(s.endedByKey, o.key)
+	}
 	s.order = s.order[1:]
 }
 
--- a/hitchd/internal/claims/running_test.go
+++ b/hitchd/internal/claims/running_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"testing"
+	"time"
 
 	"magnoliahitch/steer/claim"
 )
@@ -12,7 +13,7 @@
 	var last *operation
 	for i := range 20_000 {
 		last = &operation{key: fmt.Sprint("op-", i), id: fmt.Sprint(i), done: make(chan struct{})}
-		r.start(last)
+		r.start(time.Now(), last)
 		r.end(last, claim.Done, &claim.Response{Body: make([]byte, maxKeptBody)})
 	}
 	held := 0
