watch: let the position decide within an era between records that are alike

In the first 2 to 3 s of a replica, a record whose content didn't tell that it was newer was taken for one that is written again, and its bytes were dropped: a server that drains without a higher sequence would have stayed in use. Only a record that is certainly older yields now, and equal bytes of another era.

--- a/hitchd/internal/relay/relay_test.go
+++ b/hitchd/internal/relay/relay_test.go
@@ -116,6 +116,7 @@
 func (noStore) Changes(context.Context, string, plat.Position, time.Duration) ([]plat.Change, plat.Position, error) {
 	return nil, plat.Position{}, plat.ErrDown
 }
+
 func (noStore) Put(context.Context, string, string, []byte) (plat.Position, error) {
 	return plat.Position{}, plat.ErrDown
 }
@@ -190,6 +191,7 @@
 	}
 	return s.read(table)
 }
+
 func (s *filling) Put(context.Context, string, string, []byte) (plat.Position, error) {
 	return plat.Position{}, nil
 }
--- a/hitchd/internal/watch/replica.go
+++ b/hitchd/internal/watch/replica.go
@@ -231,8 +231,12 @@
 		return out
 	case present && !held.At.Before(r.At):
 		return out
-	case present && (held.At.Era < r.At.Era || !c.settled()) && c.compare(r.Key, r.Value, held.Value) <= 0:
-		// Written again, or not yet as it was.
+	case present && held.At.Era < r.At.Era && bytes.Equal(r.Value, held.Value):
+		// Written again.
+		c.rows[r.Key] = r
+		return out
+	case present && (held.At.Era < r.At.Era || !c.settled()) && c.compare(r.Key, r.Value, held.Value) < 0:
+		// Not written again as it was yet.
 		r.Value = held.Value
 		c.rows[r.Key] = r
 		return out
--- a/hitchd/internal/watch/restore_test.go
+++ b/hitchd/internal/watch/restore_test.go
@@ -226,6 +226,20 @@
 	})
 }
 
+// Soon after a host has first read the table, a server drains whose record's content
+// doesn't tell that it is newer. The later position does.
+func TestDrainSoonAfterTheFirstRead(t *testing.T) {
+	w := newWatch(newStore())
+	row := func(version int64, value string) []plat.Change {
+		return []plat.Change{{Row: plat.Row{Key: "a", At: plat.Position{Era: 1, Version: version}, Value: []byte(value)}}}
+	}
+	w.applyServers(clock.Now(), row(1, "ready"), true, plat.Position{Era: 1, Version: 5})
+	w.applyServers(clock.Now(), row(6, "draining"), false, plat.Position{Era: 1, Version: 6})
+	if got := ids(w); len(got) != 0 {
+		t.Errorf("servers = %v, want none: a drains", got)
+	}
+}
+
 // An evacuation began after the copy was made, and another one ended. Neither changes
 // with the restore, before the operator writes again what it wants.
 func TestEvacuationsOutliveTheRestore(t *testing.T) {
