--- a/hitchd/internal/hosts/cells.go
+++ b/hitchd/internal/hosts/cells.go
@@ -4,10 +4,9 @@
 	"context"
 	"time"
 
+	"magnoliahitch/links/plat"
 	"magnoliahitch/steer/lease"
 	"magnoliahitch/steer/place"
-
-	"magnoliahitch/links/plat"
 )
 
 // minHostAge is the time for which the lease of a host must have been seen before cells
--- a/hitchd/internal/watch/update.go
+++ b/hitchd/internal/watch/update.go
@@ -40,8 +40,8 @@
 	// Full reports that Rows is the complete table, so that all other rows are
 	// removed. It has those too that an older era has removed.
 	Full bool `msgpack:"whole"`
-	// Settled reports that no server's record is missing because of an outage of
-	// the store. It is only set for the servers' table.
+	// Settled reports that no row is missing because of an outage or a restore of the
+	// store: its writers had time to write it again.
 	Settled bool `msgpack:"settled"`
 }
 
