watch: run the delayed writes of the random restores between the steps

The race detector found that the test's timers shared maps with its main loop, and that one test read a counter without its lock. The writes are run at the start of each step now, which also makes a seed repeat itself. No check is changed.

--- a/hitchd/internal/watch/restore_test.go
+++ b/hitchd/internal/watch/restore_test.go
@@ -61,10 +61,10 @@
 		var before, after int
 		go func() {
 			time.Sleep(2 * time.Second)
-			before = s.requests
+			before = s.countedRequests()
 			s.restore(old)
 			time.Sleep(4 * time.Second)
-			after = s.requests
+			after = s.countedRequests()
 			s.set("op", "config", `{"version":9}`)
 			s.set("servers", "c", "ready")
 		}()
@@ -141,6 +141,29 @@
 	})
 }
 
+func (s *store) countedRequests() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.requests
+}
+
+// task is a write of the simulation that is due later.
+type task struct {
+	due time.Time
+	run func()
+}
+
+// runDue runs the tasks that are due and returns the others.
+func runDue(tasks []task) []task {
+	return slices.DeleteFunc(tasks, func(t task) bool {
+		if time.Now().Before(t.due) {
+			return false
+		}
+		t.run()
+		return true
+	})
+}
+
 // age returns the time since the server's record was written last.
 func (s *store) age(id string) time.Duration {
 	s.mu.Lock()
@@ -382,8 +405,10 @@
 			copies := []*store{s.snapshot()}
 			changed, calm := time.Now(), time.Now()
 			inForce := make(map[*hostOf]uint64)
+			var tasks []task
 			for step := range 400 {
 				time.Sleep(100 * time.Millisecond)
+				tasks = runDue(tasks)
 				if step%10 == 0 {
 					copies = append(copies, s.snapshot())
 				}
@@ -411,16 +436,17 @@
 					s.restore(copies[max(0, len(copies)-1-r.IntN(8))])
 					calm = now.Add(2 * time.Second)
 					// Writers write again; dead servers expire. The counter may pass hosts' versions.
-					time.AfterFunc(time.Duration(r.IntN(300))*time.Millisecond, configure)
+					in := func(d time.Duration, run func()) { tasks = append(tasks, task{now.Add(d), run}) }
+					in(time.Duration(r.IntN(300))*time.Millisecond, configure)
 					for _, v := range slices.Sorted(maps.Keys(living)) {
-						time.AfterFunc(time.Duration(r.IntN(1500))*time.Millisecond, func() {
+						in(time.Duration(r.IntN(1500))*time.Millisecond, func() {
 							if living[v] {
 								s.set("servers", v, "ready")
 							}
 						})
 					}
 					for v := range gone {
-						time.AfterFunc(4500*time.Millisecond, func() { s.set("servers", v, "") })
+						in(4500*time.Millisecond, func() { s.set("servers", v, "") })
 					}
 				case 5:
 					hosts[r.IntN(len(hosts))] = start()
