edge, fleet, platform: record, log and count what servers announce in their responses

The logs couldn't tell whether a host sent to a server that had said it was leaving: nothing read Server-Leaving, nor Retry-After of a server's 503. No decision changes.

--- a/hitchd/edge.go
+++ b/hitchd/edge.go
@@ -245,12 +245,13 @@
 	h.edge = edge.New(edge.HeaderCodec{
 		Headers: conns.Headers{
 			RequestID: platform.HeaderRequestID, Deadline: platform.HeaderDeadline, Expect: platform.HeaderExpect,
-			NotRun: platform.HeaderNotRun, Signature: platform.HeaderSignature, Load: platform.HeaderLoad,
+			NotRun: platform.HeaderNotRun, Signature: platform.HeaderSignature, Load: platform.HeaderLoad, Instance: platform.HeaderInstance,
 		},
 		ObjectKey:  platform.ObjectKey,
 		Timeout:    platform.Timeout,
 		Load:       platform.Load,
 		WarmUpLeft: platform.WarmUpLeft,
+		Notice:     platform.Notice,
 		RetryAfter: platform.RetryAfter,
 	}, pick.Location{Region: s.Region, Domain: s.Domain}, h.watch.State, h.sponsor, log.Named("edge"), edge.WithRetryShare(retryShare*s.Bounds.RetryRatio), edge.WithCrashReports(crashes), edge.WithSuspectUntil(suspectUntil(s)), edge.WithDemandShare(h.relay.RegionShare))
 	return h
--- a/hitchd/internal/conns/pool.go
+++ b/hitchd/internal/conns/pool.go
@@ -79,6 +79,9 @@
 	idleTimeout time.Duration
 	// reused is set once the connection has carried an exchange.
 	reused bool
+	// server is the id of the server that has responded on the connection, "" before
+	// that.
+	server string
 }
 
 // idleConn returns an idle connection to the address, nil if there is none. Closed
--- a/hitchd/internal/conns/read.go
+++ b/hitchd/internal/conns/read.go
@@ -45,6 +45,7 @@
 			return nil, err
 		}
 		id := res.Header.Get(x.pool.headers.RequestID)
+		x.observe(res, id == x.request.ID || id == "" && !x.reused && skipped == 0)
 		switch {
 		case id == x.request.ID:
 			return x.readBody(res, skipped > 0)
@@ -63,6 +64,25 @@
 	}
 }
 
+// observe passes the status and header of a response on to the observer of the request,
+// if the response is from the server that the request is for. Own tells that it belongs
+// to the request, which names that server. A response to another request doesn't tell by
+// itself, but comes from the same process as the others on the connection.
+func (x *exchange) observe(res *http.Response, own bool) {
+	if res.StatusCode == http.StatusMisdirectedRequest {
+		return
+	}
+	if own {
+		if id := res.Header.Get(x.pool.headers.Instance); x.request.Check && id != "" && id != x.server {
+			return
+		}
+		x.conn.server = x.server
+	}
+	if x.conn.server == x.server && x.request.OnResponse != nil {
+		x.request.OnResponse(res.StatusCode, res.Header)
+	}
+}
+
 // readHeader reads the header of the next final response and skips informational
 // ones.
 func (x *exchange) readHeader() (*http.Response, error) {
--- a/hitchd/internal/conns/send.go
+++ b/hitchd/internal/conns/send.go
@@ -31,6 +31,8 @@
 	Signature string
 	// Load holds a server's numbers of running requests, waiting requests and slots.
 	Load string
+	// Instance is the id of the server that sent a response to a health check.
+	Instance string
 }
 
 // Sizes of messages in bytes. A server in trouble may send without end, and an
@@ -91,6 +93,10 @@
 	// Fenced reports that the choice of the server is no longer valid; nil means never.
 	// It is called right before the first byte is written.
 	Fenced func() bool
+	// OnResponse is called with the status and header of each response that the server
+	// sends on the connection, also of one that belongs to another request and is skipped;
+	// nil for no call. Responses of another server at the address are left out.
+	OnResponse func(status int, h http.Header)
 	// NonIdempotent marks a request that isn't idempotent. It only reuses
 	// connections that were idle for a short time.
 	NonIdempotent bool
@@ -133,8 +139,8 @@
 		return nil, result.NotRun, errors.Wrapf(err, "connect to %s at %s", id, addr)
 	}
 	stop := context.AfterFunc(ctx, func() { _ = c.Close() })
-	x := &exchange{pool: p, conn: c, request: r, stop: stop, reused: c.reused}
-	a, outcome, err := x.run(ctx, id)
+	x := &exchange{pool: p, conn: c, request: r, server: id, stop: stop, reused: c.reused}
+	a, outcome, err := x.run(ctx)
 	if err != nil {
 		stop()
 		_ = c.Close()
@@ -149,8 +155,10 @@
 	pool    *Pool
 	conn    *conn
 	request *Request
-	stop    func() bool
-	reused  bool
+	// server is the id of the server that the request is for.
+	server string
+	stop   func() bool
+	reused bool
 	// written is closed when the request has been written or writing it failed.
 	written      chan struct{}
 	writeErr     error
@@ -159,7 +167,7 @@
 	streamErr atomic.Pointer[error]
 }
 
-func (x *exchange) run(ctx context.Context, id string) (*Response, result.Outcome, error) {
+func (x *exchange) run(ctx context.Context) (*Response, result.Outcome, error) {
 	if ctx.Err() != nil {
 		return nil, result.NotRun, ctx.Err()
 	}
@@ -168,7 +176,7 @@
 	}
 	// A body of unknown length is sent in chunks. The head then includes the chunk of
 	// the buffered bytes.
-	head := x.encodeHead(id)
+	head := x.encodeHead()
 	if x.request.Length >= 0 {
 		head = append(head, x.request.Body...)
 	}
@@ -251,9 +259,9 @@
 	return out
 }
 
-// encodeHead returns the request line and header for the server with the id and,
-// for a body of unknown length, the chunk of its buffered bytes.
-func (x *exchange) encodeHead(id string) []byte {
+// encodeHead returns the request line and header and, for a body of unknown length, the
+// chunk of its buffered bytes.
+func (x *exchange) encodeHead() []byte {
 	r, w := x.request, x.pool.headers
 	var b bytes.Buffer
 	b.Grow(1 << 10)
@@ -275,7 +283,7 @@
 		}
 	}
 	line(w.Deadline, strconv.FormatInt(max(1, r.Deadline.Sub(clock.Now()).Milliseconds()), 10))
-	line(w.Expect, id)
+	line(w.Expect, x.server)
 	switch {
 	case r.Length > 0 || r.Length == 0 && r.Method != http.MethodGet && r.Method != http.MethodHead:
 		line("Content-Length", strconv.FormatInt(r.Length, 10))
--- a/hitchd/internal/edge/check.go
+++ b/hitchd/internal/edge/check.go
@@ -34,9 +34,9 @@
 
 func (e *Edge) verify(ctx context.Context, s *service, x fleet.Server, path string) {
 	sentAt := clock.Now()
-	a, _, err := e.pool.Send(ctx, &conns.Request{
+	a, _, err := e.send(ctx, &conns.Request{
 		Method: http.MethodGet, Target: path, Host: x.Addr, Header: http.Header{}, Deadline: sentAt.Add(checkTimeout), Check: true,
-	}, x.ID, x.Addr)
+	}, x)
 	if err != nil || a.Status != http.StatusOK {
 		e.log.Info("server not verified", "server", x.ID, "address", x.Addr, "status", statusOf(a), "error", err)
 		return
--- a/hitchd/internal/edge/edge.go
+++ b/hitchd/internal/edge/edge.go
@@ -11,6 +11,7 @@
 	"magnoliahitch/hitchd/internal/conns"
 	"magnoliahitch/hitchd/internal/watch"
 	"magnoliahitch/links/clock"
+	"magnoliahitch/steer/fleet"
 	"magnoliahitch/steer/pause"
 	"magnoliahitch/steer/pick"
 	"magnoliahitch/steer/retry"
@@ -30,6 +31,8 @@
 	Load func(h http.Header) (running, waiting int, known bool)
 	// WarmUpLeft returns the remaining warm-up time in a server's health response.
 	WarmUpLeft func(h http.Header) time.Duration
+	// Notice returns what a server announces by the status and header of a response.
+	Notice func(status int, h http.Header) fleet.Notice
 	// RetryAfter formats a delay as the value of a Retry-After header.
 	RetryAfter func(d time.Duration) string
 }
--- a/hitchd/internal/edge/edge_test.go
+++ b/hitchd/internal/edge/edge_test.go
@@ -31,6 +31,13 @@
 	},
 	Load:       func(http.Header) (int, int, bool) { return 0, 0, false },
 	WarmUpLeft: func(http.Header) time.Duration { return 0 },
+	Notice: func(status int, h http.Header) fleet.Notice {
+		n := fleet.Notice{Leaving: h.Get("X-Leaving") != ""}
+		if s, err := strconv.ParseFloat(h.Get("Retry-After"), 64); err == nil && status == http.StatusServiceUnavailable {
+			n.HoldOff = time.Duration(s * float64(time.Second))
+		}
+		return n
+	},
 	RetryAfter: func(d time.Duration) string {
 		return strconv.FormatFloat(d.Seconds(), 'f', 3, 64)
 	},
--- a/hitchd/internal/edge/response.go
+++ b/hitchd/internal/edge/response.go
@@ -126,6 +126,11 @@
 	return metrics.GetOrCreateCounter(fmt.Sprintf(`hitch_edge_requests_total{service=%q,status="%d",reason=%q}`, service, status, reason))
 }
 
+// notices counts what servers announced in their responses.
+func notices(service, kind string) *metrics.Counter {
+	return metrics.GetOrCreateCounter(fmt.Sprintf(`hitch_edge_server_notices_total{service=%q,kind=%q}`, service, kind))
+}
+
 func seconds(service string) *metrics.Histogram {
 	return metrics.GetOrCreateHistogram(fmt.Sprintf(`hitch_edge_request_seconds{service=%q}`, service))
 }
--- a/hitchd/internal/edge/run.go
+++ b/hitchd/internal/edge/run.go
@@ -146,7 +146,7 @@
 func (e *Edge) attempt(ctx context.Context, s *service, x *exchange, c pick.Choice) (a *conns.Response, outcome result.Outcome, sent bool) {
 	start := clock.Now()
 	x.lastChoice = c
-	a, outcome, err := e.pool.Send(ctx, &x.request, c.Server.ID, c.Server.Addr)
+	a, outcome, err := e.send(ctx, &x.request, c.Server)
 	now := clock.Now()
 	took := now.Sub(start)
 	x.lastErr = err
--- a/steer/fleet/fleet.go
+++ b/steer/fleet/fleet.go
@@ -26,6 +26,7 @@
 	byService   map[string][]Server
 	evacuations map[string]Evacuation
 	count       int
+	notices     *Notices
 }
 
 // Evacuation is the last evacuation of a failure domain as this host learned of it. End
@@ -46,6 +47,9 @@
 
 func (e Evacuation) lasts() bool { return !e.Start.IsZero() && e.End.IsZero() }
 
+// Notices returns what the servers announced, which all views of a fleet share.
+func (v *View) Notices() *Notices { return v.notices }
+
 // Len returns the number of servers.
 func (v *View) Len() int { return v.count }
 
@@ -64,13 +68,14 @@
 	// outageStart is the start of the current outage, zero without one. outageEnd is
 	// the end of the last outage that lasted at least minExpiryOutage.
 	outageStart, outageEnd time.Time
+	notices                *Notices
 	// changed reports whether the contents changed since the last view.
 	changed bool
 }
 
 // New returns an empty fleet.
 func New() *Fleet {
-	return &Fleet{servers: make(map[string]Server), missing: make(map[string]bool), removed: make(map[string]Server), evacuations: make(map[string]Evacuation), changed: true}
+	return &Fleet{servers: make(map[string]Server), missing: make(map[string]bool), removed: make(map[string]Server), evacuations: make(map[string]Evacuation), notices: NewNotices(), changed: true}
 }
 
 // ReadFailed records that a read of the store failed. The first call after a
@@ -201,7 +206,7 @@
 func (f *Fleet) View() (*View, bool) {
 	changed := f.changed
 	f.changed = false
-	v := &View{byService: make(map[string][]Server), evacuations: maps.Clone(f.evacuations), count: len(f.servers)}
+	v := &View{byService: make(map[string][]Server), evacuations: maps.Clone(f.evacuations), count: len(f.servers), notices: f.notices}
 	for _, s := range f.servers {
 		v.byService[s.Service] = append(v.byService[s.Service], s)
 	}
--- /dev/null
+++ b/steer/fleet/notice.go
@@ -0,0 +1,109 @@
+package fleet
+
+import (
+	"cmp"
+	"slices"
+	"sync"
+	"time"
+)
+
+// maxNotices bounds the number of servers whose notices are kept. When it is reached,
+// the oldest quarter is discarded.
+const maxNotices = 8192
+
+// Notice is what a server announces about itself.
+type Notice struct {
+	// Leaving reports that the server is about to stop and wants no new requests.
+	Leaving bool
+	// HoldOff is how long the server wants no requests of this host, 0 for none.
+	HoldOff time.Duration
+}
+
+// Notices holds what servers announced, in their records or in their responses to this
+// host. A notice concerns one incarnation of a server, and earlier ones of the same id.
+// Leaving is final. It outlives the server's record, since an older record of the same
+// incarnation may be read again. Notices is safe for concurrent use.
+type Notices struct {
+	mu   sync.RWMutex
+	byID map[string]standing
+}
+
+// standing is what one incarnation of a server announced.
+type standing struct {
+	incarnation int64
+	leaving     bool
+	// heldUntil is the end of the latest hold-off, zero without one.
+	heldUntil time.Time
+	// at is the time of the latest notice.
+	at time.Time
+}
+
+// NewNotices returns an empty record of notices.
+func NewNotices() *Notices { return &Notices{byID: make(map[string]standing)} }
+
+// Record adds a notice of the server's incarnation. It reports whether that changes
+// anything: the server wasn't known to leave, or didn't hold off requests at the time.
+func (n *Notices) Record(now time.Time, id string, incarnation int64, m Notice) bool {
+	if !m.Leaving && m.HoldOff <= 0 {
+		return false
+	}
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	old, found := n.byID[id]
+	if found && old.incarnation > incarnation {
+		return false
+	}
+	s := old
+	if !found || old.incarnation < incarnation {
+		n.makeRoom()
+		s = standing{incarnation: incarnation}
+	}
+	s.leaving = s.leaving || m.Leaving
+	if until := now.Add(m.HoldOff); m.HoldOff > 0 && until.After(s.heldUntil) {
+		s.heldUntil = until
+	}
+	changed := s.leaving != old.leaving || s.incarnation != old.incarnation || now.Before(s.heldUntil) && !now.Before(old.heldUntil)
+	s.at = now
+	n.byID[id] = s
+	return changed
+}
+
+// makeRoom discards the oldest notices if there are too many.
+func (n *Notices) makeRoom() {
+	if len(n.byID) < maxNotices {
+		return
+	}
+	ids := make([]string, 0, len(n.byID))
+	for id := range n.byID {
+		ids = append(ids, id)
+	}
+	slices.SortFunc(ids, func(a, b string) int { return cmp.Or(n.byID[a].at.Compare(n.byID[b].at), cmp.Compare(a, b)) })
+	for _, id := range ids[:maxNotices/4] {
+		delete(n.byID, id)
+	}
+}
+
+// Leaving reports whether the server's incarnation, or a later one, announced that it
+// leaves.
+func (n *Notices) Leaving(id string, incarnation int64) bool {
+	s, found := n.of(id, incarnation)
+	return found && s.leaving
+}
+
+// HeldUntil returns until when the server's incarnation wants no requests of this host,
+// zero for a time that has passed.
+func (n *Notices) HeldUntil(now time.Time, id string, incarnation int64) time.Time {
+	s, found := n.of(id, incarnation)
+	if !found || !now.Before(s.heldUntil) {
+		return time.Time{}
+	}
+	return s.heldUntil
+}
+
+// of returns what the incarnation, or a later one of the same id, announced.
+func (n *Notices) of(id string, incarnation int64) (standing, bool) {
+	n.mu.RLock()
+	defer n.mu.RUnlock()
+	s, found := n.byID[id]
+	return s, found && incarnation <= s.incarnation
+}
