fleet, pick, edge: send nothing to a server after it announced that it leaves or holds off

Callers' requests reached servers that had said in a response that they leave, for as long as the table didn't say so, and servers that had answered 503 with Retry-After. A request that waited for a connection was sent although the server had left the table meanwhile.

Cause: what a host learns of a server had several places. The table's state was a flag of the record, read at the choice only; responses weren't read; the check before the first byte asked for a pause and a suspected restart.

Now all of it is one fact in fleet.Notices, by id and incarnation, final for leaving, whoever tells it and whatever record is read later, and View.Availability is the one question: the choice asks it, and edge.send, the only way to a server, asks it again when a connection is ready, for health checks too. Where all servers hold off, the request is refused at once with the earliest end as Retry-After. A region whose servers hold off moves requests to others at the usual pace. Ejected servers count as usable in excess of a share of the available servers; those that leave used it up.

Two older tests read the flag of the record, and now ask for the availability.

--- a/hitchd/internal/edge/run.go
+++ b/hitchd/internal/edge/run.go
@@ -76,6 +76,7 @@
 		c := s.picker.Choose(now, e.state().Fleet, pick.Request{Service: x.service, Object: x.object, Regions: x.route.Regions, Tried: x.tried})
 		e.check(ctx, s, c.Check)
 		if c.Reason != pick.Chosen {
+			x.retryAt = c.RetryAt
 			return response
 		}
 		x.request.Fenced = func() bool {
@@ -242,7 +243,7 @@
 		case x.attempts > 0:
 			reason = result.ReasonShed
 		}
-		e.refuse(w, x, reason)
+		e.refuseFor(w, x, reason, max(minRetryAfter, x.retryAt.Sub(clock.Now())))
 		return
 	}
 	e.record(x, http.StatusBadGateway, result.ReasonUpstream)
--- a/hitchd/internal/edge/send.go
+++ b/hitchd/internal/edge/send.go
@@ -10,9 +10,15 @@
 	"magnoliahitch/steer/result"
 )
 
-// send sends the request, or a health check, to the server once. It records what the
-// server announces in its responses.
+// send sends the request, or a health check, to the server once. It is the only way to a
+// server, and nothing is sent if the server isn't available when a connection is ready:
+// it may have left, or have announced something, since it was chosen. It records what
+// the server announces in its responses.
 func (e *Edge) send(ctx context.Context, r *conns.Request, s fleet.Server) (*conns.Response, result.Outcome, error) {
+	fenced := r.Fenced
+	r.Fenced = func() bool {
+		return e.state().Fleet.Recheck(clock.Now(), &s) != fleet.Available || fenced != nil && fenced()
+	}
 	r.OnResponse = func(status int, h http.Header) { e.recordNotice(s, status, e.codec.Notice(status, h)) }
 	return e.pool.Send(ctx, r, s.ID, s.Addr)
 }
--- a/hitchd/internal/edge/serve.go
+++ b/hitchd/internal/edge/serve.go
@@ -46,6 +46,9 @@
 	suspect bool
 	// onTrial is set for a request that crashed servers and may reach one more.
 	onTrial bool
+	// retryAt is when the first server wants requests again, if the attempts ended because
+	// all of them hold requests off.
+	retryAt time.Time
 	// lastChoice is the server selection of the last attempt, lastErr its error.
 	lastChoice pick.Choice
 	lastErr    error
--- a/hitchd/internal/watch/watch_test.go
+++ b/hitchd/internal/watch/watch_test.go
@@ -179,7 +179,7 @@
 func ids(w *Watch) []string {
 	var out []string
 	for _, s := range w.State().Fleet.Servers("loans") {
-		if !s.Draining {
+		if a, _ := w.State().Fleet.Availability(clock.Now(), &s); a != fleet.Leaving {
 			out = append(out, s.ID)
 		}
 	}
--- a/steer/fleet/fleet.go
+++ b/steer/fleet/fleet.go
@@ -114,6 +114,7 @@
 // Put adds or replaces a record, unless a newer record of the same id is or was
 // present. It reports whether the record was accepted.
 func (f *Fleet) Put(s Server) bool {
+	f.notices.Record(s.ReadAt, s.ID, s.Incarnation, Notice{Leaving: s.Draining})
 	old, found := f.servers[s.ID]
 	if !found {
 		old, found = f.removed[s.ID]
@@ -121,10 +122,6 @@
 	if found && !s.supersedes(&old) {
 		return false
 	}
-	if found && old.Incarnation == s.Incarnation && old.Draining {
-		// Draining is final within one incarnation of a server.
-		s.Draining = true
-	}
 	delete(f.missing, s.ID)
 	delete(f.removed, s.ID)
 	f.servers[s.ID] = s
@@ -139,14 +136,14 @@
 }
 
 // RecordMissing notes that the record of the id disappeared from the store. The
-// server is removed at once if the fleet is settled or the server is draining;
+// server is removed at once if the fleet is settled or the server leaves;
 // otherwise it stays in use until [Fleet.RemoveMissing] is called on a settled
 // fleet.
 func (f *Fleet) RecordMissing(now time.Time, id string) {
 	s, found := f.servers[id]
 	switch {
 	case !found:
-	case f.Settled(now) || s.Draining:
+	case f.Settled(now) || f.notices.Leaving(id, s.Incarnation):
 		f.remove(id)
 	default:
 		f.missing[id] = true
--- a/steer/fleet/fleet_test.go
+++ b/steer/fleet/fleet_test.go
@@ -90,7 +90,7 @@
 	draining.Draining = true
 	f.Put(draining)
 	f.Put(server("x", 7))
-	if v, _ := f.View(); !v.Servers("catalogue")[0].Draining {
+	if got := f.availability(t, at(0), "x"); got != Leaving {
 		t.Error("a draining server is no longer draining after a newer record of the same incarnation")
 	}
 	f.RecordMissing(at(0), "x")
@@ -102,7 +102,7 @@
 	if !f.Put(restarted) {
 		t.Error("record of a new incarnation was rejected, want it accepted")
 	}
-	if v, _ := f.View(); v.Servers("catalogue")[0].Draining {
+	if got := f.availability(t, at(0), "x"); got != Available {
 		t.Error("the new incarnation is draining, want it in use")
 	}
 }
--- a/steer/fleet/notice.go
+++ b/steer/fleet/notice.go
@@ -90,16 +90,6 @@
 	return found && s.leaving
 }
 
-// HeldUntil returns until when the server's incarnation wants no requests of this host,
-// zero for a time that has passed.
-func (n *Notices) HeldUntil(now time.Time, id string, incarnation int64) time.Time {
-	s, found := n.of(id, incarnation)
-	if !found || !now.Before(s.heldUntil) {
-		return time.Time{}
-	}
-	return s.heldUntil
-}
-
 // of returns what the incarnation, or a later one of the same id, announced.
 func (n *Notices) of(id string, incarnation int64) (standing, bool) {
 	n.mu.RLock()
--- a/steer/fleet/server.go
+++ b/steer/fleet/server.go
@@ -11,7 +11,8 @@
 	Region  string
 	// Slots is the number of requests that the server runs at once.
 	Slots int
-	// Draining servers get no new requests.
+	// Draining reports that the record says so. [View.Availability] tells whether the
+	// server gets requests.
 	Draining bool
 	// Incarnation is the Unix time in milliseconds at which the server started. It
 	// identifies one run of the server.
--- a/steer/pick/picker.go
+++ b/steer/pick/picker.go
@@ -71,6 +71,9 @@
 	Chosen Reason = "chosen"
 	// NoServers means that no server of the service may run the request.
 	NoServers Reason = "noServers"
+	// AllHoldingOff means that the servers which may run the request want no requests of
+	// this host for a time.
+	AllHoldingOff Reason = "holdingOff"
 	// AllCold means that all servers considered are warming up or may have restarted,
 	// and that this host may not send them a request now.
 	AllCold Reason = "allBusy"
@@ -95,6 +98,8 @@
 	Check []fleet.Server
 	// Phase is the warm-up phase of the selected server.
 	Phase Phase
+	// RetryAt is when the first server wants requests again, if Reason is [AllHoldingOff].
+	RetryAt time.Time
 }
 
 // Location is the location of a host.
@@ -177,18 +182,23 @@
 	if p.firstRequest.IsZero() {
 		p.firstRequest = now
 	}
-	local, remote, localHealthy := p.usable(now, v, r)
+	u := p.usable(now, v, r)
+	local, remote := u.local, u.remote
 	if len(local)+len(remote) == 0 {
-		return Choice{Reason: NoServers}
+		return u.none()
 	}
 	first, second := local, remote
 	if p.spillover.assignedRemote(r.Object) && len(remote) > 0 {
 		first, second = remote, local
 	}
+	if len(first) == 0 && !u.localHeldUntil.IsZero() && u.localHealthy && !p.spillover.reroutes.allow(now) {
+		// A region whose servers are full moves no more requests at once than others.
+		return Choice{Reason: AllHoldingOff, RetryAt: u.localHeldUntil, Usable: len(remote)}
+	}
 	order := p.rankByCost(now, first, r.Object)
 	rest := p.rankByCost(now, second, r.Object)
 	rerouted := false
-	if len(order) == 0 || len(rest) > 0 && order[0].cost-rest[0].cost > minRerouteGain && (!localHealthy || p.spillover.reroutes.allow(now)) {
+	if len(order) == 0 || len(rest) > 0 && order[0].cost-rest[0].cost > minRerouteGain && (!u.localHealthy || p.spillover.reroutes.allow(now)) {
 		order, rest, rerouted = rest, order, true
 	}
 	check := p.dueChecks(now, order)
@@ -252,40 +262,92 @@
 	return nil
 }
 
-// usable returns the local and the remote servers that may run the request, and
-// reports whether at least the share minLocalUsable of the local servers is among
-// them. Ejected servers in excess of maxEjectedShare count as usable. It also updates
-// the spillover share.
-func (p *Picker) usable(now time.Time, v *fleet.View, r Request) (local, remote []candidate, localHealthy bool) {
+// usableServers are the servers of a service that may run a request.
+type usableServers struct {
+	local, remote []candidate
+	// localHealthy reports whether at least the share minLocalUsable of the local
+	// servers is usable or holds requests off. The latter haven't failed.
+	localHealthy bool
+	// heldUntil and localHeldUntil are the earliest end of a hold-off of the servers that
+	// the request may use, and of the local ones; zero for none.
+	heldUntil, localHeldUntil time.Time
+	// others reports whether the request may not use a server only because it was tried
+	// there.
+	others bool
+}
+
+// none returns the result of a selection without any usable server.
+func (u *usableServers) none() Choice {
+	if u.heldUntil.IsZero() || u.others {
+		return Choice{Reason: NoServers}
+	}
+	return Choice{Reason: AllHoldingOff, RetryAt: u.heldUntil}
+}
+
+// held notes the end of a server's hold-off.
+func (u *usableServers) held(until time.Time, local bool) {
+	if u.heldUntil.IsZero() || until.Before(u.heldUntil) {
+		u.heldUntil = until
+	}
+	if local && (u.localHeldUntil.IsZero() || until.Before(u.localHeldUntil)) {
+		u.localHeldUntil = until
+	}
+}
+
+// usable returns the servers that may run the request. Ejected servers in excess of
+// maxEjectedShare of the available ones count as usable. It also updates the spillover
+// share.
+func (p *Picker) usable(now time.Time, v *fleet.View, r Request) usableServers {
 	all := v.Servers(r.Service)
-	ejectedCount, localCount := 0, 0
-	usage := slotUsage{regions: make(map[string]bool)}
+	var u usableServers
+	available := make([]*fleet.Server, 0, len(all))
+	localCount, localHeld := 0, 0
 	for i := range all {
 		s := &all[i]
-		if s.Region == p.location.Region {
+		local := s.Region == p.location.Region
+		if local {
 			localCount++
 		}
-		if s.Draining || v.Evacuated(s.Domain) || slices.Contains(r.Tried, s.ID) ||
-			(len(r.Regions) > 0 && !slices.Contains(r.Regions, s.Region)) {
+		availability, until := v.Availability(now, s)
+		if len(r.Regions) > 0 && !slices.Contains(r.Regions, s.Region) {
+			continue
+		}
+		switch availability {
+		case fleet.Available:
+			available = append(available, s)
+		case fleet.HoldingOff:
+			u.held(until, local)
+			if local {
+				localHeld++
+			}
+		default:
+		}
+	}
+	ejectedCount := 0
+	usage := slotUsage{regions: make(map[string]bool)}
+	for _, s := range available {
+		if slices.Contains(r.Tried, s.ID) {
+			u.others = true
 			continue
 		}
 		st := p.state(s)
 		if st.ejected(now) {
 			ejectedCount++
-			if float64(ejectedCount) <= maxEjectedShare*float64(len(all)) {
+			if float64(ejectedCount) <= maxEjectedShare*float64(len(available)) {
 				continue
 			}
 		}
 		c := candidate{server: s, state: st, score: score(r.Object, s.ID), phase: p.updatePhase(now, v, s, st), remote: s.Region != p.location.Region}
 		usage.add(now, &c)
 		if c.remote {
-			remote = append(remote, c)
+			u.remote = append(u.remote, c)
 		} else {
-			local = append(local, c)
+			u.local = append(u.local, c)
 		}
 	}
 	p.updateSpillover(now, &usage)
-	return local, remote, float64(len(local)) >= minLocalUsable*float64(localCount)
+	u.localHealthy = float64(len(u.local)+localHeld) >= minLocalUsable*float64(localCount)
+	return u
 }
 
 // slotUsage sums up the slots of a service's usable servers and the load of the
--- a/steer/pick/picker_test.go
+++ b/steer/pick/picker_test.go
@@ -151,8 +151,8 @@
 		}
 		p.Done(now, c.Server.ID, Failed, 0, Report{})
 	}
-	local, _, _ := p.usable(at(41*time.Millisecond), v, Request{Service: "loans"})
-	if got := len(local); got < 2 || got > 3 {
+	u := p.usable(at(41*time.Millisecond), v, Request{Service: "loans"})
+	if got := len(u.local); got < 2 || got > 3 {
 		t.Errorf("%d of 4 servers in use, want 2 or 3", got)
 	}
 }
