soak: servers that announce that they leave, hold requests off, repeat refusals and refuse after a run

Servers that leave say so in all responses, also those that never announce it in the store. New faults, with random numbers of their own, so that the plans of seeds stay: refusals with Retry-After, refusals that are repeated before the next response of the connection, and status 503 after a run. New checks: noWorkAfterNotice, excused by a restart or a pause of the host alone, and holdOffKept.

--- a/standin/internal/soak/act.go
+++ b/standin/internal/soak/act.go
@@ -22,6 +22,7 @@
 	lostCommits   = 30
 	maxSlowdown   = 8.0
 	corruptShare  = 0.15
+	refuseShare   = 0.3
 	// rollInterval is the time between the planned stops of a rolling restart.
 	rollInterval = 600 * time.Millisecond
 	// stormInterval is the time between two configurations of a Storm.
@@ -78,7 +79,7 @@
 		w.restoreStore(ctx, e)
 	case ServerCrash, ServerDrain, ServerVanish, ServerReplace, ServerAdd:
 		return w.changeServers(ctx, e)
-	case ServerSlow, ServerFail, ServerLose, ServerGarble, ServerForget:
+	case ServerSlow, ServerFail, ServerLose, ServerGarble, ServerForget, ServerHoldOff, ServerRepeat, ServerUnavailable:
 		w.injectServerFault(ctx, e)
 	case Configure:
 		w.operator.configure(ctx)
@@ -293,6 +294,12 @@
 		f.Lose = corruptShare
 	case ServerGarble:
 		f.Truncate, f.Extra = corruptShare/2, corruptShare/2
+	case ServerHoldOff:
+		f.HoldOff = refuseShare
+	case ServerRepeat:
+		f.Repeat = refuseShare
+	case ServerUnavailable:
+		f.Unavailable = refuseShare
 	}
 	numbers := make(map[*Server]int)
 	w.mu.Lock()
@@ -301,7 +308,9 @@
 		if e.Kind == ServerForget {
 			x.Forget()
 		}
-		defer func(end func(time.Time)) { end(time.Now()) }(w.disturbances.Disturb(time.Now(), partLink(x.Link)))
+		if e.Kind != ServerHoldOff {
+			defer func(end func(time.Time)) { end(time.Now()) }(w.disturbances.Disturb(time.Now(), partLink(x.Link)))
+		}
 		if w.serverFaults[x] == nil {
 			w.serverFaults[x] = &activeFaults[ServerFault]{}
 		}
@@ -320,7 +329,10 @@
 
 func (w *World) applyServerFault(x *Server) {
 	f := w.serverFaults[x].merge(func(a, b ServerFault) ServerFault {
-		return ServerFault{Slow: max(a.Slow, b.Slow), Fail: max(a.Fail, b.Fail), Lose: max(a.Lose, b.Lose), Truncate: max(a.Truncate, b.Truncate), Extra: max(a.Extra, b.Extra)}
+		return ServerFault{
+			Slow: max(a.Slow, b.Slow), Fail: max(a.Fail, b.Fail), Lose: max(a.Lose, b.Lose), Truncate: max(a.Truncate, b.Truncate), Extra: max(a.Extra, b.Extra),
+			HoldOff: max(a.HoldOff, b.HoldOff), Repeat: max(a.Repeat, b.Repeat), Unavailable: max(a.Unavailable, b.Unavailable),
+		}
 	})
 	x.fault.Store(&f)
 }
--- a/standin/internal/soak/caller.go
+++ b/standin/internal/soak/caller.go
@@ -296,6 +296,7 @@
 	}
 	out := Response{
 		Status: res.StatusCode, ID: res.Header.Get(platform.HeaderRequestID), Signed: res.Header.Get(platform.HeaderSignature) != "", Checksum: Checksum(body),
+		Leaving: res.Header.Get(platform.HeaderLeaving) != "",
 		Suspect: bytes.Contains(body, []byte("suspectRequest")),
 	}
 	return out, res.Close, nil
--- a/standin/internal/soak/fleet.go
+++ b/standin/internal/soak/fleet.go
@@ -39,6 +39,8 @@
 	server  *Server
 	// sequence counts the changes of the server's record.
 	sequence int
+	// announced is set while the record says that the server drains.
+	announced bool
 	// unregistered is set while the server runs but no longer writes its record.
 	unregistered bool
 	// busy is set while the server is being drained, stopped or replaced.
@@ -96,7 +98,7 @@
 	}
 	s.link.SetTarget(x.Addr())
 	f.mu.Lock()
-	s.server, s.sequence, s.unregistered, s.busy = x, 1, false, false
+	s.server, s.sequence, s.announced, s.unregistered, s.busy = x, 1, false, false, false
 	f.mu.Unlock()
 	go f.register(s, x)
 	return nil
@@ -141,7 +143,7 @@
 // record encodes the server's record. The caller holds f.mu.
 func (f *fleet) record(s *endpoint, x *Server) []byte {
 	state := "ready"
-	if x.draining.Load() {
+	if s.announced {
 		state = "draining"
 	}
 	out, err := json.Marshal(map[string]any{
@@ -254,9 +256,10 @@
 	x := s.server
 	f.mu.Lock()
 	s.sequence++
+	s.announced = announced
 	f.mu.Unlock()
+	x.leaving.Store(true)
 	if announced {
-		x.draining.Store(true)
 		if f.register(s, x) {
 			f.world.ledger.Leaving(time.Now(), x.ID)
 		}
--- a/standin/internal/soak/host.go
+++ b/standin/internal/soak/host.go
@@ -189,8 +189,10 @@
 // Pause suspends the process with SIGSTOP and resumes it with SIGCONT after d,
 // unless another pause is in progress then or the process was restarted.
 func (h *Host) Pause(ctx context.Context, d time.Duration) error {
-	end := h.disturbances.Disturb(time.Now(), partHost(h.Name))
-	defer func() { end(time.Now()) }()
+	for _, part := range []string{partHost(h.Name), partProcess(h.Name)} {
+		end := h.disturbances.Disturb(time.Now(), part)
+		defer func() { end(time.Now()) }()
+	}
 	starts := h.countPause(1)
 	if err := h.signal(syscall.SIGSTOP); err != nil {
 		return err
--- a/standin/internal/soak/invariant.go
+++ b/standin/internal/soak/invariant.go
@@ -40,6 +40,10 @@
 	// Heartbeat is the interval at which servers renew their records, which
 	// expire after RecordTTL.
 	Heartbeat, RecordTTL time.Duration
+	// HoldOffRequests is the number of requests that may reach a server in a time in which it
+	// wants none, from HoldOffGrace after its response on.
+	HoldOffRequests int
+	HoldOffGrace    time.Duration
 	// FatalRetries is the number of times that a request may reach servers after it crashed
 	// the third one.
 	FatalRetries int
@@ -50,28 +54,30 @@
 // PlatformBounds returns the bounds of the users' platform.
 func PlatformBounds() Bounds {
 	return Bounds{
-		QuietPeriod:   4 * time.Second,
-		Drain:         2500 * time.Millisecond,
-		Apply:         2500 * time.Millisecond,
-		Evacuate:      5 * time.Second,
-		Revert:        250 * time.Millisecond,
-		LossSlack:     200 * time.Millisecond,
-		DeadlineSlack: 500 * time.Millisecond,
-		TimeoutSlack:  500 * time.Millisecond,
-		Recovery:      15 * time.Second,
-		CancelGrace:   500 * time.Millisecond,
-		WarmUpRate:    2.8,
-		WarmUpOverrun: 1.5,
-		WarmUpSlack:   5,
-		RetryShare:    0.2,
-		RetrySlack:    112,
-		RetryWindow:   10 * time.Second,
-		StopTimeout:   6 * time.Second,
-		Reuse:         2 * time.Second,
-		Heartbeat:     1500 * time.Millisecond,
-		RecordTTL:     4500 * time.Millisecond,
-		FatalRetries:  3,
-		MaxExceptions: 3,
+		QuietPeriod:     4 * time.Second,
+		Drain:           2500 * time.Millisecond,
+		Apply:           2500 * time.Millisecond,
+		Evacuate:        5 * time.Second,
+		Revert:          250 * time.Millisecond,
+		LossSlack:       200 * time.Millisecond,
+		DeadlineSlack:   500 * time.Millisecond,
+		TimeoutSlack:    500 * time.Millisecond,
+		Recovery:        15 * time.Second,
+		CancelGrace:     500 * time.Millisecond,
+		WarmUpRate:      2.8,
+		WarmUpOverrun:   1.5,
+		WarmUpSlack:     5,
+		RetryShare:      0.2,
+		RetrySlack:      112,
+		RetryWindow:     10 * time.Second,
+		StopTimeout:     6 * time.Second,
+		Reuse:           2 * time.Second,
+		Heartbeat:       1500 * time.Millisecond,
+		RecordTTL:       4500 * time.Millisecond,
+		HoldOffRequests: 2,
+		HoldOffGrace:    500 * time.Millisecond,
+		FatalRetries:    3,
+		MaxExceptions:   3,
 	}
 }
 
@@ -93,6 +99,13 @@
 	RightService Invariant = "rightService"
 	// NoWorkAfterDrain: draining and removed servers get no new requests after Bounds.Drain.
 	NoWorkAfterDrain Invariant = "noWorkAfterDrain"
+	// NoWorkAfterNotice: a server gets no new requests of a host later than Bounds.Drain after
+	// the host passed a response on in which the server announced that it leaves. Only
+	// a restart or a pause of the host excuses it.
+	NoWorkAfterNotice Invariant = "noWorkAfterNotice"
+	// HoldOffKept: a server that answers 503 with a time gets at most Bounds.HoldOffRequests of
+	// the host between Bounds.HoldOffGrace after it and the end of that time.
+	HoldOffKept Invariant = "holdOffKept"
 	// NoWorkEvacuated: evacuated failure domains get no requests after Bounds.Evacuate.
 	NoWorkEvacuated Invariant = "noWorkEvacuated"
 	// ConfigInForce: configurations are in force within Bounds.Apply.
--- a/standin/internal/soak/ledger.go
+++ b/standin/internal/soak/ledger.go
@@ -63,6 +63,10 @@
 	// leaving is when the store acknowledged the server's drain or removal.
 	leaving   time.Time
 	coldUntil time.Time
+	// passedOn and holdOffs are what the server told hosts in its responses, by the host's
+	// start.
+	passedOn map[start]time.Time
+	holdOffs map[start]*holdOff
 	// recentArrivals are the arrivals of the last second during warm-up.
 	recentArrivals []time.Time
 }
@@ -103,6 +107,7 @@
 
 func partHost(name string) string    { return "host/" + name }
 func partPlanned(name string) string { return "planned/" + name }
+func partProcess(name string) string { return "process/" + name }
 func partLink(addr string) string    { return "link/" + addr }
 
 // Violations returns the violations so far.
@@ -151,6 +156,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	u.coldUntil = coldUntil
+	u.passedOn, u.holdOffs = make(map[start]time.Time), make(map[start]*holdOff)
 	l.upstreams[u.ID] = &u
 }
 
@@ -201,6 +207,7 @@
 	l.arrivals++
 	r.arrivals = append(r.arrivals, arrival{server, now})
 	l.checkLeaving(now, r, u)
+	l.checkTold(now, r, u)
 	l.checkWarmUp(now, r, u)
 	l.checkQuery(now, r)
 	if t := l.traffic(u.Service); len(r.arrivals) > 1 && t.addRepeat(now, l.bounds) {
--- a/standin/internal/soak/ledger_test.go
+++ b/standin/internal/soak/ledger_test.go
@@ -1,6 +1,7 @@
 package soak
 
 import (
+	"fmt"
 	"testing"
 	"time"
 )
@@ -41,6 +42,32 @@
 	l.Finish(id, 200)
 }
 
+// passOn records a response of the server in which it announced that it leaves.
+func passOn(l *Ledger, id, server string, seconds float64) {
+	recordAttempt(l, id, seconds, false)
+	recordRun(l, id, server, seconds)
+	out := complete(id)
+	out.Leaving = true
+	l.Responded(at(seconds), id, out)
+}
+
+// requestsInHoldOff records a hold-off of two seconds, and requests right after its grace
+// as well as before and after the time that counts.
+func requestsInHoldOff(l *Ledger, count int) {
+	recordAttempt(l, "q", 10, false)
+	l.Arrive(at(10), "q", "s1", time.Second)
+	l.HoldOff(at(10.1), "q", "s1", 2*time.Second)
+	times := []float64{10.2, 10.5, 12.2}
+	for i := range count {
+		times = append(times, 10.7+float64(i)*0.1)
+	}
+	for i, t := range times {
+		id := fmt.Sprint("h", i)
+		recordAttempt(l, id, t, false)
+		recordRun(l, id, "s1", t)
+	}
+}
+
 func complete(id string) Response {
 	return Response{Status: 200, ID: id, Signed: true, Checksum: Checksum(Body(id))}
 }
@@ -134,6 +161,43 @@
 			recordAttempt(l, "r", 12.5, false)
 			recordRun(l, "r", "s1", 12.6)
 		}},
+		{"server said that it leaves, within the bound", "", func(l *Ledger, _ *Disturbances) {
+			passOn(l, "q", "s1", 10)
+			recordAttempt(l, "r", 12.5, false)
+			recordRun(l, "r", "s1", 12.9)
+		}},
+		{"server said that it leaves, while the store is down", NoWorkAfterNotice, func(l *Ledger, disturbances *Disturbances) {
+			disturbances.Disturb(at(8), partStore)
+			disturbances.Disturb(at(8), partHost("h"))
+			passOn(l, "q", "s1", 10)
+			recordAttempt(l, "r", 12.8, false)
+			recordRun(l, "r", "s1", 12.9)
+		}},
+		{"server said that it leaves, host paused since", "", func(l *Ledger, disturbances *Disturbances) {
+			passOn(l, "q", "s1", 10)
+			disturbances.Disturb(at(11), partProcess("h"))(at(12))
+			recordAttempt(l, "r", 12.8, false)
+			recordRun(l, "r", "s1", 12.9)
+		}},
+		{"server said that it leaves, to another host", "", func(l *Ledger, _ *Disturbances) {
+			passOn(l, "q", "s1", 10)
+			a := recordAttempt(l, "r", 12.8, false)
+			a.Host = "other"
+			l.Send(a)
+			recordRun(l, "r", "s1", 12.9)
+		}},
+		{"two requests in a hold-off", "", func(l *Ledger, _ *Disturbances) { requestsInHoldOff(l, 2) }},
+		{"three requests in a hold-off", HoldOffKept, func(l *Ledger, _ *Disturbances) { requestsInHoldOff(l, 3) }},
+		{"requests in a hold-off whose response was not read", "", func(l *Ledger, _ *Disturbances) {
+			requestsInHoldOff(l, 0)
+			l.Cancelled(at(10), "q")
+			l.HoldOff(at(10.2), "q", "s1", 3*time.Second)
+			for i := range 3 {
+				id := fmt.Sprint("r", i)
+				recordAttempt(l, id, 11.2, false)
+				recordRun(l, id, "s1", 11.2)
+			}
+		}},
 		{"evacuated domain", NoWorkEvacuated, func(l *Ledger, _ *Disturbances) {
 			l.Evacuated(at(10), "north-a")
 			recordAttempt(l, "r", 15, false)
--- a/standin/internal/soak/outcome.go
+++ b/standin/internal/soak/outcome.go
@@ -15,6 +15,8 @@
 	Signed bool
 	// Checksum is the checksum of its complete body.
 	Checksum uint64
+	// Leaving reports that the server announced that it leaves.
+	Leaving bool
 	// Suspect is set if the request was refused because it crashed servers.
 	Suspect bool
 }
@@ -35,6 +37,9 @@
 	defer l.mu.Unlock()
 	r := l.attempts[id]
 	r.ended = now
+	if a.Leaving && len(r.arrivals) > 0 {
+		l.passOn(now, r, r.arrivals[len(r.arrivals)-1].server)
+	}
 	switch {
 	case a.ID != "" && a.ID != id:
 		l.addViolation(now, CompleteResponse, r, "got the response to request %s", a.ID)
--- a/standin/internal/soak/plan.go
+++ b/standin/internal/soak/plan.go
@@ -63,6 +63,12 @@
 	ServerLose    Kind = "serverLose"
 	ServerGarble  Kind = "serverGarble"
 	ServerForget  Kind = "serverForget"
+	// ServerHoldOff refuses requests with a time in which none should follow, ServerRepeat
+	// refuses some and repeats the refusal before the next response of the connection, and
+	// ServerUnavailable runs requests and responds with status 503.
+	ServerHoldOff     Kind = "serverHoldOff"
+	ServerRepeat      Kind = "serverRepeat"
+	ServerUnavailable Kind = "serverUnavailable"
 
 	// Changes by the operator. Storm is a fast series of configurations.
 	Configure Kind = "configure"
@@ -129,6 +135,7 @@
 	}
 	out = append(out, drawQueryOfDeath(seed, length))
 	out = append(out, drawRestores(seed, length)...)
+	out = append(out, drawRefusals(seed, length)...)
 	slices.SortStableFunc(out, func(a, b Event) int { return int(a.At - b.At) })
 	return out
 }
@@ -163,6 +170,19 @@
 	return out
 }
 
+// drawRefusals returns a fault of each kind in which servers refuse requests. It has random
+// numbers of its own, as [drawQueryOfDeath].
+func drawRefusals(seed uint64, length time.Duration) []Event {
+	r := rand.New(rand.NewPCG(seed, 4))
+	var out []Event
+	for _, k := range []Kind{ServerHoldOff, ServerRepeat, ServerUnavailable} {
+		e := Event{At: time.Duration(r.Int64N(int64(length))), Kind: k, Target: r.Uint32(), Share: r.Float64()}
+		e.For = min(length-e.At, time.Second+time.Duration(r.Int64N(int64(maxFaultDuration))))
+		out = append(out, e)
+	}
+	return out
+}
+
 // activeFaults holds the faults that are active at one link, server or store.
 type activeFaults[T any] struct {
 	next   int
--- a/standin/internal/soak/server.go
+++ b/standin/internal/soak/server.go
@@ -8,6 +8,7 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"strconv"
 	"strings"
 	"sync"
@@ -45,6 +46,10 @@
 	// Fail, Lose, Truncate and Extra are the shares of requests that fail with status
 	// 500, and whose response is lost, truncated, or followed by another one.
 	Fail, Lose, Truncate, Extra float64
+	// HoldOff is the share of requests that are refused with a time in which none should
+	// follow, Repeat that of those whose refusal is repeated before the next response of the
+	// connection, and Unavailable that of those that run and get status 503.
+	HoldOff, Repeat, Unavailable float64
 }
 
 // Server is one start of an upstream server.
@@ -57,9 +62,10 @@
 	http      *http.Server
 	slots     chan struct{}
 	waiting   atomic.Int64
-	draining  atomic.Bool
-	fault     atomic.Pointer[ServerFault]
-	ended     atomic.Bool
+	// leaving is set once the server is about to stop, which all of its responses tell.
+	leaving atomic.Bool
+	fault   atomic.Pointer[ServerFault]
+	ended   atomic.Bool
 	// onFatal is called with the target of a fatal request that the server runs. It reports
 	// whether the server crashes.
 	onFatal func(target string) bool
@@ -142,6 +148,9 @@
 func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	id := r.Header.Get(platform.HeaderRequestID)
 	h := w.Header()
+	if s.leaving.Load() {
+		h.Set(platform.HeaderLeaving, "1")
+	}
 	if r.URL.Path == healthPath {
 		s.health(w)
 		return
@@ -161,6 +170,15 @@
 	}
 	allowed := time.Duration(ms) * time.Millisecond
 	s.ledger.Arrive(time.Now(), id, s.ID, allowed)
+	f := *s.fault.Load()
+	switch dice := rand.Float64(); {
+	case dice < f.HoldOff:
+		s.holdOff(w, r, id)
+		return
+	case dice < f.HoldOff+f.Repeat && hijackable(w):
+		s.repeat(w)
+		return
+	}
 	ctx, cancel := context.WithTimeout(r.Context(), allowed)
 	defer cancel()
 	if !s.admit(ctx) {
@@ -197,6 +215,49 @@
 	w.WriteHeader(status)
 }
 
+// Bounds of the time in which a server wants no requests of a host.
+const (
+	minHoldOff    = 200 * time.Millisecond
+	holdOffSpread = 3 * time.Second
+)
+
+// holdOff refuses the request with a time in which the host should send no more.
+func (s *Server) holdOff(w http.ResponseWriter, r *http.Request, id string) {
+	d := minHoldOff + rand.N(holdOffSpread)
+	w.Header().Set(platform.HeaderRetryAfter, strconv.FormatFloat(d.Seconds(), 'f', 3, 64))
+	if r.Context().Err() == nil {
+		s.ledger.HoldOff(time.Now(), id, s.ID, d)
+	}
+	s.reject(w, http.StatusServiceUnavailable)
+}
+
+// repeat refuses the request, and writes the refusal once more before the response to the
+// next request of the connection.
+func (s *Server) repeat(w http.ResponseWriter) {
+	c, buf, err := w.(http.Hijacker).Hijack()
+	if err != nil {
+		return
+	}
+	defer func() { _ = c.Close() }()
+	w.Header().Set(platform.HeaderNotRun, "1")
+	var refusal strings.Builder
+	refusal.WriteString("HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n")
+	_ = w.Header().Write(&refusal)
+	refusal.WriteString("\r\n")
+	_, _ = c.Write([]byte(refusal.String()))
+	_ = c.SetDeadline(time.Now().Add(idleTimeout))
+	next, err := http.ReadRequest(buf.Reader)
+	if err != nil || s.ended.Load() {
+		return
+	}
+	_, _ = c.Write([]byte(refusal.String()))
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	out := httptest.NewRecorder()
+	s.ServeHTTP(out, next.WithContext(ctx))
+	_ = out.Result().Write(c)
+}
+
 func (s *Server) load() string {
 	return fmt.Sprintf("%d,%d,%d", len(s.slots), s.waiting.Load(), serverSlots)
 }
@@ -206,7 +267,7 @@
 	if left := s.WarmUpLeft(time.Now()); left > 0 {
 		w.Header().Set(platform.HeaderWarmUp, strconv.FormatInt(left.Milliseconds(), 10))
 	}
-	if s.draining.Load() {
+	if s.leaving.Load() {
 		w.WriteHeader(http.StatusServiceUnavailable)
 	}
 }
@@ -240,7 +301,7 @@
 	h.Set(platform.HeaderSignature, strconv.FormatUint(xxhash.Sum64String("seal"+id), 16))
 	h.Set(platform.HeaderLoad, s.load())
 	h.Set("Keep-Alive", fmt.Sprintf("timeout=%d", int(idleTimeout.Seconds())))
-	if s.draining.Load() {
+	if s.leaving.Load() {
 		h.Set("Connection", "close")
 	}
 	status := http.StatusOK
@@ -249,15 +310,24 @@
 		status = http.StatusGatewayTimeout
 	case rand.Float64() < f.Fail:
 		status = http.StatusInternalServerError
+	case rand.Float64() < f.Unavailable:
+		status = http.StatusServiceUnavailable
 	}
 	s.ledger.Finish(id, status)
 	s.respond(w, f, status, Body(id))
 }
 
+// hijackable reports whether the writer can give up its connection, which that of the request
+// after a repeated refusal can't.
+func hijackable(w http.ResponseWriter) bool {
+	_, ok := w.(http.Hijacker)
+	return ok
+}
+
 // respond writes the response, which the fault may lose, truncate or follow with another one.
 func (s *Server) respond(w http.ResponseWriter, f ServerFault, status int, body []byte) {
 	dice := rand.Float64()
-	if dice >= f.Lose+f.Truncate+f.Extra {
+	if dice >= f.Lose+f.Truncate+f.Extra || !hijackable(w) {
 		w.Header().Set("Content-Length", strconv.Itoa(len(body)))
 		w.WriteHeader(status)
 		_, _ = w.Write(body)
