conns: take no response for a request's own that could be another's

A server that repeats an earlier response right before it runs the next request of the connection: that request was told not run although it ran, if it had the id of the earlier one, or if both had none (REFUSED, TWICE). A health check took a late response without an id for its own in the same way, and the one of another server that got the address, which verified a server that may be cold.

Cause: a response was matched by the id of the request alone, and an id that is missing or used twice proves nothing on a connection that carried it before. A request takes an idle connection now only if that hasn't carried its id, and a request without an id takes a new one. A connection is reused at most 512 times, so that the list of its ids is complete. Health checks, which are rare and have no id, open a connection each now. The health response names its server, and another one's is an error.

--- a/hitchd/internal/conns/pool.go
+++ b/hitchd/internal/conns/pool.go
@@ -4,10 +4,12 @@
 	"bufio"
 	"context"
 	"net"
+	"slices"
 	"sync"
 	"syscall"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/go-faster/errors"
 	"golang.org/x/sys/unix"
 )
@@ -35,6 +37,8 @@
 	bufferSize = 2 << 10
 	// maxIdlePerServer bounds the idle connections to one server.
 	maxIdlePerServer = 8
+	// maxCarried is the number of requests after which a connection isn't reused.
+	maxCarried = 512
 )
 
 // Pool holds the idle connections to upstream servers, by address. It is safe
@@ -79,34 +83,51 @@
 	idleTimeout time.Duration
 	// reused is set once the connection has carried an exchange.
 	reused bool
+	// carried holds the hashes of the ids of all requests on the connection.
+	carried []uint64
 	// server is the id of the server that has responded on the connection, "" before
 	// that.
 	server string
 }
 
-// idleConn returns an idle connection to the address, nil if there is none. Closed
-// reports that the server closed an idle connection before its idle timeout, dirty
-// that one had unexpected bytes.
-func (p *Pool) idleConn(now time.Time, addr string, nonIdempotent bool) (c *conn, closed, dirty bool) {
+// idleConn returns an idle connection to the address for the request, nil if there is none.
+// It returns none on which the server may have left a response that can't be told from the
+// one to the request: the connection has carried a request with the same id, or the request
+// has no id. Closed reports that the server closed an idle connection before its idle
+// timeout, dirty that one had unexpected bytes.
+func (p *Pool) idleConn(now time.Time, addr string, r *Request) (found *conn, closed, dirty bool) {
 	maxIdle := idleMax
-	if nonIdempotent {
+	if r.NonIdempotent {
 		maxIdle = idleNonIdempotent
 	}
-	for {
+	var kept []*conn
+	for found == nil {
 		c := p.take(addr)
 		if c == nil {
-			return nil, closed, dirty
+			break
 		}
 		idle, state := now.Sub(c.idleSince), c.idleState()
-		if idle < maxIdle && idle < c.idleTimeout && state == stateUsable {
-			return c, closed, dirty
-		}
-		if idle < c.idleTimeout {
-			closed = closed || state == stateClosed
-			dirty = dirty || state == stateDirty
+		switch {
+		case idle >= maxIdle || idle >= c.idleTimeout || state != stateUsable:
+			if idle < c.idleTimeout {
+				closed = closed || state == stateClosed
+				dirty = dirty || state == stateDirty
+			}
+			_ = c.Close()
+		case c.confuses(r.ID):
+			kept = append(kept, c)
+		default:
+			found = c
 		}
-		_ = c.Close()
 	}
+	p.putBack(addr, kept)
+	return found, closed, dirty
+}
+
+// confuses reports whether a response that the server left on the connection could pass for
+// the one to a request with the id.
+func (c *conn) confuses(id string) bool {
+	return id == "" || slices.Contains(c.carried, xxhash.Sum64String(id))
 }
 
 // dial opens a connection to the address.
@@ -135,6 +156,7 @@
 	return n, err
 }
 
+// take removes the connection that became idle last and returns it, nil if there is none.
 func (p *Pool) take(addr string) *conn {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -147,11 +169,23 @@
 	return c
 }
 
+// putBack returns idle connections that were taken, the last one first.
+func (p *Pool) putBack(addr string, list []*conn) {
+	if len(list) == 0 {
+		return
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, c := range slices.Backward(list) {
+		p.idle[addr] = append(p.idle[addr], c)
+	}
+}
+
 func (p *Pool) put(now time.Time, c *conn) {
 	c.idleSince, c.reused = now, true
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if len(p.idle[c.addr]) >= maxIdlePerServer {
+	if len(p.idle[c.addr]) >= maxIdlePerServer || len(c.carried) >= maxCarried {
 		_ = c.Close()
 		return
 	}
--- a/hitchd/internal/conns/read.go
+++ b/hitchd/internal/conns/read.go
@@ -73,7 +73,7 @@
 		return
 	}
 	if own {
-		if id := res.Header.Get(x.pool.headers.Instance); x.request.Check && id != "" && id != x.server {
+		if x.request.Check && x.byOther(res.Header) {
 			return
 		}
 		x.conn.server = x.server
@@ -83,6 +83,13 @@
 	}
 }
 
+// byOther reports whether the response to a health check names another server than the one
+// that was asked.
+func (x *exchange) byOther(h http.Header) bool {
+	id := h.Get(x.pool.headers.Instance)
+	return id != "" && id != x.server
+}
+
 // readHeader reads the header of the next final response and skips informational
 // ones.
 func (x *exchange) readHeader() (*http.Response, error) {
@@ -149,6 +156,8 @@
 func (x *exchange) classify(a *Response) (*Response, result.Outcome, error) {
 	w := x.pool.headers
 	switch {
+	case x.request.Check && x.byOther(a.Header):
+		return nil, result.Done, errOtherServer
 	case x.request.Check:
 		return a, result.Done, nil
 	case a.Header.Get(w.NotRun) != "" || a.Status == http.StatusMisdirectedRequest:
--- a/hitchd/internal/conns/send.go
+++ b/hitchd/internal/conns/send.go
@@ -10,6 +10,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/go-faster/errors"
 
 	"magnoliahitch/links/clock"
@@ -68,6 +69,7 @@
 // Errors of attempts.
 var (
 	errOtherRequest = errors.New("answer belongs to another request")
+	errOtherServer  = errors.New("another server answered the health check")
 	errNoID         = errors.New("answer on a reused connection has no request id")
 	errTooLong      = errors.New("answer exceeds its limit")
 	errUnsigned     = errors.New("success without the server's signature")
@@ -126,7 +128,7 @@
 // usable response it returns an error and an outcome that reports whether the
 // server can have run the request.
 func (p *Pool) Send(ctx context.Context, r *Request, id, addr string) (*Response, result.Outcome, error) {
-	c, closed, dirty := p.idleConn(clock.Now(), addr, r.NonIdempotent)
+	c, closed, dirty := p.idleConn(clock.Now(), addr, r)
 	var err error
 	switch {
 	case c != nil:
@@ -174,6 +176,7 @@
 	if x.request.Fenced != nil && x.request.Fenced() {
 		return nil, result.NotRun, ErrFenced
 	}
+	x.conn.carried = append(x.conn.carried, xxhash.Sum64String(x.request.ID))
 	// A body of unknown length is sent in chunks. The head then includes the chunk of
 	// the buffered bytes.
 	head := x.encodeHead()
