keep: send nothing on a connection that carried a refusal

A server that repeats a refusal right before it runs the next request of the connection: that operation was told not run although it ran (REFUSED).

Cause: http.Transport knows no request ids, and upstreams of this interface needn't repeat them, so that nothing tells to which request a refusal belongs. A connection that carried one is closed now before another attempt can use it: an attempt owns its connection until its response was looked at, since the transport may pass the connection on before. An attempt that is turned away without a byte sent takes another connection. Retry-After may have fractions, and is at most a minute.

--- a/hitchd/internal/keep/attempt.go
+++ b/hitchd/internal/keep/attempt.go
@@ -25,6 +25,7 @@
 	errCancelled = errors.New("attempt was cancelled before its first byte")
 	errFenced    = errors.New("lease was lost before the first byte")
 	errOtherConn = errors.New("attempt already began on another connection")
+	errRefusedOn = errors.New("connection carried a refusal, which the server may repeat")
 )
 
 // attempt is one transmission of a request to one server. Its state changes once,
@@ -38,12 +39,42 @@
 	// called right before the first byte is written.
 	fence  func() bool
 	fenced atomic.Bool
+	// used are the connections that the attempt has, until [attempt.release].
+	used []*conn
+	// turnedAway is set when a connection didn't write because it had carried a refusal.
+	turnedAway atomic.Bool
+}
+
+// use makes the attempt the owner of the connection, and waits for the end of the one
+// before: the transport may pass a connection on before the response of that one was
+// looked at.
+func (a *attempt) use(c *conn) {
+	c.exchange.Lock()
+	a.used = append(a.used, c)
+	c.attempt.Store(a)
+}
+
+// release gives the connections up. After a refusal no other attempt may use them: the
+// server could repeat it, and nothing tells which request a refusal belongs to.
+func (a *attempt) release(refused bool) {
+	for _, c := range a.used {
+		if refused {
+			c.refused.Store(true)
+			_ = c.Close()
+		}
+		c.exchange.Unlock()
+	}
+	a.used = nil
 }
 
 // begin allows the connection to write, or returns the error why it must not. It
 // is called before each write. At most one connection ever writes for an attempt,
 // even if the HTTP transport retries on another one.
 func (a *attempt) begin(c *conn) error {
+	if c.refused.Load() {
+		a.turnedAway.Store(true)
+		return errRefusedOn
+	}
 	switch a.state.Load() {
 	case begun:
 		if a.conn.Load() != c {
--- a/hitchd/internal/keep/pool.go
+++ b/hitchd/internal/keep/pool.go
@@ -184,6 +184,11 @@
 type conn struct {
 	net.Conn
 	attempt atomic.Pointer[attempt]
+	// exchange is held by the attempt that owns the connection, until its response was
+	// looked at.
+	exchange sync.Mutex
+	// refused is set once a response on the connection refused a request.
+	refused atomic.Bool
 	closed  func()
 }
 
--- a/hitchd/internal/keep/send.go
+++ b/hitchd/internal/keep/send.go
@@ -51,27 +51,43 @@
 // headers. With an error it also reports whether the server's connection failed
 // while the request may have run.
 func (s *sender) send(ctx context.Context, a *attempt, j *job, to config.Server) (*http.Response, bool, error) {
-	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
+	for {
+		req, err := j.upstreamRequest(ctx, to)
+		if err != nil {
+			return nil, false, result.NewNotRun(result.ReasonBadRequest, "build request", to.Name)
+		}
+		res, err := s.roundTrip(req, a)
+		switch {
+		case err == nil && refusedBeforeRun(res):
+			return nil, false, result.NewNotRun(result.ReasonShed, "send request", to.Name).WithRetryAfter(retryAfter(res))
+		case err == nil:
+			return res, false, nil
+		case a.turnedAway.Swap(false) && a.state.Load() == pending && j.repeatable() && ctx.Err() == nil:
+			// The connection is closed, and there are finitely many of its kind.
+			continue
+		}
+		e, crashed := a.classify(ctx, err, to.Name)
+		return nil, crashed, e
+	}
+}
+
+// roundTrip sends the request as the attempt, which owns the connection until the
+// response's headers were looked at. The body of a refusal is closed.
+func (s *sender) roundTrip(req *http.Request, a *attempt) (*http.Response, error) {
+	trace := &httptrace.ClientTrace{
 		GotConn: func(i httptrace.GotConnInfo) {
 			if c, ok := i.Conn.(*conn); ok {
-				c.attempt.Store(a)
+				a.use(c)
 			}
 		},
-	})
-	req, err := j.upstreamRequest(ctx, to)
-	if err != nil {
-		return nil, false, result.NewNotRun(result.ReasonBadRequest, "build request", to.Name)
 	}
-	res, err := s.transport.RoundTrip(req)
-	if err != nil {
-		e, crashed := a.classify(ctx, err, to.Name)
-		return nil, crashed, e
-	}
-	if refusedBeforeRun(res) {
+	res, err := s.transport.RoundTrip(req.WithContext(httptrace.WithClientTrace(req.Context(), trace)))
+	refused := err == nil && refusedBeforeRun(res)
+	if refused {
 		_ = res.Body.Close()
-		return nil, false, result.NewNotRun(result.ReasonShed, "send request", to.Name).WithRetryAfter(retryAfter(res))
 	}
-	return res, false, nil
+	a.release(refused)
+	return res, err
 }
 
 // refusedBeforeRun reports whether the upstream indicates that it did not run the
@@ -87,14 +103,17 @@
 	return res.StatusCode == http.StatusServiceUnavailable && res.Header.Get("Retry-After") != ""
 }
 
-// retryAfter returns the time in the Retry-After header, or 0 when it isn't a
-// number of seconds.
+// maxRetryAfter bounds the time for which a server can keep requests away by one response.
+const maxRetryAfter = time.Minute
+
+// retryAfter returns the time in the Retry-After header, at most maxRetryAfter, or 0 when it
+// isn't a number of seconds. It may have fractions.
 func retryAfter(res *http.Response) time.Duration {
-	s, err := strconv.Atoi(res.Header.Get("Retry-After"))
-	if err != nil || s < 0 {
+	s, err := strconv.ParseFloat(res.Header.Get("Retry-After"), 64)
+	if err != nil || !(s > 0) {
 		return 0
 	}
-	return time.Duration(s) * time.Second
+	return time.Duration(min(s, maxRetryAfter.Seconds()) * float64(time.Second))
 }
 
 // job is a request with its buffered body and its fingerprint, so that it can be
