slots, keep: give a server no requests for the time that it asked for

A server of the product's own interface that answered 503 with Retry-After got the next request as soon as it had a free slot, the same class as on the platform's path. The cell keeps requests off it for that time, tells the next keeper, and refuses with what is left of it if no other server is usable. A 503 that is passed on restarts the slow start too: the case of a complete response hid it, against what servers.md says.

TestServerHoldsRequestsOff fails before.

--- a/hitchd/internal/keep/try.go
+++ b/hitchd/internal/keep/try.go
@@ -46,7 +46,7 @@
 	name := t.assignment.Server.Name
 	if err != nil {
 		e := result.From(err)
-		t.finish(slots.Completion{Outcome: e.Outcome, Reason: e.Reason}, crashed)
+		t.finish(slots.Completion{Outcome: e.Outcome, Reason: e.Reason, HoldOff: e.RetryAfter}, crashed)
 		return roundResult{err: e, server: name}
 	}
 	t.cell.observe(clock.Now().Sub(t.started))
@@ -71,7 +71,7 @@
 	case err == nil:
 		e = slots.Completion{Outcome: result.Done}
 		if overloaded(res) {
-			e.Reason = result.ReasonShed
+			e.Reason, e.HoldOff = result.ReasonShed, retryAfter(res)
 		}
 	case errors.Is(t.ctx.Err(), context.DeadlineExceeded):
 		e.Reason = result.ReasonDeadline
--- a/steer/slots/cell.go
+++ b/steer/slots/cell.go
@@ -206,7 +206,7 @@
 		}
 	}
 	for _, s := range c.order {
-		consider(s.ejectedUntil)
+		consider(s.usableAt())
 		consider(s.reportedAt.Add(reportLifetime))
 		if t, ok := s.nextRampStep(c.lastTick, c.slowStart()); ok {
 			consider(t)
@@ -255,8 +255,8 @@
 	return false
 }
 
-// hasUsableServer reports whether any server but the avoided one is neither
-// leaving nor ejected. A busy server counts.
+// hasUsableServer reports whether any server but the avoided one is usable. A busy
+// server counts.
 func (c *Cell) hasUsableServer(now time.Time, avoid string) bool {
 	for _, s := range c.order {
 		if s.config.Name != avoid && s.usable(now) {
--- a/steer/slots/class.go
+++ b/steer/slots/class.go
@@ -148,15 +148,18 @@
 }
 
 // noServerRetryAfter returns the retry-after time of a request that is refused
-// because no server is usable: the time until the first ejection ends, but at least
-// minRetryAfter and at most one second.
+// because no server is usable: the time until the first ejection or hold-off ends, or one
+// second if there is none.
 func (c *Cell) noServerRetryAfter(now time.Time) time.Duration {
-	wait := time.Second
+	var wait time.Duration
 	for _, s := range c.order {
-		if left := s.ejectedUntil.Sub(now); !s.leaving && left > 0 {
-			wait = min(wait, left)
+		if left := s.usableAt().Sub(now); !s.leaving && left > 0 && (wait == 0 || left < wait) {
+			wait = left
 		}
 	}
+	if wait == 0 {
+		wait = time.Second
+	}
 	return retryAfter(wait)
 }
 
--- a/steer/slots/health.go
+++ b/steer/slots/health.go
@@ -13,13 +13,13 @@
 func (c *Cell) recordOutcome(now time.Time, r run, e Completion) {
 	took := now.Sub(r.startedAt)
 	switch {
+	case e.Reason == result.ReasonShed:
+		// The server refused the request as overloaded: restart its slow start, which
+		// begins with one slot, once it wants requests again.
+		r.server.holdOff(now.Add(e.HoldOff))
 	case e.Outcome == result.Done:
 		c.observeService(took)
 		r.server.recordSuccess(now)
-	case e.Reason == result.ReasonShed:
-		// The server refused the request as overloaded: restart its slow start, which
-		// begins with one slot.
-		r.server.rampStart = now
 	case e.Reason == result.ReasonUpstream:
 		c.recordFailure(now, r.server)
 	case e.Reason == result.ReasonDeadline && e.Outcome == result.Unknown:
@@ -30,6 +30,15 @@
 	}
 }
 
+// holdOff keeps new requests off the server until the given time, unless a longer hold-off
+// is recorded, and then starts its slow start.
+func (s *server) holdOff(until time.Time) {
+	if until.After(s.holdOffUntil) {
+		s.holdOffUntil = until
+	}
+	s.rampStart = s.holdOffUntil
+}
+
 // observeService adds a sample to the moving mean of the service time.
 func (c *Cell) observeService(took time.Duration) {
 	c.samples = min(c.samples+1, serviceSamples)
--- a/steer/slots/hold.go
+++ b/steer/slots/hold.go
@@ -27,6 +27,8 @@
 	Left time.Duration `msgpack:"left"`
 	// Ramp is the time since the server's slow start began, zero without one.
 	Ramp time.Duration `msgpack:"ramp"`
+	// HoldOff is how long the server wants no requests, zero for none.
+	HoldOff time.Duration `msgpack:"holdOff"`
 }
 
 // HoldAll takes the cell over without a handover: it holds every slot that the
@@ -82,6 +84,9 @@
 		if o.Ramp > 0 {
 			s.rampStart = now.Add(-o.Ramp)
 		}
+		if o.HoldOff > 0 {
+			s.holdOff(now.Add(o.HoldOff))
+		}
 	}
 }
 
@@ -107,6 +112,9 @@
 		if !s.rampStart.IsZero() {
 			h.Servers = append(h.Servers, HeldSlots{Server: s.config.Name, Ramp: max(1, now.Sub(s.rampStart))})
 		}
+		if left := s.holdOffUntil.Sub(now); left > 0 {
+			h.Servers = append(h.Servers, HeldSlots{Server: s.config.Name, HoldOff: left})
+		}
 		for _, d := range s.held {
 			h.Servers = append(h.Servers, HeldSlots{Server: s.config.Name, ID: d.id, Slots: d.slots, Left: d.until.Sub(now)})
 		}
--- a/steer/slots/server.go
+++ b/steer/slots/server.go
@@ -46,6 +46,8 @@
 	rampStart time.Time
 	// ejectedUntil is the end of the ejection; zero when there is none.
 	ejectedUntil time.Time
+	// holdOffUntil is until when the server wants no requests; zero for never.
+	holdOffUntil time.Time
 	// ejections is the number of ejections that determines the length of the next.
 	ejections int
 	// failures is the number of failures in a row.
@@ -93,10 +95,18 @@
 	s.held = kept
 }
 
-// usable reports whether the server is neither leaving nor ejected. It may have no
-// free slot.
+// usable reports whether the server is neither leaving nor ejected, and wants requests. It
+// may have no free slot.
 func (s *server) usable(now time.Time) bool {
-	return !s.leaving && !now.Before(s.ejectedUntil)
+	return !s.leaving && !now.Before(s.usableAt())
+}
+
+// usableAt returns the end of the server's ejection and of its hold-off.
+func (s *server) usableAt() time.Time {
+	if s.holdOffUntil.After(s.ejectedUntil) {
+		return s.holdOffUntil
+	}
+	return s.ejectedUntil
 }
 
 // limit returns the number of requests that may run at once: the server's slots,
--- a/steer/slots/state.go
+++ b/steer/slots/state.go
@@ -19,6 +19,8 @@
 	// StateDraining is a server that receives no new requests and still has slots
 	// in use or held.
 	StateDraining State = "draining"
+	// StateHoldingOff is a server that refused a request and wants none for a time.
+	StateHoldingOff State = "holdingOff"
 	// StateDrained is a server that receives no new requests and has no slot in use
 	// or held.
 	StateDrained State = "drained"
@@ -99,7 +101,7 @@
 		c.servers[conf.Name] = s
 	} else if s.leaving && !leaving || s.config.Addr != conf.Addr {
 		s.rampStart = now
-		s.ejectedUntil, s.failures = time.Time{}, 0
+		s.ejectedUntil, s.holdOffUntil, s.failures = time.Time{}, time.Time{}, 0
 	}
 	s.config, s.leaving, s.removed = conf, leaving, false
 	c.order = append(c.order, s)
@@ -137,6 +139,8 @@
 		v.State, v.Limit = StateDrained, 0
 	case now.Before(s.ejectedUntil):
 		v.State, v.Limit = StateEjected, 0
+	case now.Before(s.holdOffUntil):
+		v.State, v.Limit = StateHoldingOff, 0
 	case !s.rampStart.IsZero():
 		v.State = StateStarting
 	}
@@ -161,6 +165,8 @@
 		return "draining"
 	case now.Before(s.ejectedUntil):
 		return "ejected"
+	case now.Before(s.holdOffUntil):
+		return "holds requests off"
 	case s.config.Name == r.Avoid:
 		return "failed this request"
 	case r.Suspect && s.suspects > 0:
--- a/steer/slots/types.go
+++ b/steer/slots/types.go
@@ -70,4 +70,6 @@
 	ID      uint64
 	Outcome result.Outcome
 	Reason  result.Reason
+	// HoldOff is how long the server wants no requests, with [result.ReasonShed].
+	HoldOff time.Duration
 }
