--- a/hitchd/edge.go
+++ b/hitchd/edge.go
@@ -238,7 +238,7 @@
 		ConfigKey: platform.ConfigKey,
 		Evacuated: platform.EvacuatedDomain,
 		Server: func(now time.Time, id string, value []byte) (fleet.Server, error) {
-			return platform.DecodeServer(now, id, value, s.Regions)
+			return decodeServer(now, id, value, s)
 		},
 	}, log.Named("watch"), h.relay.SetRows, watch.WithWaits(operatorWait, serversWait))
 	h.relay.Attach(h.watch)
@@ -257,6 +257,16 @@
 	return h
 }
 
+// decodeServer decodes the record of a server. It returns an error for one with an address
+// of this host, which would send requests to itself.
+func decodeServer(now time.Time, id string, value []byte, s platform.Settings) (fleet.Server, error) {
+	x, err := platform.DecodeServer(now, id, value, s.Regions)
+	if err == nil && s.Listen.Has(x.Addr) {
+		return fleet.Server{}, errors.Errorf("server address %s is one of this host", x.Addr)
+	}
+	return x, err
+}
+
 // otherSeeds returns the addresses of the seeds without this host's own.
 func otherSeeds(s platform.Settings) []string {
 	return slices.DeleteFunc(slices.Clone(s.Seeds), func(addr string) bool { return addr == s.Listen.Control })
