relay, fleet: tell other hosts of servers that announced in a response that they leave

The servers' table tells hosts within its bounds while the store answers. With the store away, each host learned only by a response of its own. A poll tells both hosts of the last 10 s, what a record had told before left out; it is the same fact in fleet.Notices, and known ones aren't told longer for it.

--- a/hitchd/internal/relay/poll.go
+++ b/hitchd/internal/relay/poll.go
@@ -15,6 +15,7 @@
 	"magnoliahitch/hitchd/internal/peer"
 	"magnoliahitch/hitchd/internal/watch"
 	"magnoliahitch/links/clock"
+	"magnoliahitch/steer/fleet"
 	"magnoliahitch/steer/member"
 )
 
@@ -40,6 +41,8 @@
 	Positions watch.Positions   `msgpack:"positions"`
 	Digests   map[string]uint64 `msgpack:"sums"`
 	Crashes   crashRequest      `msgpack:"crashes"`
+	// Departures are servers of which responses told that they leave.
+	Departures []fleet.Departure `msgpack:"departures"`
 }
 
 // pollResponse holds the changes that the polling host lacks.
@@ -47,6 +50,8 @@
 	Update  watch.Update  `msgpack:"copy"`
 	Lists   []domainList  `msgpack:"lists"`
 	Crashes crashResponse `msgpack:"crashes"`
+	// Departures are servers of which responses told that they leave.
+	Departures []fleet.Departure `msgpack:"departures"`
 }
 
 // domainList is the list of live hosts of a failure domain.
@@ -66,7 +71,7 @@
 // poll requests the changes that this host lacks from the host h and applies them.
 func (r *Relay) poll(ctx context.Context, h member.Host) error {
 	r.mu.Lock()
-	request := pollRequest{Self: r.self, Positions: r.watch.Positions(), Digests: r.members.Digests(), Crashes: r.crashRequest(clock.Now(), h.Name)}
+	request := pollRequest{Self: r.self, Positions: r.watch.Positions(), Digests: r.members.Digests(), Crashes: r.crashRequest(clock.Now(), h.Name), Departures: r.watch.Departures(clock.Now())}
 	r.mu.Unlock()
 	sentAt := clock.Now()
 	var a pollResponse
@@ -107,6 +112,7 @@
 // apply applies the response of the host to a poll that was sent at the time.
 func (r *Relay) apply(sentAt time.Time, h member.Host, request crashRequest, a pollResponse) {
 	r.watch.Adopt(sentAt, a.Update)
+	r.watch.RecordDepartures(clock.Now(), a.Departures)
 	r.applyCrashes(h.Name, request, a.Crashes)
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -133,7 +139,8 @@
 }
 
 func (r *Relay) respond(now time.Time, in pollRequest) pollResponse {
-	a := pollResponse{Update: r.watch.Since(in.Positions), Crashes: r.respondCrashes(now, in.Crashes)}
+	r.watch.RecordDepartures(now, in.Departures)
+	a := pollResponse{Update: r.watch.Since(in.Positions), Crashes: r.respondCrashes(now, in.Crashes), Departures: r.watch.Departures(now)}
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if r.members.RecordPoll(now, in.Self) {
--- a/hitchd/internal/watch/update.go
+++ b/hitchd/internal/watch/update.go
@@ -7,6 +7,7 @@
 
 	"magnoliahitch/links/clock"
 	"magnoliahitch/links/plat"
+	"magnoliahitch/steer/fleet"
 )
 
 // Progress tells which changes of a table a host has.
@@ -120,6 +121,21 @@
 	return u
 }
 
+// Departures returns the servers that lately announced in a response that they leave, to
+// this host or to others that told it.
+func (w *Watch) Departures(now time.Time) []fleet.Departure {
+	return w.State().Fleet.Notices().Departures(now)
+}
+
+// RecordDepartures records servers that announced to another host that they leave.
+func (w *Watch) RecordDepartures(now time.Time, list []fleet.Departure) {
+	for _, d := range list {
+		if w.State().Fleet.Notices().Record(now, d.ID, d.Incarnation, fleet.Notice{Leaving: true}) {
+			w.log.Info("another host tells that a server leaves", "server", d.ID, "incarnation", d.Incarnation)
+		}
+	}
+}
+
 // Adopt updates the replicas from those of another host, which were requested at
 // the time. Of tables before this host's replicas it takes what only they know of an
 // older era.
--- a/steer/fleet/fleet.go
+++ b/steer/fleet/fleet.go
@@ -114,7 +114,7 @@
 // Put adds or replaces a record, unless a newer record of the same id is or was
 // present. It reports whether the record was accepted.
 func (f *Fleet) Put(s Server) bool {
-	f.notices.Record(s.ReadAt, s.ID, s.Incarnation, Notice{Leaving: s.Draining})
+	f.notices.record(s.ReadAt, s.ID, s.Incarnation, Notice{Leaving: s.Draining}, false)
 	old, found := f.servers[s.ID]
 	if !found {
 		old, found = f.removed[s.ID]
--- a/steer/fleet/notice.go
+++ b/steer/fleet/notice.go
@@ -11,6 +11,16 @@
 // the oldest quarter is discarded.
 const maxNotices = 8192
 
+// departureTime is how long a host tells others of a server that leaves. The servers'
+// table tells them within it, unless the store is away.
+const departureTime = 10 * time.Second
+
+// Departure is an incarnation of a server that announced in a response that it leaves.
+type Departure struct {
+	ID          string `msgpack:"id"`
+	Incarnation int64  `msgpack:"incarnation"`
+}
+
 // Notice is what a server announces about itself.
 type Notice struct {
 	// Leaving reports that the server is about to stop and wants no new requests.
@@ -34,16 +44,38 @@
 	leaving     bool
 	// heldUntil is the end of the latest hold-off, zero without one.
 	heldUntil time.Time
-	// at is the time of the latest notice.
+	// at is the time of the latest notice that changed anything.
 	at time.Time
+	// responded reports that a response told that the server leaves, to this host or to
+	// another one, before any record did.
+	responded bool
 }
 
 // NewNotices returns an empty record of notices.
 func NewNotices() *Notices { return &Notices{byID: make(map[string]standing)} }
 
-// Record adds a notice of the server's incarnation. It reports whether that changes
-// anything: the server wasn't known to leave, or didn't hold off requests at the time.
+// Record adds a notice from a response of the server's incarnation. It reports whether
+// that changes anything: the server wasn't known to leave, or didn't hold off requests at
+// the time.
 func (n *Notices) Record(now time.Time, id string, incarnation int64, m Notice) bool {
+	return n.record(now, id, incarnation, m, true)
+}
+
+// Departures returns the servers that lately announced in a response that they leave,
+// before their records said so, for other hosts.
+func (n *Notices) Departures(now time.Time) []Departure {
+	n.mu.RLock()
+	defer n.mu.RUnlock()
+	var out []Departure
+	for id, s := range n.byID {
+		if s.leaving && s.responded && now.Sub(s.at) < departureTime {
+			out = append(out, Departure{id, s.incarnation})
+		}
+	}
+	return out
+}
+
+func (n *Notices) record(now time.Time, id string, incarnation int64, m Notice, responded bool) bool {
 	if !m.Leaving && m.HoldOff <= 0 {
 		return false
 	}
@@ -58,12 +90,15 @@
 		n.makeRoom()
 		s = standing{incarnation: incarnation}
 	}
+	s.responded = s.responded || m.Leaving && responded && !s.leaving
 	s.leaving = s.leaving || m.Leaving
 	if until := now.Add(m.HoldOff); m.HoldOff > 0 && until.After(s.heldUntil) {
 		s.heldUntil = until
 	}
 	changed := s.leaving != old.leaving || s.incarnation != old.incarnation || now.Before(s.heldUntil) && !now.Before(old.heldUntil)
-	s.at = now
+	if changed {
+		s.at = now
+	}
 	n.byID[id] = s
 	return changed
 }
--- a/steer/fleet/notice_test.go
+++ b/steer/fleet/notice_test.go
@@ -57,6 +57,31 @@
 	check("record of the old incarnation in a restored store", Leaving)
 }
 
+// Hosts tell each other of servers that leave for a limited time, also when they hear of
+// them again and again.
+func TestDeparturesAreToldForALimitedTime(t *testing.T) {
+	a, b := NewNotices(), NewNotices()
+	a.Record(at(0), "x", 1, Notice{Leaving: true})
+	a.Record(at(0), "y", 1, Notice{HoldOff: time.Hour})
+	a.record(at(0), "z", 1, Notice{Leaving: true}, false)
+	if got := a.Departures(at(0)); len(got) != 1 || got[0] != (Departure{"x", 1}) {
+		t.Errorf("departures = %v, want x alone: y holds off, and the record of z told", got)
+	}
+	for d := time.Duration(0); d < 2*departureTime; d += 400 * time.Millisecond {
+		for _, n := range [][2]*Notices{{a, b}, {b, a}} {
+			for _, x := range n[0].Departures(at(d)) {
+				n[1].Record(at(d), x.ID, x.Incarnation, Notice{Leaving: true})
+			}
+		}
+	}
+	if got := len(a.Departures(at(2*departureTime))) + len(b.Departures(at(2*departureTime))); got != 0 {
+		t.Errorf("%d departures are told after %v, want none", got, 2*departureTime)
+	}
+	if !b.Leaving("x", 1) {
+		t.Error("the other host doesn't know that x leaves, want it to")
+	}
+}
+
 func TestHoldOffEnds(t *testing.T) {
 	f := New()
 	f.Put(server("x", 1))
