--- a/standin/internal/soak/act.go
+++ b/standin/internal/soak/act.go
@@ -81,6 +81,8 @@
 		return w.changeServers(ctx, e)
 	case ServerSlow, ServerFail, ServerLose, ServerGarble, ServerForget, ServerHoldOff, ServerRepeat, ServerUnavailable:
 		w.injectServerFault(ctx, e)
+	case OddRecord:
+		w.fleet.writeOdd(ctx, e)
 	case Configure:
 		w.operator.configure(ctx)
 	case Storm:
--- a/standin/internal/soak/host.go
+++ b/standin/internal/soak/host.go
@@ -38,6 +38,7 @@
 	settings         string
 	front, store     *Link
 
+	ledger       *Ledger
 	processes    *stage.Processes
 	disturbances *Disturbances
 
@@ -113,7 +114,7 @@
 	defer h.mu.Unlock()
 	h.endedAt = now
 	if len(h.endDisturbances) == 0 {
-		fmt.Printf("%s exited unexpectedly\n", h.Name)
+		h.ledger.Exited(now, h.Name)
 	}
 	return restartDelay + h.extraDowntime
 }
--- a/standin/internal/soak/invariant.go
+++ b/standin/internal/soak/invariant.go
@@ -141,6 +141,8 @@
 	QueryRefused Invariant = "queryRefused"
 	// BystanderServed: requests that crash no server are not refused as if they did.
 	BystanderServed Invariant = "bystanderServed"
+	// HostsRun: processes of hosts end only by a signal.
+	HostsRun Invariant = "hostsRun"
 	// Recovered: hosts serve requests again after the faults.
 	Recovered Invariant = "recovered"
 )
--- a/standin/internal/soak/outcome.go
+++ b/standin/internal/soak/outcome.go
@@ -139,6 +139,13 @@
 	}
 }
 
+// Exited records that the host's process ended by itself.
+func (l *Ledger) Exited(now time.Time, host string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.addViolation(now, HostsRun, &record{Attempt: Attempt{Host: host}}, "process ended by itself")
+}
+
 // Thresholds of the checks over the whole run. DeadlineKept is broken when the
 // arrivals with a wrong deadline exceed both the number and the share.
 const (
--- a/standin/internal/soak/plan.go
+++ b/standin/internal/soak/plan.go
@@ -69,6 +69,8 @@
 	ServerHoldOff     Kind = "serverHoldOff"
 	ServerRepeat      Kind = "serverRepeat"
 	ServerUnavailable Kind = "serverUnavailable"
+	// OddRecord is a record of another writer among those of the servers.
+	OddRecord Kind = "oddRecord"
 
 	// Changes by the operator. Storm is a fast series of configurations.
 	Configure Kind = "configure"
@@ -170,12 +172,12 @@
 	return out
 }
 
-// drawRefusals returns a fault of each kind in which servers refuse requests. It has random
-// numbers of its own, as [drawQueryOfDeath].
+// drawRefusals returns a fault of each kind in which servers refuse requests, and two odd
+// records. It has random numbers of its own, as [drawQueryOfDeath].
 func drawRefusals(seed uint64, length time.Duration) []Event {
 	r := rand.New(rand.NewPCG(seed, 4))
 	var out []Event
-	for _, k := range []Kind{ServerHoldOff, ServerRepeat, ServerUnavailable} {
+	for _, k := range []Kind{ServerHoldOff, ServerRepeat, ServerUnavailable, OddRecord, OddRecord} {
 		e := Event{At: time.Duration(r.Int64N(int64(length))), Kind: k, Target: r.Uint32(), Share: r.Float64()}
 		e.For = min(length-e.At, time.Second+time.Duration(r.Int64N(int64(maxFaultDuration))))
 		out = append(out, e)
--- a/standin/internal/soak/world.go
+++ b/standin/internal/soak/world.go
@@ -168,7 +168,7 @@
 func (w *World) addHost(ctx context.Context, d domain, name, ip, storeAddr string) error {
 	h := &Host{
 		Name: name, Region: d.region, Domain: d.name, IP: ip, Addr: fmt.Sprintf("%s:%d", ip, frontPort),
-		Lookup: fmt.Sprintf("%s:%d", ip, lookupPort), processes: w.processes, disturbances: w.disturbances,
+		Lookup: fmt.Sprintf("%s:%d", ip, lookupPort), processes: w.processes, disturbances: w.disturbances, ledger: w.ledger,
 	}
 	var err error
 	if h.front, err = NewLink(ctx, ip+":0", h.Addr, ""); err != nil {
