--- a/hitchd/internal/edge/run.go
+++ b/hitchd/internal/edge/run.go
@@ -261,6 +261,8 @@
 		switch {
 		case x.suspect:
 			reason = result.ReasonSuspect
+		case !x.retryAt.IsZero():
+			reason = result.ReasonHoldOff
 		case x.attempts > 0:
 			reason = result.ReasonShed
 		}
--- a/hitchd/internal/edge/send.go
+++ b/hitchd/internal/edge/send.go
@@ -4,6 +4,8 @@
 	"context"
 	"net/http"
 
+	"github.com/go-faster/errors"
+
 	"magnoliahitch/hitchd/internal/conns"
 	"magnoliahitch/links/clock"
 	"magnoliahitch/steer/fleet"
@@ -15,12 +17,17 @@
 // it may have left, or have announced something, since it was chosen. It records what
 // the server announces in its responses.
 func (e *Edge) send(ctx context.Context, r *conns.Request, s fleet.Server) (*conns.Response, result.Outcome, error) {
-	fenced := r.Fenced
+	fenced, availability := r.Fenced, fleet.Available
 	r.Fenced = func() bool {
-		return e.state().Fleet.Recheck(clock.Now(), &s) != fleet.Available || fenced != nil && fenced()
+		availability = e.state().Fleet.Recheck(clock.Now(), &s)
+		return availability != fleet.Available || fenced != nil && fenced()
 	}
 	r.OnResponse = func(status int, h http.Header) { e.recordNotice(s, status, e.codec.Notice(status, h)) }
-	return e.pool.Send(ctx, r, s.ID, s.Addr)
+	a, outcome, err := e.pool.Send(ctx, r, s.ID, s.Addr)
+	if err != nil && availability != fleet.Available {
+		err = errors.Wrapf(err, "server is %s", availability)
+	}
+	return a, outcome, err
 }
 
 // recordNotice records what the server announced in a response.
--- a/steer/result/result.go
+++ b/steer/result/result.go
@@ -93,6 +93,8 @@
 	ReasonUpstream Reason = "upstreamFailed"
 	// ReasonShed means that the server refused the request as overloaded.
 	ReasonShed Reason = "upstreamShed"
+	// ReasonHoldOff means that the servers want no requests of the host for a time.
+	ReasonHoldOff Reason = "serversHoldOff"
 	// ReasonPeer means that forwarding to another host failed.
 	ReasonPeer Reason = "peerFailed"
 	// ReasonCanceled means that the caller canceled the request.
