--- a/steer/fleet/notice.go
+++ b/steer/fleet/notice.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -34,6 +35,10 @@
 // Leaving is final. It outlives the server's record, since an older record of the same
 // incarnation may be read again. Notices is safe for concurrent use.
 type Notices struct {
+	// count is the length of byID, since most of the time nothing was announced and each
+	// choice asks for each server.
+	count atomic.Int64
+
 	mu   sync.RWMutex
 	byID map[string]standing
 }
@@ -100,6 +105,7 @@
 		s.at = now
 	}
 	n.byID[id] = s
+	n.count.Store(int64(len(n.byID)))
 	return changed
 }
 
@@ -127,6 +133,9 @@
 
 // of returns what the incarnation, or a later one of the same id, announced.
 func (n *Notices) of(id string, incarnation int64) (standing, bool) {
+	if n.count.Load() == 0 {
+		return standing{}, false
+	}
 	n.mu.RLock()
 	defer n.mu.RUnlock()
 	s, found := n.byID[id]
