soak: write configurations in place of the row that was read, one evacuation of a domain at a time

The operator wrote without a condition. It now replaces only the row that it has read, so that a late write fails, and begins no second evacuation of a domain. The checks stay.

--- a/standin/internal/soak/operator.go
+++ b/standin/internal/soak/operator.go
@@ -1,11 +1,14 @@
 package soak
 
 import (
+	"bytes"
 	"context"
 	"encoding/json"
 	"fmt"
+	"maps"
 	"math/rand/v2"
 	"net/http"
+	"slices"
 	"strings"
 	"sync"
 	"time"
@@ -52,7 +55,9 @@
 
 // operator writes configurations and evacuations to the store, as the platform's operator does.
 type operator struct {
-	store        *platform.Store
+	store *platform.Store
+	// addr is the store's address.
+	addr         string
 	ledger       *Ledger
 	disturbances *Disturbances
 
@@ -67,8 +72,8 @@
 	evacuated map[string]bool
 }
 
-func newOperator(store *platform.Store, l *Ledger, disturbances *Disturbances) *operator {
-	return &operator{store: store, ledger: l, disturbances: disturbances, evacuated: make(map[string]bool)}
+func newOperator(store *platform.Store, addr string, l *Ledger, disturbances *Disturbances) *operator {
+	return &operator{store: store, addr: addr, ledger: l, disturbances: disturbances, evacuated: make(map[string]bool)}
 }
 
 // Newest returns the version of the newest configuration. It waits while one is being written.
@@ -91,11 +96,60 @@
 	routes[only] = services[0]
 	o.ledger.Configure(time.Now(), o.version, routes)
 	o.config = encodeConfig(o.version, routes)
-	if o.write(ctx, platform.ConfigKey, o.config) {
+	if o.writeConfig(ctx) {
 		o.ledger.Configured(time.Now())
 	}
 }
 
+// writeConfig writes the newest configuration and retries until the store has it. It
+// replaces only the row that it has read: a write of an older configuration that the store
+// performs late must not undo this one. It reports false when the context ended before.
+func (o *operator) writeConfig(ctx context.Context) bool {
+	for ; ctx.Err() == nil; sleep(ctx, retryInterval) {
+		rows, _, err := o.store.Rows(ctx, platform.OperatorTable)
+		if err != nil {
+			continue
+		}
+		var version int64
+		if i := slices.IndexFunc(rows, func(r plat.Change) bool { return r.Key == platform.ConfigKey }); i >= 0 {
+			if bytes.Equal(rows[i].Value, o.config) {
+				return true
+			}
+			version = rows[i].At.Version
+		}
+		if o.replaceConfig(ctx, version) {
+			return true
+		}
+	}
+	return false
+}
+
+// replaceConfig writes the newest configuration in place of the row of the version, 0 for
+// none. It reports whether the store acknowledged it.
+func (o *operator) replaceConfig(ctx context.Context, version int64) bool {
+	type object = map[string]any
+	row := object{"table": platform.OperatorTable, "key": platform.ConfigKey}
+	expected, write := maps.Clone(row), maps.Clone(row)
+	expected["ver"], write["value"] = version, o.config
+	body, err := json.Marshal(object{"expected": []object{expected}, "writes": []object{write}})
+	if err != nil {
+		panic(err)
+	}
+	ctx, cancel := context.WithTimeout(ctx, connectTimeout)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+o.addr+"/api/rows-tx", bytes.NewReader(body))
+	if err != nil {
+		return false
+	}
+	req.Header.Set("Content-Type", "application/json")
+	res, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return false
+	}
+	defer func() { _ = res.Body.Close() }()
+	return res.StatusCode == http.StatusOK
+}
+
 func encodeConfig(version int, routes map[string]string) []byte {
 	type object = map[string]any
 	var rules, clusters []object
@@ -141,7 +195,9 @@
 // evacuate requests the evacuation of the failure domain and withdraws it after d, but
 // not before all hosts must know of it. Shortly before the end it calls cool.
 func (o *operator) evacuate(ctx context.Context, domain string, d time.Duration, cool func()) {
-	o.setEvacuated(domain, true)
+	if !o.beginEvacuation(domain) {
+		return
+	}
 	if !o.write(ctx, evacuateKey(domain), []byte("{}")) {
 		return
 	}
@@ -156,6 +212,18 @@
 
 func evacuateKey(domain string) string { return "evacuate/" + domain }
 
+// beginEvacuation marks the failure domain as evacuated. It reports false if it is already: the
+// end of one evacuation would end the other one too.
+func (o *operator) beginEvacuation(domain string) bool {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if o.evacuated[domain] {
+		return false
+	}
+	o.evacuated[domain] = true
+	return true
+}
+
 func (o *operator) setEvacuated(domain string, on bool) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
@@ -174,7 +242,7 @@
 // restored from a copy, and removes evacuations that have ended.
 func (o *operator) writeAgain(ctx context.Context) {
 	o.configMu.Lock()
-	o.write(ctx, platform.ConfigKey, o.config)
+	o.writeConfig(ctx)
 	o.configMu.Unlock()
 	for _, d := range domains {
 		o.mu.Lock()
--- a/standin/internal/soak/world.go
+++ b/standin/internal/soak/world.go
@@ -146,7 +146,7 @@
 		}
 	}
 	client := platform.NewStore("http://" + addr)
-	w.operator = newOperator(client, w.ledger, w.disturbances)
+	w.operator = newOperator(client, addr, w.ledger, w.disturbances)
 	w.fleet = newFleet(ctx, w, client)
 	return w, w.fleet.startAll()
 }
