fleet: take an incarnation for ended once a later one announced something

A record of an older incarnation, read from a restored store or another host, made a server available that had said that it leaves, if a later incarnation of its id had held requests off meanwhile: the later notice took the place of the earlier one. TestLeavingOutlastsRecords fails before in its new case.

--- a/steer/fleet/available.go
+++ b/steer/fleet/available.go
@@ -31,13 +31,13 @@
 // by its record, its failure domain and what it announced. Until is the end of its
 // hold-off, zero for another reason.
 func (v *View) Availability(now time.Time, s *Server) (a Availability, until time.Time) {
-	n, found := v.notices.of(s.ID, s.Incarnation)
+	n := v.notices.of(s.ID, s.Incarnation)
 	switch {
-	case found && n.leaving:
+	case n.leaving:
 		return Leaving, time.Time{}
 	case v.Evacuated(s.Domain):
 		return Evacuated, time.Time{}
-	case found && now.Before(n.heldUntil):
+	case now.Before(n.heldUntil):
 		return HoldingOff, n.heldUntil
 	}
 	return Available, time.Time{}
--- a/steer/fleet/notice.go
+++ b/steer/fleet/notice.go
@@ -31,9 +31,9 @@
 }
 
 // Notices holds what servers announced, in their records or in their responses to this
-// host. A notice concerns one incarnation of a server, and earlier ones of the same id.
-// Leaving is final. It outlives the server's record, since an older record of the same
-// incarnation may be read again. Notices is safe for concurrent use.
+// host. A notice concerns one incarnation of a server; earlier ones of the same id have
+// ended. Leaving is final. It outlives the server's record, since an older record of the
+// same incarnation may be read again. Notices is safe for concurrent use.
 type Notices struct {
 	// count is the length of byID, since most of the time nothing was announced and each
 	// choice asks for each server.
@@ -69,6 +69,9 @@
 // Departures returns the servers that lately announced in a response that they leave,
 // before their records said so, for other hosts.
 func (n *Notices) Departures(now time.Time) []Departure {
+	if n.count.Load() == 0 {
+		return nil
+	}
 	n.mu.RLock()
 	defer n.mu.RUnlock()
 	var out []Departure
@@ -124,20 +127,25 @@
 	}
 }
 
-// Leaving reports whether the server's incarnation, or a later one, announced that it
-// leaves.
+// Leaving reports whether the server's incarnation announced that it leaves, or has ended,
+// since a later one announced anything.
 func (n *Notices) Leaving(id string, incarnation int64) bool {
-	s, found := n.of(id, incarnation)
-	return found && s.leaving
+	return n.of(id, incarnation).leaving
 }
 
-// of returns what the incarnation, or a later one of the same id, announced.
-func (n *Notices) of(id string, incarnation int64) (standing, bool) {
+// of returns what the incarnation announced, zero for nothing.
+func (n *Notices) of(id string, incarnation int64) standing {
 	if n.count.Load() == 0 {
-		return standing{}, false
+		return standing{}
 	}
 	n.mu.RLock()
 	defer n.mu.RUnlock()
 	s, found := n.byID[id]
-	return s, found && incarnation <= s.incarnation
+	switch {
+	case !found || incarnation > s.incarnation:
+		return standing{}
+	case incarnation < s.incarnation:
+		return standing{incarnation: incarnation, leaving: true}
+	}
+	return s
 }
--- a/steer/fleet/notice_test.go
+++ b/steer/fleet/notice_test.go
@@ -49,6 +49,10 @@
 	check("new incarnation", Available)
 	v.Notices().Record(at(0), "x", 1, Notice{Leaving: true})
 	check("late response of the old incarnation", Available)
+	v.Notices().Record(at(0), "x", 7, Notice{HoldOff: time.Millisecond})
+	f.servers, f.removed = make(map[string]Server), make(map[string]Server)
+	f.Put(server("x", 8))
+	check("record of the old incarnation after a response of the new one", Leaving)
 	next.Draining, next.Sequence = true, 2
 	f.Put(next)
 	check("record that says draining", Leaving)
