delay, probe: measure how late a host runs, log it with failed polls and reads

A host sends itself a byte each 50 ms and measures when it reads it, so that the delay is that of all that arrives from the network. Lines on failed polls, lost stores, own reads and failed requests have it; requests that are decided by tables older than the platform's bounds are logged and counted. No decision changes.

A first try took the runtime's histogram of goroutines that wait to run. Reverted for the byte.

--- a/hitchd/edge.go
+++ b/hitchd/edge.go
@@ -19,6 +19,7 @@
 	"magnoliahitch/hitchd/internal/edge"
 	"magnoliahitch/hitchd/internal/lines"
 	"magnoliahitch/hitchd/internal/pipe"
+	"magnoliahitch/hitchd/internal/probe"
 	"magnoliahitch/hitchd/internal/relay"
 	"magnoliahitch/hitchd/internal/watch"
 	"magnoliahitch/links/clock"
@@ -61,6 +62,7 @@
 	watch    *watch.Watch
 	relay    *relay.Relay
 	edge     *edge.Edge
+	probe    *probe.Probe
 }
 
 // listeners holds the listening sockets of an edge host.
@@ -120,6 +122,7 @@
 	addLoop(&g, func(ctx context.Context) error { return h.watch.RunOperator(ctx, platform.OperatorTable) })
 	addLoop(&g, func(ctx context.Context) error { return h.watch.RunServers(ctx, platform.ServerTable) })
 	addLoop(&g, func(ctx context.Context) error { return h.watch.RunHosts(ctx, hostsTable, h.relay.StartDelay()) })
+	addLoop(&g, h.probe.Run)
 	addLoop(&g, h.tick)
 	addLoop(&g, func(ctx context.Context) error { return h.reload(ctx, path, reload) })
 	addListener(&g, callers, port, h.awaitReady)
@@ -223,7 +226,7 @@
 // newEdgeHost creates the components of an edge host and connects them. It starts
 // nothing.
 func newEdgeHost(s platform.Settings, log hclog.Logger) *edgeHost {
-	h := &edgeHost{settings: s, log: log}
+	h := &edgeHost{settings: s, log: log, probe: &probe.Probe{}}
 	h.store = platform.NewStore("http://"+s.Store, platform.WithDialer(conns.Dialer()))
 	self := member.Host{
 		Name: s.Host, Region: s.Region, Domain: s.Domain, CallerAddr: s.Listen.Caller, PeerAddr: s.Listen.Peer,
@@ -232,7 +235,7 @@
 	crashes := edge.NewCrashReports(s.Host, log.Named("deaths"))
 	operatorWait, serversWait := readWaits(s.Bounds)
 	operatorAge, serversAge := maxAges(s.Bounds)
-	h.relay = relay.New(self, h.store, hostsTable, crashes, log.Named("relay"), relay.WithSeeds(otherSeeds(s)...), relay.WithFirstStart(s.FirstStart), relay.WithMaxAges(operatorAge, serversAge))
+	h.relay = relay.New(self, h.store, hostsTable, crashes, log.Named("relay"), relay.WithSeeds(otherSeeds(s)...), relay.WithFirstStart(s.FirstStart), relay.WithMaxAges(operatorAge, serversAge), relay.WithDelays(h.probe))
 	h.watch = watch.New(h.store, watch.Codec{
 		Config:    platform.DecodeConfig,
 		ConfigKey: platform.ConfigKey,
@@ -240,7 +243,7 @@
 		Server: func(now time.Time, id string, value []byte) (fleet.Server, error) {
 			return decodeServer(now, id, value, s)
 		},
-	}, log.Named("watch"), h.relay.SetRows, watch.WithWaits(operatorWait, serversWait))
+	}, log.Named("watch"), h.relay.SetRows, watch.WithWaits(operatorWait, serversWait), watch.WithDelays(h.probe))
 	h.relay.Attach(h.watch)
 	h.edge = edge.New(edge.HeaderCodec{
 		Headers: conns.Headers{
@@ -253,7 +256,7 @@
 		WarmUpLeft: platform.WarmUpLeft,
 		Notice:     platform.Notice,
 		RetryAfter: platform.RetryAfter,
-	}, pick.Location{Region: s.Region, Domain: s.Domain}, h.watch.State, h.sponsor, log.Named("edge"), edge.WithRetryShare(retryShare*s.Bounds.RetryRatio), edge.WithCrashReports(crashes), edge.WithSuspectUntil(suspectUntil(s)), edge.WithDemandShare(h.relay.RegionShare))
+	}, pick.Location{Region: s.Region, Domain: s.Domain}, h.watch.State, h.sponsor, log.Named("edge"), edge.WithRetryShare(retryShare*s.Bounds.RetryRatio), edge.WithCrashReports(crashes), edge.WithSuspectUntil(suspectUntil(s)), edge.WithDemandShare(h.relay.RegionShare), edge.WithDelays(h.probe), edge.WithBounds(s.Bounds.Apply, s.Bounds.Drain))
 	return h
 }
 
--- a/hitchd/internal/edge/edge.go
+++ b/hitchd/internal/edge/edge.go
@@ -11,6 +11,7 @@
 	"magnoliahitch/hitchd/internal/conns"
 	"magnoliahitch/hitchd/internal/watch"
 	"magnoliahitch/links/clock"
+	"magnoliahitch/steer/delay"
 	"magnoliahitch/steer/fleet"
 	"magnoliahitch/steer/pause"
 	"magnoliahitch/steer/pick"
@@ -53,6 +54,11 @@
 	crashes     *CrashReports
 	log         hclog.Logger
 
+	// delays tells how late this process runs.
+	delays delay.Gauge
+	// operatorBound and serversBound are set by [WithBounds].
+	operatorBound, serversBound time.Duration
+
 	running atomic.Int64
 	// pauses detects that this process didn't run for a while.
 	pauses pause.Detector
@@ -89,6 +95,15 @@
 // is expected in this host's region, 0 if nothing is known.
 func WithDemandShare(f func() float64) Option { return func(e *Edge) { e.demandShare = f } }
 
+// WithDelays sets what tells how late this process runs.
+func WithDelays(g delay.Gauge) Option { return func(e *Edge) { e.delays = g } }
+
+// WithBounds sets the ages of the operator's and of the servers' table up to which requests
+// are decided by them. 0, the default, is no bound.
+func WithBounds(operator, servers time.Duration) Option {
+	return func(e *Edge) { e.operatorBound, e.serversBound = operator, servers }
+}
+
 // defaultRetryShare is the retry budget without [WithRetryShare], as a share of
 // requests.
 const defaultRetryShare = 0.1
@@ -97,7 +112,7 @@
 func New(codec HeaderCodec, location pick.Location, state func() *watch.State, sponsor pick.Sponsor, log hclog.Logger, options ...Option) *Edge {
 	e := &Edge{
 		codec: codec, location: location, retryShare: defaultRetryShare, state: state, sponsor: sponsor, pool: conns.New(codec.Headers), log: log,
-		services: make(map[string]*service),
+		services: make(map[string]*service), delays: &delay.Meter{},
 	}
 	for _, o := range options {
 		o(e)
--- a/hitchd/internal/edge/response.go
+++ b/hitchd/internal/edge/response.go
@@ -114,7 +114,7 @@
 	if reason != "" {
 		now, st := clock.Now(), e.state()
 		args = append(args, "reason", string(reason), "mayHaveRun", x.mayHaveRun, "serversAgeMs", ms(now.Sub(st.ServersRead)),
-			"operatorAgeMs", ms(now.Sub(st.OperatorRead)), "error", x.lastErr)
+			"operatorAgeMs", ms(now.Sub(st.OperatorRead)), "delayMs", ms(e.delays.Worst(now, x.start)), "error", x.lastErr)
 	}
 	e.log.Info("request ended", args...)
 }
--- a/hitchd/internal/edge/send.go
+++ b/hitchd/internal/edge/send.go
@@ -19,7 +19,9 @@
 func (e *Edge) send(ctx context.Context, r *conns.Request, s fleet.Server) (*conns.Response, result.Outcome, error) {
 	fenced, availability := r.Fenced, fleet.Available
 	r.Fenced = func() bool {
-		availability = e.state().Fleet.Recheck(clock.Now(), &s)
+		now := clock.Now()
+		availability = e.state().Fleet.Recheck(now, &s)
+		e.noteStale(now, r.ID)
 		return availability != fleet.Available || fenced != nil && fenced()
 	}
 	r.OnResponse = func(status int, h http.Header) { e.recordNotice(s, status, e.codec.Notice(status, h)) }
--- a/hitchd/internal/edge/serve.go
+++ b/hitchd/internal/edge/serve.go
@@ -80,6 +80,7 @@
 	path, _, _ := strings.Cut(target, "?")
 	x.route = st.Table.Find(r.Host, path)
 	if x.route == nil {
+		e.noteStale(clock.Now(), x.id)
 		e.record(x, http.StatusNotFound, result.ReasonNoRoute)
 		http.Error(w, "no route for this host and path", http.StatusNotFound)
 		return
--- a/hitchd/internal/relay/crashes.go
+++ b/hitchd/internal/relay/crashes.go
@@ -124,6 +124,7 @@
 			q := r.crashRequest(clock.Now(), h.Name)
 			r.mu.Unlock()
 			var a crashResponse
+			asked := clock.Now()
 			err := call(ctx, h, crashesPath, regionTimeout, q, &a)
 			if err == nil {
 				r.applyCrashes(h.Name, q, a)
@@ -132,7 +133,7 @@
 			if ctx.Err() != nil {
 				return
 			}
-			r.backOff(clock.Now(), h, err)
+			r.backOff(clock.Now(), asked, h, err)
 		}
 	}
 }
--- a/hitchd/internal/relay/relay.go
+++ b/hitchd/internal/relay/relay.go
@@ -11,6 +11,7 @@
 	"magnoliahitch/hitchd/internal/watch"
 	"magnoliahitch/links/clock"
 	"magnoliahitch/links/plat"
+	"magnoliahitch/steer/delay"
 	"magnoliahitch/steer/member"
 )
 
@@ -103,6 +104,8 @@
 	// serversAge and operatorAge are the ages of the replicas at which this host reads
 	// the store itself.
 	serversAge, operatorAge time.Duration
+	// delays tells how late this process runs.
+	delays delay.Gauge
 }
 
 // Option configures a [Relay].
@@ -122,6 +125,9 @@
 	return func(r *Relay) { r.operatorAge, r.serversAge = operator, servers }
 }
 
+// WithDelays sets what tells how late this process runs.
+func WithDelays(g delay.Gauge) Option { return func(r *Relay) { r.delays = g } }
+
 // New returns the relay of the host self. Table is the name of the hosts' table,
 // which has a row for each host.
 func New(self member.Host, store plat.Feed, table string, crashes CrashReports, log hclog.Logger, options ...Option) *Relay {
@@ -129,7 +135,7 @@
 		store: store, table: table, crashes: crashes, log: log, start: clock.Now(), self: self, members: NewMembers(self),
 		rows: make(map[string]row), backoffs: make(map[string]backoff), cursors: make(map[string]crashCursor),
 		pollWake: make(chan struct{}, 1), exchangeWake: make(chan struct{}, 1), regionWake: make(chan struct{}, 1),
-		operatorAge: defaultOperatorAge, serversAge: defaultServersAge,
+		operatorAge: defaultOperatorAge, serversAge: defaultServersAge, delays: &delay.Meter{},
 	}
 	for _, o := range options {
 		o(r)
@@ -332,11 +338,12 @@
 		if i == maxPollsPerRound {
 			return false
 		}
+		asked := clock.Now()
 		if err := r.poll(ctx, h); err != nil {
 			if ctx.Err() != nil {
 				return false
 			}
-			r.backOff(clock.Now(), h, err)
+			r.backOff(clock.Now(), asked, h, err)
 			continue
 		}
 		r.setSource(h.Name)
@@ -380,11 +387,12 @@
 			if i == maxPollsPerRound {
 				break
 			}
+			asked := clock.Now()
 			err := r.poll(ctx, h)
 			if err == nil || ctx.Err() != nil {
 				break
 			}
-			r.backOff(clock.Now(), h, err)
+			r.backOff(clock.Now(), asked, h, err)
 		}
 	}
 	r.expireRows(ctx, now)
--- a/hitchd/internal/relay/relay_test.go
+++ b/hitchd/internal/relay/relay_test.go
@@ -310,7 +310,7 @@
 	}
 	now := clock.Now()
 	for _, h := range all {
-		r.backOff(now, h, nil)
+		r.backOff(now, now, h, nil)
 	}
 	if got := r.sources(now, "x"); len(got) != 0 {
 		t.Errorf("sources = %v, want none during the backoff", names(got))
--- a/hitchd/internal/relay/source.go
+++ b/hitchd/internal/relay/source.go
@@ -91,8 +91,9 @@
 	return out
 }
 
-// backOff starts or doubles the backoff of a host that didn't respond.
-func (r *Relay) backOff(now time.Time, h member.Host, err error) {
+// backOff starts or doubles the backoff of a host that didn't respond to what it was asked
+// at the time.
+func (r *Relay) backOff(now, asked time.Time, h member.Host, err error) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	a := r.backoffs[h.Name]
@@ -100,5 +101,6 @@
 	a.until = now.Add(a.delay)
 	r.backoffs[h.Name] = a
 	pollsFailed.Inc()
-	r.log.Warn("host doesn't answer polls", "peer", h.Name, "avoidedForMs", a.delay.Milliseconds(), "error", err)
+	r.log.Warn("host doesn't answer polls", "peer", h.Name, "avoidedForMs", a.delay.Milliseconds(),
+		"tookMs", now.Sub(asked).Milliseconds(), "delayMs", r.delays.Worst(now, asked).Milliseconds(), "error", err)
 }
--- a/hitchd/internal/watch/follow.go
+++ b/hitchd/internal/watch/follow.go
@@ -100,8 +100,9 @@
 		return
 	}
 	w.readsStore = on
-	w.log.Info("reads of the store", "on", on, "operatorAgeMs", clock.Now().Sub(w.operator.confirmed).Milliseconds(),
-		"serversAgeMs", clock.Now().Sub(w.servers.confirmed).Milliseconds())
+	now := clock.Now()
+	w.log.Info("reads of the store", "on", on, "operatorAgeMs", now.Sub(w.operator.confirmed).Milliseconds(),
+		"serversAgeMs", now.Sub(w.servers.confirmed).Milliseconds(), "delayMs", w.delays.Standing(now).Milliseconds())
 	if on {
 		close(w.readable)
 		return
@@ -137,7 +138,7 @@
 		start := clock.Now()
 		pause := f.interval
 		if err := w.read(ctx, f); err != nil && ctx.Err() == nil {
-			pause = w.readFailed(f, err)
+			pause = w.readFailed(f, start, err)
 		}
 		select {
 		case <-ctx.Done():
@@ -196,10 +197,11 @@
 	return nil
 }
 
-// readFailed records a failed read and returns the time from its start to the
+// readFailed records a failed read that began at the time, and returns the time from its start to the
 // next read. It is 0 when the store doesn't have the changes, except after a complete
 // read that didn't help.
-func (w *Watch) readFailed(f *follower, err error) time.Duration {
+func (w *Watch) readFailed(f *follower, start time.Time, err error) time.Duration {
+	now := clock.Now()
 	switch {
 	case errors.Is(err, plat.ErrCompacted):
 		reads(f.table, "compacted").Inc()
@@ -220,10 +222,10 @@
 	reads(f.table, "failed").Inc()
 	if !f.down {
 		f.down = true
-		w.log.Warn("store lost", "table", f.table, "error", err)
+		w.log.Warn("store lost", "table", f.table, "tookMs", now.Sub(start).Milliseconds(), "delayMs", w.delays.Worst(now, start).Milliseconds(), "error", err)
 	}
 	if f.onFailure != nil {
-		f.onFailure(clock.Now())
+		f.onFailure(now)
 	}
 	limit := retryMax
 	if w.sourced.Load() {
--- a/hitchd/internal/watch/watch.go
+++ b/hitchd/internal/watch/watch.go
@@ -12,6 +12,7 @@
 
 	"magnoliahitch/links/clock"
 	"magnoliahitch/links/plat"
+	"magnoliahitch/steer/delay"
 	"magnoliahitch/steer/fleet"
 	"magnoliahitch/steer/routes"
 )
@@ -64,6 +65,8 @@
 	readsStore bool
 	// operatorWait and serversWait are how long reads wait for changes.
 	operatorWait, serversWait time.Duration
+	// delays tells how late this process runs.
+	delays delay.Gauge
 }
 
 // Times within which the writers of a table write again what the copy lacks from which
@@ -85,6 +88,9 @@
 	return func(w *Watch) { w.operatorWait, w.serversWait = operator, servers }
 }
 
+// WithDelays sets what tells how late this process runs.
+func WithDelays(g delay.Gauge) Option { return func(w *Watch) { w.delays = g } }
+
 // New returns a watch of the store. OnHosts is called with all rows of the hosts'
 // table and its position after each read of that table, or when another host sent
 // changes. Rows of an older era than the position's are missing in the table.
@@ -92,7 +98,7 @@
 	w := &Watch{
 		store: store, codec: codec, log: log, fleet: fleet.New(), onHosts: onHosts,
 		hosts: newReplica(compareBytes, hostsGrace), readable: make(chan struct{}),
-		operatorWait: defaultOperatorWait, serversWait: defaultServersWait,
+		operatorWait: defaultOperatorWait, serversWait: defaultServersWait, delays: &delay.Meter{},
 	}
 	w.operator, w.servers = newReplica(w.compareOperator, operatorGrace), newReplica(w.compareServers, serversGrace)
 	for _, o := range options {
