hitchd, place: tests of hosts that act by old tables, which fail

What callers saw: requests decided by a configuration or by servers' records that were seconds too old, at hosts in touch with the store.

--- a/hitchd/edgetiming_test.go
+++ b/hitchd/edgetiming_test.go
@@ -31,3 +31,22 @@
 		t.Errorf("wait without bounds = %v, want more than 0", servers)
 	}
 }
+
+// A host whose source gets no changes any more reads both tables itself before they are
+// older than the platform allows: the ages at which it begins must leave the time for it.
+func TestOwnReadsBeginWithinTheBounds(t *testing.T) {
+	const (
+		// check is the time between two checks of the ages, read that of a read of a slow
+		// store.
+		check = 150 * time.Millisecond
+		read  = 300 * time.Millisecond
+	)
+	for _, bound := range []time.Duration{2500 * time.Millisecond, 3 * time.Second, 4 * time.Second, 10 * time.Second} {
+		operator, servers := maxAges(platform.Bounds{Drain: bound, Apply: bound})
+		for table, age := range map[string]time.Duration{"operator": operator, "servers": servers} {
+			if got := age + check + read; got > bound {
+				t.Errorf("bound %v: the table of the %s is %v old before a host has read it itself", bound, table, got)
+			}
+		}
+	}
+}
--- a/hitchd/internal/conns/conns_test.go
+++ b/hitchd/internal/conns/conns_test.go
@@ -334,3 +334,18 @@
 		}
 	}
 }
+
+// A host that runs late gets a connection after the deadline of the request, and before the
+// timer of its context has fired. Nothing may be sent then: the caller has left.
+func TestNothingIsSentAfterTheDeadline(t *testing.T) {
+	u := listen(t, func(c net.Conn, _ *bufio.Reader, h string) {
+		_, _ = io.WriteString(c, response(idOf(h), "body"))
+	})
+	p := New(headers)
+	r := request("1")
+	r.Deadline = clock.Now().Add(-time.Millisecond)
+	a, outcome, err := p.Send(t.Context(), r, "server-1", u.addr)
+	if err == nil || outcome != result.NotRun {
+		t.Errorf("response %v, outcome %v, error %v, want an error and not run", a, outcome, err)
+	}
+}
--- a/hitchd/internal/relay/relay_test.go
+++ b/hitchd/internal/relay/relay_test.go
@@ -17,6 +17,7 @@
 	"magnoliahitch/links/clock"
 	"magnoliahitch/links/plat"
 	"magnoliahitch/steer/crash"
+	"magnoliahitch/steer/delay"
 	"magnoliahitch/steer/fleet"
 	"magnoliahitch/steer/member"
 	"magnoliahitch/steer/routes"
@@ -424,3 +425,51 @@
 		}
 	})
 }
+
+// A host that runs late takes the end of its own timeouts for the silence of its sources,
+// leaves one after the other out for seconds, and has none in the end.
+func TestLateHostBlamesNoSource(t *testing.T) {
+	var m delay.Meter
+	r := newRelay(host("c", "x"), WithDelays(&m))
+	r.SetRows(map[string]plat.Change{"a": hostRow(host("a", "x"), 1), "b": hostRow(host("b", "x"), 2), "c": hostRow(host("c", "x"), 3)}, plat.Position{})
+	before := names(r.sources(clock.Now(), "x"))
+	asked := clock.Now()
+	now := asked.Add(pollTimeout)
+	m.Record(now, pollTimeout)
+	for _, h := range r.sources(asked, "x") {
+		r.backOff(now, asked, h, context.DeadlineExceeded)
+	}
+	if got := names(r.sources(now, "x")); !slices.Equal(got, before) {
+		t.Errorf("sources = %v after polls during which this host ran %v late, want %v", got, pollTimeout, before)
+	}
+}
+
+// A host that runs late doesn't hear others. It must not remove their rows, by which all
+// hosts find them.
+func TestLateHostRemovesNoRow(t *testing.T) {
+	var m delay.Meter
+	store := &deletes{}
+	r := newRelayWith(store, host("a", "x"), WithDelays(&m))
+	r.SetRows(map[string]plat.Change{"a": hostRow(host("a", "x"), 1), "b": hostRow(host("b", "x"), 2)}, plat.Position{})
+	later := clock.Now().Add(rowRetention)
+	m.Record(later.Add(-time.Second), time.Second)
+	r.expireRows(t.Context(), later)
+	if got := store.count.Load(); got != 0 {
+		t.Errorf("%d rows removed by a host that ran late, want 0", got)
+	}
+	r.expireRows(t.Context(), later.Add(rowRetention))
+	if got := store.count.Load(); got != 1 {
+		t.Errorf("%d rows removed of a host that is silent for long, want 1", got)
+	}
+}
+
+// deletes is a store that counts the removals of rows.
+type deletes struct {
+	noStore
+	count atomic.Int64
+}
+
+func (s *deletes) Delete(context.Context, string, string, plat.Position) error {
+	s.count.Add(1)
+	return nil
+}
--- a/hitchd/internal/watch/watch_test.go
+++ b/hitchd/internal/watch/watch_test.go
@@ -15,6 +15,7 @@
 
 	"magnoliahitch/links/clock"
 	"magnoliahitch/links/plat"
+	"magnoliahitch/steer/delay"
 	"magnoliahitch/steer/fleet"
 	"magnoliahitch/steer/routes"
 )
@@ -481,3 +482,70 @@
 		t.Errorf("record of another host is written after %v, want %v", got, want)
 	}
 }
+
+// A response that carries a change, and is long on its way or waits for the processor, was
+// current when the store sent it. A host that takes it for new when it arrives passes
+// requests on by a table that is older than its bound.
+func TestResponseWithChangeIsAsOldAsItsWay(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		defer clock.Replace(time.Now)()
+		s := newStore()
+		s.set("servers", "a", "ready")
+		w := newWatch(s)
+		f := &follower{table: "servers", wait: defaultServersWait, replica: &w.servers, apply: w.applyServers}
+		if err := w.read(t.Context(), f); err != nil {
+			t.Fatal(err)
+		}
+		w.store = &delayed{s, 900 * time.Millisecond}
+		start := time.Now()
+		const change = 100 * time.Millisecond
+		time.AfterFunc(change, func() { s.set("servers", "b", "ready") })
+		if err := w.read(t.Context(), f); err != nil {
+			t.Fatal(err)
+		}
+		// The store looks at its rows each 50 ms.
+		if got, limit := w.State().ServersRead.Sub(start), change+50*time.Millisecond; got > limit {
+			t.Errorf("table counts as read %v after the request, want %v at most: the store answered then", got, limit)
+		}
+	})
+}
+
+// A host that runs late takes the end of its own timeout for the silence of the store. It
+// reads again at once, since nothing tells that the store is away.
+func TestReadOfALateHostIsRepeated(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		defer clock.Replace(time.Now)()
+		s := newStore()
+		w := newWatch(s)
+		var m delay.Meter
+		w.delays = &m
+		f := &follower{table: "servers", wait: defaultServersWait, replica: &w.servers, apply: w.applyServers}
+		start := time.Now()
+		time.Sleep(time.Second)
+		m.Record(time.Now(), 400*time.Millisecond)
+		for i := range 4 {
+			if got := w.readFailed(f, start, plat.ErrDown); got > serversInterval {
+				t.Errorf("pause after failure %d of a late host = %v, want %v at most", i+1, got, serversInterval)
+			}
+		}
+		if f.down {
+			t.Error("store counts as lost")
+		}
+	})
+}
+
+// While another host sends this one its tables, failed reads of the store are repeated
+// seldom. When what it sends gets old, that pause must not outlive it.
+func TestBackoffOfSourcedHostKeepsTheBound(t *testing.T) {
+	// A host counts as in touch 4 s after a cut. Until then a call that the cut swallowed
+	// must end, and the next read after the longest pause must be answered.
+	const contact, call, read = 4 * time.Second, time.Second, 300 * time.Millisecond
+	w := newWatch(newStore())
+	w.SetSourced(true)
+	f := &follower{table: "servers", replica: &w.servers}
+	for range 200 {
+		if pause := w.readFailed(f, clock.Now(), plat.ErrDown); pause+call+read > contact {
+			t.Fatalf("pause after failure %d = %v, want less than %v", f.failures, pause, contact-call-read)
+		}
+	}
+}
--- a/steer/place/nearby_test.go
+++ b/steer/place/nearby_test.go
@@ -56,3 +56,31 @@
 		}
 	}
 }
+
+// Callers use all hosts that a lookup names alike. A small host that is named beside large
+// ones gets as much work as they do, more than its processor bears, while large ones that
+// aren't named idle.
+func TestSmallHostsAreNotNamedBesideLargeOnes(t *testing.T) {
+	var hosts []member.Host
+	for i, h := range regionHosts("north", 50) {
+		h.Capacity = 0.112
+		if i%8 == 0 {
+			h.Capacity = 0.8
+		}
+		hosts = append(hosts, h)
+	}
+	total := 0.0
+	for _, h := range hosts {
+		total += h.Capacity
+	}
+	for i := range 20 {
+		got := HostsNear(fmt.Sprintf("%d.example", i), "north", hosts)
+		least := got[0].Capacity
+		for _, h := range got {
+			least = min(least, h.Capacity)
+		}
+		if bears := least * float64(len(got)); bears < total/4 {
+			t.Errorf("%d hosts, the smallest with %.3f cores, bear %.2f cores together, want a quarter at least of the region's %.2f", len(got), least, bears, total)
+		}
+	}
+}
