watch, platform: count a response as current when the store gave it, not when it arrives

What callers saw: requests decided by tables that were older than their host knew, which then passed the false age on to the 15 others of its failure domain.

Cause: a long poll that returned within its wait and 0.5 s counted as current on arrival. Only a response without changes has used up its wait; one with a change, which is the one that matters, may have been on its way or in the processor's queue all that time, up to 2.5 s for the operator's table.

Change: a read returns the moment at which the store gave it. The stand-in tells its clock too.

--- a/hitchd/internal/relay/relay_test.go
+++ b/hitchd/internal/relay/relay_test.go
@@ -110,12 +110,12 @@
 // noStore is a store that fails every call.
 type noStore struct{}
 
-func (noStore) Rows(context.Context, string) ([]plat.Change, plat.Position, error) {
-	return nil, plat.Position{}, plat.ErrDown
+func (noStore) Rows(context.Context, string) ([]plat.Change, plat.Moment, error) {
+	return nil, plat.Moment{}, plat.ErrDown
 }
 
-func (noStore) Changes(context.Context, string, plat.Position, time.Duration) ([]plat.Change, plat.Position, error) {
-	return nil, plat.Position{}, plat.ErrDown
+func (noStore) Changes(context.Context, string, plat.Position, time.Duration) ([]plat.Change, plat.Moment, error) {
+	return nil, plat.Moment{}, plat.ErrDown
 }
 
 func (noStore) Put(context.Context, string, string, []byte) (plat.Position, error) {
@@ -169,23 +169,23 @@
 	others atomic.Int64
 }
 
-func (s *filling) read(table string) ([]plat.Change, plat.Position, error) {
+func (s *filling) read(table string) ([]plat.Change, plat.Moment, error) {
 	if table != "hosts" {
 		s.others.Add(1)
-		return nil, plat.Position{}, plat.ErrDown
+		return nil, plat.Moment{}, plat.ErrDown
 	}
 	s.hosts.Add(1)
 	if time.Now().Before(s.full) {
-		return nil, plat.Position{}, nil
+		return nil, plat.Moment{Current: time.Now()}, nil
 	}
-	return s.rows, plat.Position{Version: 5}, nil
+	return s.rows, plat.Moment{Position: plat.Position{Version: 5}, Current: time.Now()}, nil
 }
 
-func (s *filling) Rows(_ context.Context, table string) ([]plat.Change, plat.Position, error) {
+func (s *filling) Rows(_ context.Context, table string) ([]plat.Change, plat.Moment, error) {
 	return s.read(table)
 }
 
-func (s *filling) Changes(ctx context.Context, table string, _ plat.Position, wait time.Duration) ([]plat.Change, plat.Position, error) {
+func (s *filling) Changes(ctx context.Context, table string, _ plat.Position, wait time.Duration) ([]plat.Change, plat.Moment, error) {
 	select {
 	case <-ctx.Done():
 	case <-time.After(wait):
--- a/hitchd/internal/watch/follow.go
+++ b/hitchd/internal/watch/follow.go
@@ -30,9 +30,6 @@
 	// defaultServersWait is how long a read waits for a change of the servers' table.
 	// It saves calls while nothing changes.
 	defaultServersWait = 700 * time.Millisecond
-	// maxResponseDelay is how much longer than its wait a read may take for its
-	// response to count as recent.
-	maxResponseDelay = 500 * time.Millisecond
 	// retryBase is the mean backoff after a failed read. The backoff doubles with
 	// each further failure up to retryMax: in an outage every host reads the store,
 	// and refused calls count as calls too. The limit is retryMaxSourced for a host
@@ -159,9 +156,8 @@
 	since := f.replica.at
 	w.mu.Unlock()
 	var rows []plat.Change
-	var at plat.Position
+	var at plat.Moment
 	var err error
-	read := clock.Now()
 	full := f.full || since.IsZero() && !f.loaded
 	wait := f.wait
 	if f.down {
@@ -177,12 +173,7 @@
 	if err != nil {
 		return err
 	}
-	if now := clock.Now(); wait > 0 && now.Sub(read) < wait+maxResponseDelay {
-		// A long poll returns the state at its response, not at its request. A later
-		// response may have waited in this process, which was paused.
-		read = now
-	}
-	if !f.apply(read, rows, full, at) {
+	if !f.apply(at.Current, rows, full, at.Position) {
 		return errors.Wrapf(errStale, "read table %s: got version %d of era %d", f.table, at.Version, at.Era)
 	}
 	reads(f.table, "read").Inc()
--- a/hitchd/internal/watch/replica.go
+++ b/hitchd/internal/watch/replica.go
@@ -11,6 +11,10 @@
 // list them as changes.
 const maxRemoved = 512
 
+// currentMargin is the margin of the times at which a replica was certainly current. Hosts
+// may have less exact ones from each other.
+const currentMargin = 500 * time.Millisecond
+
 // replica is this host's replica of a table.
 //
 // When the store begins a new era from an older copy, the replica takes the new
@@ -78,13 +82,12 @@
 }
 
 // lastCurrent returns a time at which the replica was certainly current, so that all
-// changes which it lacks are later; zero if there is none. A response counts as current
-// when it arrives, at most maxResponseDelay after the store sent it.
+// changes which it lacks are later; zero if there is none.
 func (c *replica) lastCurrent() time.Time {
 	if c.confirmed.IsZero() {
 		return time.Time{}
 	}
-	return c.confirmed.Add(-maxResponseDelay)
+	return c.confirmed.Add(-currentMargin)
 }
 
 // settled reports whether the writers had time to write again what the present era
--- a/hitchd/internal/watch/watch_test.go
+++ b/hitchd/internal/watch/watch_test.go
@@ -58,15 +58,15 @@
 	s.rows[table][key] = plat.Change{Row: plat.Row{Key: key, Value: []byte(value), At: plat.Position{Era: s.era, Version: s.version}}, Removed: value == ""}
 }
 
-func (s *store) read(table string, after plat.Position, removed bool) ([]plat.Change, plat.Position, error) {
+func (s *store) read(table string, after plat.Position, removed bool) ([]plat.Change, plat.Moment, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.calls++
 	if s.fail != nil {
-		return nil, plat.Position{}, s.fail
+		return nil, plat.Moment{}, s.fail
 	}
 	if removed && !after.IsZero() && (after.Version < s.floor || after.Version > s.version || after.Era != s.era) {
-		return nil, plat.Position{}, plat.ErrCompacted
+		return nil, plat.Moment{}, plat.ErrCompacted
 	}
 	var out []plat.Change
 	for _, r := range s.rows[table] {
@@ -74,7 +74,7 @@
 			out = append(out, r)
 		}
 	}
-	return out, plat.Position{Era: s.era, Version: s.version}, nil
+	return out, plat.Moment{Position: plat.Position{Era: s.era, Version: s.version}, Current: clock.Now()}, nil
 }
 
 func (s *store) count() {
@@ -95,21 +95,21 @@
 	return silent
 }
 
-func (s *store) Rows(_ context.Context, table string) ([]plat.Change, plat.Position, error) {
+func (s *store) Rows(_ context.Context, table string) ([]plat.Change, plat.Moment, error) {
 	s.count()
 	// Without any latency, a host that reads in a loop would stop the virtual time.
 	time.Sleep(time.Millisecond)
 	if s.swallows(0) {
-		return nil, plat.Position{}, plat.ErrDown
+		return nil, plat.Moment{}, plat.ErrDown
 	}
 	return s.read(table, plat.Position{}, false)
 }
 
-func (s *store) Changes(ctx context.Context, table string, after plat.Position, wait time.Duration) ([]plat.Change, plat.Position, error) {
+func (s *store) Changes(ctx context.Context, table string, after plat.Position, wait time.Duration) ([]plat.Change, plat.Moment, error) {
 	s.count()
 	for end := time.Now().Add(wait); ; {
 		if s.swallows(time.Until(end)) {
-			return nil, plat.Position{}, plat.ErrDown
+			return nil, plat.Moment{}, plat.ErrDown
 		}
 		rows, version, err := s.read(table, after, true)
 		if err != nil || len(rows) > 0 || !time.Now().Before(end) || ctx.Err() != nil {
@@ -368,7 +368,7 @@
 	delay time.Duration
 }
 
-func (s *delayed) Changes(ctx context.Context, table string, after plat.Position, wait time.Duration) ([]plat.Change, plat.Position, error) {
+func (s *delayed) Changes(ctx context.Context, table string, after plat.Position, wait time.Duration) ([]plat.Change, plat.Moment, error) {
 	rows, version, err := s.store.Changes(ctx, table, after, wait)
 	time.Sleep(s.delay)
 	s.delay = 0
@@ -472,13 +472,13 @@
 	}
 	w.applyServers(after(2*time.Second), nil, false, at(1))
 	w.applyServers(after(5*time.Second), row(2), false, at(2))
-	if got, want := writtenAfter(w), after(2*time.Second-maxResponseDelay); !got.Equal(want) {
+	if got, want := writtenAfter(w), after(2*time.Second-currentMargin); !got.Equal(want) {
 		t.Errorf("record is written after %v, want %v", got, want)
 	}
 	const age = 700 * time.Millisecond
 	w.Adopt(after(7*time.Second), Update{Servers: TableUpdate{Progress: Progress{At: at(3)}, Age: age}})
 	w.Adopt(after(9*time.Second), Update{Servers: TableUpdate{Progress: Progress{At: at(4)}, Rows: row(4)}})
-	if got, want := writtenAfter(w), after(7*time.Second-age-maxResponseDelay); !got.Equal(want) {
+	if got, want := writtenAfter(w), after(7*time.Second-age-currentMargin); !got.Equal(want) {
 		t.Errorf("record of another host is written after %v, want %v", got, want)
 	}
 }
--- a/hitchd/overload_test.go
+++ b/hitchd/overload_test.go
@@ -54,23 +54,24 @@
 	return []plat.Change{{Row: plat.Row{Key: "config", At: plat.Position{Version: v}, Value: []byte(`{"version":` + strconv.FormatInt(v, 10) + `}`)}}}, plat.Position{Version: v}
 }
 
-func (s revised) Rows(ctx context.Context, table string) ([]plat.Change, plat.Position, error) {
+func (s revised) Rows(ctx context.Context, table string) ([]plat.Change, plat.Moment, error) {
 	return s.Changes(ctx, table, plat.Position{}, 0)
 }
 
-func (s revised) Changes(_ context.Context, table string, after plat.Position, wait time.Duration) ([]plat.Change, plat.Position, error) {
+func (s revised) Changes(_ context.Context, table string, after plat.Position, wait time.Duration) ([]plat.Change, plat.Moment, error) {
 	const step, timeout = 2 * time.Millisecond, time.Second
 	began := time.Now()
 	s.cpu.run(step)
 	for end := time.Now().Add(wait); time.Now().Before(end) && (table != "op" || s.version(time.Now()) <= after.Version); {
 		time.Sleep(10 * time.Millisecond)
 	}
-	rows, at := s.rows(table, time.Now())
+	answered := time.Now()
+	rows, at := s.rows(table, answered)
 	s.cpu.run(step)
 	if time.Since(began) > wait+timeout {
-		return nil, plat.Position{}, plat.ErrDown
+		return nil, plat.Moment{}, plat.ErrDown
 	}
-	return rows, at, nil
+	return rows, plat.Moment{Position: at, Current: answered}, nil
 }
 
 func (s revised) Put(context.Context, string, string, []byte) (plat.Position, error) {
--- a/links/plat/feed.go
+++ b/links/plat/feed.go
@@ -21,13 +21,13 @@
 
 // Feed reads tables and follows their changes.
 type Feed interface {
-	// Rows returns all rows of the table and the position at which they were read.
+	// Rows returns all rows of the table and the moment at which they were read.
 	// Rows that change meanwhile are in the changes after that position.
-	Rows(ctx context.Context, table string) ([]Change, Position, error)
-	// Changes returns the changes after the position, in order, and the position from
+	Rows(ctx context.Context, table string) ([]Change, Moment, error)
+	// Changes returns the changes after the position, in order, and the moment from
 	// which to continue. It waits at most wait for a change, and returns
 	// [ErrCompacted] when the complete table must be read.
-	Changes(ctx context.Context, table string, after Position, wait time.Duration) ([]Change, Position, error)
+	Changes(ctx context.Context, table string, after Position, wait time.Duration) ([]Change, Moment, error)
 	// Put writes a row and returns its position.
 	Put(ctx context.Context, table, key string, value []byte) (Position, error)
 	// Delete removes the row if it is at the position, or at any for the zero position. It
--- a/standin/internal/store/rows.go
+++ b/standin/internal/store/rows.go
@@ -49,8 +49,16 @@
 	Rows    []row `json:"rows"`
 	HasMore bool  `json:"has_more"`
 	Ver     int64 `json:"ver"`
+	// NowS is the reading of the store's steady clock in seconds.
+	NowS float64 `json:"now_s"`
 }
 
+// began is the zero of the store's clock.
+var began = time.Now()
+
+// reading returns the reading of the store's clock in seconds.
+func reading() float64 { return time.Since(began).Seconds() }
+
 // rows responds with a page of the rows of a part, from the key from up to, but not
 // including, the key to.
 func (s *Server) rows(c echo.Context) error {
@@ -64,12 +72,12 @@
 	if from := c.QueryParam("from"); from != "" {
 		after = keyBefore(prefix + from)
 	}
-	at := s.store.At()
+	now, at := reading(), s.store.At()
 	list, err := s.store.List(c.Request().Context(), prefix, after, limit+1)
 	if err != nil {
 		return respond(c, nil, err)
 	}
-	out := rowsResponse{Rows: []row{}, Ver: at.Version}
+	out := rowsResponse{Rows: []row{}, Ver: at.Version, NowS: now}
 	for _, r := range list {
 		w := wireRow(r)
 		if to := c.QueryParam("to"); to != "" && w.Key >= to {
@@ -108,6 +116,7 @@
 	era := s.store.At().Era
 	end := time.Now().Add(min(maxFeedWait, time.Duration(wait)*time.Millisecond))
 	for {
+		now := reading()
 		changes, at, err := s.store.Changes(c.Request().Context(), c.QueryParam("table")+separator, after)
 		if err == nil && at.Era != era {
 			// The store was restored during the wait.
@@ -117,7 +126,7 @@
 			return respond(c, nil, err)
 		}
 		if len(changes) > 0 || !time.Now().Before(end) {
-			return respond(c, rowsResponse{Rows: wireChanges(changes), Ver: at.Version}, nil)
+			return respond(c, rowsResponse{Rows: wireChanges(changes), Ver: at.Version, NowS: now}, nil)
 		}
 		select {
 		case <-c.Request().Context().Done():
@@ -171,5 +180,5 @@
 		t.Deletes = append(t.Deletes, r.storeKey())
 	}
 	at, err := s.store.Commit(context.WithoutCancel(c.Request().Context()), t)
-	return respond(c, rowsResponse{Rows: []row{}, Ver: at.Version}, err)
+	return respond(c, rowsResponse{Rows: []row{}, Ver: at.Version, NowS: reading()}, err)
 }
--- a/standin/internal/store/store_test.go
+++ b/standin/internal/store/store_test.go
@@ -98,30 +98,30 @@
 			t.Error(err)
 		}
 	})
-	rows, v, err = c.Changes(ctx, "t", v, 5*time.Second)
+	rows, v, err = c.Changes(ctx, "t", v.Position, 5*time.Second)
 	if err != nil || len(rows) != 1 || rows[0].Key != "b" {
 		t.Errorf("rows = %v, error = %v, want b", rows, err)
 	}
 	if err := c.Delete(ctx, "t", "a", plat.Position{}); err != nil {
 		t.Fatal(err)
 	}
-	rows, _, err = c.Changes(ctx, "t", v, 0)
+	rows, _, err = c.Changes(ctx, "t", v.Position, 0)
 	if err != nil || len(rows) != 1 || !rows[0].Removed {
 		t.Errorf("rows = %v, error = %v, want a removed", rows, err)
 	}
 	post("/standin/compact", "")
-	if _, _, err := c.Changes(ctx, "t", v, 0); !errors.Is(err, plat.ErrCompacted) {
+	if _, _, err := c.Changes(ctx, "t", v.Position, 0); !errors.Is(err, plat.ErrCompacted) {
 		t.Errorf("error = %v, want compacted", err)
 	}
 	_, v, err = c.Rows(ctx, "t")
 	if err != nil {
 		t.Fatal(err)
 	}
-	if rows, _, err := c.Changes(ctx, "other", v, 0); err != nil || len(rows) != 0 {
+	if rows, _, err := c.Changes(ctx, "other", v.Position, 0); err != nil || len(rows) != 0 {
 		t.Errorf("rows of another table = %v, error = %v, want none", rows, err)
 	}
 	v.Version += 10
-	if rows, _, err := c.Changes(ctx, "t", v, 0); !errors.Is(err, plat.ErrCompacted) {
+	if rows, _, err := c.Changes(ctx, "t", v.Position, 0); !errors.Is(err, plat.ErrCompacted) {
 		t.Errorf("changes after a version that the store doesn't have = %v, error = %v, want compacted", rows, err)
 	}
 }
@@ -175,7 +175,7 @@
 	if err != nil || len(rows) != 0 {
 		t.Errorf("rows = %v, error = %v, want none yet", rows, err)
 	}
-	rows, _, err = c.Changes(t.Context(), "op", at, 10*time.Second)
+	rows, _, err = c.Changes(t.Context(), "op", at.Position, 10*time.Second)
 	if err != nil || len(rows) != 1 || rows[0].Key != "a" {
 		t.Errorf("changes = %v, error = %v, want the late write", rows, err)
 	}
