hitchd: begin own reads of the operator's table within its bound too

What callers saw: routes that were refused by a configuration older than the 3 s that the platform allows.

Cause: a host whose source gets no more changes began to read the operator's table itself at an age of 3.2 s, whether the bound is 2.5 or 3 s; the test of these times asked for the servers' table only. It held because that table, which is read sooner, switched both on.

A read waits only for what is left of its wait since the replica was last current, so that the first own read confirms an old table at once.

--- a/hitchd/internal/watch/follow.go
+++ b/hitchd/internal/watch/follow.go
@@ -153,16 +153,16 @@
 // complete table. It returns errStale for a response that is before the replica.
 func (w *Watch) read(ctx context.Context, f *follower) error {
 	w.mu.Lock()
-	since := f.replica.at
+	since, age := f.replica.at, clock.Now().Sub(f.replica.confirmed)
 	w.mu.Unlock()
 	var rows []plat.Change
 	var at plat.Moment
 	var err error
 	full := f.full || since.IsZero() && !f.loaded
-	wait := f.wait
+	// The age of the replica counts: one that is old is confirmed at once. The timeout of a
+	// call includes its wait, so that a call that a cut swallowed ends sooner then.
+	wait := max(0, f.wait-age)
 	if f.down {
-		// The timeout of a call includes its wait. Without a wait, a call that a cut
-		// swallowed ends sooner, and the next one can succeed.
 		wait = 0
 	}
 	if full {
