watch: take no read for failed that ended while this host ran late

What callers saw: tables of up to 8.9 s at hosts with a path to the store, which was well; each read that a host was too late for doubled its pause, up to 3.75 s.

Cause: the end of a timeout counted as the silence of the store, whether this process had run meanwhile or not.

Change: a read without an answer (plat.ErrSilent) whose wait had steps late by a quarter of it or more tells nothing. It is repeated after 0.1 s, counts as no failure and starts no outage. A refusal or a reset is an answer, also to a late host.

--- a/hitchd/internal/watch/follow.go
+++ b/hitchd/internal/watch/follow.go
@@ -11,6 +11,7 @@
 
 	"magnoliahitch/links/clock"
 	"magnoliahitch/links/plat"
+	"magnoliahitch/steer/delay"
 )
 
 // Intervals and timeouts of reading the tables.
@@ -37,6 +38,9 @@
 	retryBase       = 250 * time.Millisecond
 	retryMax        = 800 * time.Millisecond
 	retryMaxSourced = 2500 * time.Millisecond
+	// lateRetry is the time from the start of a read that failed while this host ran late
+	// to the next one.
+	lateRetry = 100 * time.Millisecond
 )
 
 // follower keeps the replica of one table current.
@@ -210,6 +214,11 @@
 		f.full = false
 		return f.backoff(retryMax)
 	}
+	if errors.Is(err, plat.ErrSilent) && !delay.Conclusive(w.delays, now, start) {
+		reads(f.table, "late").Inc()
+		w.log.Info("read ended while this host ran late", "table", f.table, "tookMs", now.Sub(start).Milliseconds(), "delayMs", w.delays.Worst(now, start).Milliseconds(), "error", err)
+		return lateRetry
+	}
 	reads(f.table, "failed").Inc()
 	if !f.down {
 		f.down = true
--- a/links/plat/plat.go
+++ b/links/plat/plat.go
@@ -16,6 +16,9 @@
 	ErrUnknown = errors.New("outcome unknown")
 	// ErrDown reports that the platform can't be reached; nothing was written.
 	ErrDown = errors.New("platform down")
+	// ErrSilent is an [ErrDown] of a call that ended without an answer. The answer may have
+	// come to a host that runs late.
+	ErrSilent = errors.Wrap(ErrDown, "no answer")
 )
 
 // Row is a row of the table. Its position increases with each write.
