watch: pause no longer between failed reads than the time after a cut allows

What callers saw: a host with a source paused up to 3.75 s after failed reads of the store. When its source stayed cut off and its own path was back, it went on with old tables for that time, beyond the 4 s after which it counts as in touch.

Change: the pause of a host with a source is 2.4 s at most, so that it, the end of a call that the cut swallowed (1 s) and a read of a slow store (0.3 s) fit.

An outage costs more calls of the hosts behind a source.

--- a/hitchd/internal/watch/follow.go
+++ b/hitchd/internal/watch/follow.go
@@ -34,10 +34,11 @@
 	// retryBase is the mean backoff after a failed read. The backoff doubles with
 	// each further failure up to retryMax: in an outage every host reads the store,
 	// and refused calls count as calls too. The limit is retryMaxSourced for a host
-	// with a source, which gets its data from there.
+	// with a source. It must learn of changes by itself in the time after a cut within
+	// which its source may still be cut off.
 	retryBase       = 250 * time.Millisecond
 	retryMax        = 800 * time.Millisecond
-	retryMaxSourced = 2500 * time.Millisecond
+	retryMaxSourced = 1600 * time.Millisecond
 	// lateRetry is the time from the start of a read that failed while this host ran late
 	// to the next one.
 	lateRetry = 100 * time.Millisecond
