relay: blame no host for polls that ended while this one ran late

What callers saw: hosts of borders without any source for seconds, with tables of up to 8.9 s, while the hosts that 'didn't answer' answered all others.

Cause: the end of a poll's 350 ms counted as the silence of the other host. Each was left out for 1, 2 or 4 s, until none was left; then the late host took itself for the first of its domain and polled other domains and regions as well.

Change: a poll without a response whose wait had steps late by a quarter or more starts no backoff, and a round with one doesn't change the host's place. A host that runs late waits for a response longer, by twice its delay and up to a second.

TestLateHostKeepsItsPlace came with the change; it needs the second result of pollSource.

--- a/hitchd/internal/relay/poll.go
+++ b/hitchd/internal/relay/poll.go
@@ -32,6 +32,7 @@
 var (
 	pollsAnswered = metrics.NewCounter(`hitch_relay_polls_total{result="answered"}`)
 	pollsFailed   = metrics.NewCounter(`hitch_relay_polls_total{result="failed"}`)
+	pollsLate     = metrics.NewCounter(`hitch_relay_polls_total{result="late"}`)
 )
 
 // pollRequest requests the changes since the positions, and the lists whose digest
@@ -74,8 +75,9 @@
 	request := pollRequest{Self: r.self, Positions: r.watch.Positions(), Digests: r.members.Digests(), Crashes: r.crashRequest(clock.Now(), h.Name), Departures: r.watch.Departures(clock.Now())}
 	r.mu.Unlock()
 	sentAt := clock.Now()
+	timeout := pollTimeout + min(maxLateTime, 2*r.delays.Standing(sentAt))
 	var a pollResponse
-	if err := call(ctx, h, pollPath, pollTimeout, request, &a); err != nil {
+	if err := call(ctx, h, pollPath, timeout, request, &a); err != nil {
 		return errors.Wrapf(err, "poll %s", h.Name)
 	}
 	pollsAnswered.Inc()
--- a/hitchd/internal/relay/relay.go
+++ b/hitchd/internal/relay/relay.go
@@ -37,8 +37,10 @@
 	wakeDelay = 150 * time.Millisecond
 	// regionTimeout bounds an exchange with a host of another region.
 	regionTimeout = 700 * time.Millisecond
-	// pollTimeout bounds a poll. It is sized for hosts of the same region.
+	// pollTimeout bounds a poll. It is sized for hosts of the same region. A host that runs
+	// late waits up to maxLateTime longer.
 	pollTimeout = 350 * time.Millisecond
+	maxLateTime = 650 * time.Millisecond
 	// defaultServersAge and defaultOperatorAge are the ages of the replicas at which
 	// a host reads the store itself. A host must learn within 2.5 s that a server
 	// stops; that time covers the read interval of the first host, a poll and one more
@@ -216,7 +218,9 @@
 func (r *Relay) Run(ctx context.Context) error {
 	r.awaitRows(ctx)
 	for {
-		r.first.Store(!r.pollSource(ctx, clock.Now()))
+		if sourced, known := r.pollSource(ctx, clock.Now()); known {
+			r.first.Store(!sourced)
+		}
 		r.checkAge()
 		pause := pollInterval
 		if !r.watch.State().Ready() {
@@ -332,22 +336,27 @@
 }
 
 // pollSource polls the possible sources in order until one responds, and reports
-// whether one did. Without one it updates the list of live hosts.
-func (r *Relay) pollSource(ctx context.Context, now time.Time) bool {
+// whether one did. Without one it updates the list of live hosts. It isn't known whether
+// there is one if this host ran late.
+func (r *Relay) pollSource(ctx context.Context, now time.Time) (sourced, known bool) {
+	known = true
 	for i, h := range r.sources(now, r.Self().Domain) {
 		if i == maxPollsPerRound {
-			return false
+			return false, known
 		}
 		asked := clock.Now()
 		if err := r.poll(ctx, h); err != nil {
 			if ctx.Err() != nil {
-				return false
+				return false, false
 			}
-			r.backOff(clock.Now(), asked, h, err)
+			known = r.backOff(clock.Now(), asked, h, err) && known
 			continue
 		}
 		r.setSource(h.Name)
-		return true
+		return true, true
+	}
+	if !known {
+		return false, false
 	}
 	r.setSource("")
 	r.mu.Lock()
@@ -355,7 +364,7 @@
 	for _, name := range r.members.UpdateOwnList(clock.Now()) {
 		r.log.Warn("host is silent", "peer", name)
 	}
-	return false
+	return false, true
 }
 
 // fresh reports whether this host's replicas are recent enough that it need not
--- a/hitchd/internal/relay/relay_test.go
+++ b/hitchd/internal/relay/relay_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net"
 	"net/http/httptest"
 	"slices"
 	"strings"
@@ -444,6 +445,30 @@
 	}
 }
 
+// A host that runs late and gets no response doesn't become the first of its domain. As
+// such it would poll other domains and regions too, and remove the rows of hosts.
+func TestLateHostKeepsItsPlace(t *testing.T) {
+	silent, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer silent.Close()
+	a := host("a", "x")
+	a.PeerAddr, a.Capacity = silent.Addr().String(), 1
+	for _, late := range []bool{true, false} {
+		var m delay.Meter
+		r := newRelay(host("c", "x"), WithDelays(&m))
+		r.SetRows(map[string]plat.Change{"a": hostRow(a, 1), "c": hostRow(host("c", "x"), 3)}, plat.Position{})
+		r.rows["a"] = row{host: a, at: plat.Position{Version: 1}}
+		if late {
+			m.Begin(clock.Now())
+		}
+		if sourced, known := r.pollSource(t.Context(), clock.Now()); sourced || known == late {
+			t.Errorf("host that runs late: %v: it has a source: %v, and that is known: %v", late, sourced, known)
+		}
+	}
+}
+
 // A host that runs late doesn't hear others. It must not remove their rows, by which all
 // hosts find them.
 func TestLateHostRemovesNoRow(t *testing.T) {
--- a/hitchd/internal/relay/source.go
+++ b/hitchd/internal/relay/source.go
@@ -2,8 +2,12 @@
 
 import (
 	"context"
+	"net"
 	"time"
 
+	"github.com/go-faster/errors"
+
+	"magnoliahitch/steer/delay"
 	"magnoliahitch/steer/member"
 )
 
@@ -92,8 +96,15 @@
 }
 
 // backOff starts or doubles the backoff of a host that didn't respond to what it was asked
-// at the time.
-func (r *Relay) backOff(now, asked time.Time, h member.Host, err error) {
+// at the time. It reports false, and starts none, if this host ran late meanwhile: the
+// response may have come.
+func (r *Relay) backOff(now, asked time.Time, h member.Host, err error) bool {
+	if isTimeout(err) && !delay.Conclusive(r.delays, now, asked) {
+		pollsLate.Inc()
+		r.log.Info("poll ended while this host ran late", "peer", h.Name, "tookMs", now.Sub(asked).Milliseconds(),
+			"delayMs", r.delays.Worst(now, asked).Milliseconds(), "error", err)
+		return false
+	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	a := r.backoffs[h.Name]
@@ -103,4 +114,11 @@
 	pollsFailed.Inc()
 	r.log.Warn("host doesn't answer polls", "peer", h.Name, "avoidedForMs", a.delay.Milliseconds(),
 		"tookMs", now.Sub(asked).Milliseconds(), "delayMs", r.delays.Worst(now, asked).Milliseconds(), "error", err)
+	return true
+}
+
+// isTimeout reports whether the error is that of a call whose time was up.
+func isTimeout(err error) bool {
+	var e net.Error
+	return errors.As(err, &e) && e.Timeout()
 }
