relay: remove no rows of hosts that this one can't have heard

Cause: only the first host of a failure domain hears the others, and only it noted when they were heard. A host that became the first one took all that had not been noted since it read their rows for unreachable at once; so did one that ran late.

Evidence: TestLateHostRemovesNoRow, one row removed at the first look before. The test now looks once a second, as the host does, and covers both reasons.

--- a/hitchd/internal/relay/relay.go
+++ b/hitchd/internal/relay/relay.go
@@ -98,6 +98,8 @@
 	first atomic.Bool
 	// rowsReceived is set once the hosts' table was read or received.
 	rowsReceived bool
+	// expiredAt is when this host last looked for rows of unreachable hosts.
+	expiredAt time.Time
 	// joinedAt is when this host wrote its row into a table that had none of its name, zero
 	// if the table had one.
 	joinedAt time.Time
--- a/hitchd/internal/relay/relay_test.go
+++ b/hitchd/internal/relay/relay_test.go
@@ -469,20 +469,31 @@
 	}
 }
 
-// A host that runs late doesn't hear others. It must not remove their rows, by which all
-// hosts find them.
+// A host that runs late, or wasn't the first of its domain, doesn't hear others. It must
+// not remove their rows, by which all hosts find them.
 func TestLateHostRemovesNoRow(t *testing.T) {
 	var m delay.Meter
 	store := &deletes{}
 	r := newRelayWith(store, host("a", "x"), WithDelays(&m))
 	r.SetRows(map[string]plat.Change{"a": hostRow(host("a", "x"), 1), "b": hostRow(host("b", "x"), 2)}, plat.Position{})
-	later := clock.Now().Add(rowRetention)
-	m.Record(later.Add(-time.Second), time.Second)
-	r.expireRows(t.Context(), later)
+	now := clock.Now()
+	// expire looks for such rows once a second for the duration.
+	expire := func(d time.Duration) {
+		for end := now.Add(d); now.Before(end); now = now.Add(time.Second) {
+			r.expireRows(t.Context(), now)
+		}
+	}
+	now = now.Add(rowRetention)
+	expire(rowRetention - time.Second)
+	if got := store.count.Load(); got != 0 {
+		t.Errorf("%d rows removed by a host that has just become the first one, want 0", got)
+	}
+	m.Record(now, time.Second)
+	expire(rowRetention - time.Second)
 	if got := store.count.Load(); got != 0 {
 		t.Errorf("%d rows removed by a host that ran late, want 0", got)
 	}
-	r.expireRows(t.Context(), later.Add(rowRetention))
+	expire(3 * time.Second)
 	if got := store.count.Load(); got != 1 {
 		t.Errorf("%d rows removed of a host that is silent for long, want 1", got)
 	}
--- a/hitchd/internal/relay/rows.go
+++ b/hitchd/internal/relay/rows.go
@@ -135,9 +135,13 @@
 }
 
 // expireRows removes the rows of this domain's hosts that have been unreachable
-// for rowRetention.
+// for rowRetention. Only the first host of the domain hears all others. The time begins
+// anew when this host has just become the first one, or ran late and may not have heard
+// them.
 func (r *Relay) expireRows(ctx context.Context, now time.Time) {
 	r.mu.Lock()
+	deaf := now.Sub(r.expiredAt) >= pollExpiry || r.delays.Worst(now, r.expiredAt) >= pollTimeout
+	r.expiredAt = now
 	live := make(map[string]bool)
 	for _, h := range r.members.Live(now) {
 		live[h.Name] = true
@@ -146,7 +150,7 @@
 	for name, x := range r.rows {
 		switch {
 		case x.host.Domain != r.self.Domain || name == r.self.Name || x.at.Era < r.rowsAt.Era:
-		case live[name]:
+		case live[name] || deaf:
 			x.lastSeen = now
 			r.rows[name] = x
 		case now.Sub(x.lastSeen) >= rowRetention:
