conns: ask the clock for the deadline right before the first byte

Cause: the first byte asked the context, which a timer ends. In a process that runs late the timer fires late, after the goroutine that has got its connection.

Change: an attempt that has its connection after the deadline sends nothing and has not run. It says nothing of the server either.

--- a/hitchd/internal/conns/send.go
+++ b/hitchd/internal/conns/send.go
@@ -66,6 +66,10 @@
 // was sent.
 var ErrIdleClosed = errors.New("server closed all idle connections")
 
+// ErrExpired is the error of an attempt that had a connection only after the deadline of the
+// request. Nothing was sent.
+var ErrExpired = errors.New("deadline passed before the first byte")
+
 // Errors of attempts.
 var (
 	errOtherRequest = errors.New("answer belongs to another request")
@@ -176,6 +180,10 @@
 	if x.request.Fenced != nil && x.request.Fenced() {
 		return nil, result.NotRun, ErrFenced
 	}
+	// The timer of the context fires late in a process that runs late.
+	if !clock.Now().Before(x.request.Deadline) {
+		return nil, result.NotRun, ErrExpired
+	}
 	x.conn.carried = append(x.conn.carried, xxhash.Sum64String(x.request.ID))
 	// A body of unknown length is sent in chunks. The head then includes the chunk of
 	// the buffered bytes.
--- a/hitchd/internal/edge/run.go
+++ b/hitchd/internal/edge/run.go
@@ -172,7 +172,7 @@
 	now := clock.Now()
 	took := now.Sub(start)
 	x.lastErr = err
-	if errors.Is(err, conns.ErrFenced) || errors.Is(err, conns.ErrIdleClosed) {
+	if errors.Is(err, conns.ErrFenced) || errors.Is(err, conns.ErrIdleClosed) || errors.Is(err, conns.ErrExpired) {
 		s.picker.Done(now, c.Server.ID, pick.Abandoned, took, pick.Report{})
 		if errors.Is(err, conns.ErrIdleClosed) {
 			s.picker.SuspectRestart(now, c.Server.ID)
