edge: blame no server for connections that weren't made while this host ran late

Cause: as for polls and reads, the host's own timeout counted against the other side.

Change: a connection that isn't made in time while steps ran late by a quarter of that time or more counts as abandoned. A refused or a broken one counts as before.

--- a/hitchd/internal/edge/run.go
+++ b/hitchd/internal/edge/run.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net"
 	"net/http"
 	"time"
 
@@ -9,6 +10,7 @@
 
 	"magnoliahitch/hitchd/internal/conns"
 	"magnoliahitch/links/clock"
+	"magnoliahitch/steer/delay"
 	"magnoliahitch/steer/fleet"
 	"magnoliahitch/steer/pick"
 	"magnoliahitch/steer/result"
@@ -192,7 +194,8 @@
 	if a != nil {
 		report.Running, report.Waiting, report.Known = e.codec.Load(a.Header)
 	}
-	res := classify(ctx, a, outcome)
+	late := !delay.Conclusive(e.delays, now, start)
+	res := classify(ctx, a, outcome, err, late)
 	s.picker.Done(now, c.Server.ID, res, took, report)
 	switch {
 	case res == pick.ConnectionLost:
@@ -219,10 +222,12 @@
 	}
 }
 
-// classify returns the result of the attempt for the server's statistics.
-func classify(ctx context.Context, a *conns.Response, outcome result.Outcome) pick.Result {
+// classify returns the result of the attempt for the server's statistics. A connection that
+// wasn't made in time tells nothing of the server if this host ran late meanwhile.
+func classify(ctx context.Context, a *conns.Response, outcome result.Outcome, err error, late bool) pick.Result {
+	var timeout net.Error
 	switch {
-	case a == nil && ctx.Err() != nil:
+	case a == nil && (ctx.Err() != nil || late && errors.As(err, &timeout) && timeout.Timeout()):
 		return pick.Abandoned
 	case a == nil && outcome == result.NotRun:
 		return pick.ConnectFailed
