edge, pipe: ask the socket whether the caller has left when this host runs late

Cause: the close of a connection is read by a goroutine that waits for its turn like all others, and until then the request's context goes on.

Change: while steps of this host run late by 0.1 s or more, the socket is asked before a server is chosen and right before the first byte.

Evidence: TestNothingIsSentForACallerThatLeft and TestCallerLeft came with the change; without the question the late host's request runs at the server.

--- a/hitchd/internal/edge/edge.go
+++ b/hitchd/internal/edge/edge.go
@@ -1,6 +1,7 @@
 package edge
 
 import (
+	"context"
 	"net/http"
 	"sync"
 	"sync/atomic"
@@ -9,6 +10,7 @@
 	"github.com/hashicorp/go-hclog"
 
 	"magnoliahitch/hitchd/internal/conns"
+	"magnoliahitch/hitchd/internal/pipe"
 	"magnoliahitch/hitchd/internal/watch"
 	"magnoliahitch/links/clock"
 	"magnoliahitch/steer/delay"
@@ -56,6 +58,9 @@
 
 	// delays tells how late this process runs.
 	delays delay.Gauge
+	// callerLeft reports whether the caller of the request with the context has closed its
+	// connection.
+	callerLeft func(ctx context.Context) bool
 	// operatorBound and serversBound are set by [WithBounds].
 	operatorBound, serversBound time.Duration
 
@@ -112,7 +117,7 @@
 func New(codec HeaderCodec, location pick.Location, state func() *watch.State, sponsor pick.Sponsor, log hclog.Logger, options ...Option) *Edge {
 	e := &Edge{
 		codec: codec, location: location, retryShare: defaultRetryShare, state: state, sponsor: sponsor, pool: conns.New(codec.Headers), log: log,
-		services: make(map[string]*service), delays: &delay.Meter{},
+		services: make(map[string]*service), delays: &delay.Meter{}, callerLeft: pipe.CallerLeft,
 	}
 	for _, o := range options {
 		o(e)
--- a/hitchd/internal/edge/late_test.go
+++ b/hitchd/internal/edge/late_test.go
@@ -7,14 +7,40 @@
 	"os"
 	"syscall"
 	"testing"
+	"time"
 
 	"github.com/go-faster/errors"
 
 	"magnoliahitch/hitchd/internal/conns"
+	"magnoliahitch/links/clock"
+	"magnoliahitch/steer/delay"
 	"magnoliahitch/steer/pick"
 	"magnoliahitch/steer/result"
 )
 
+// The close of a caller's connection waits for its turn at a host that runs late. Nothing
+// may be sent for a caller that has left.
+func TestNothingIsSentForACallerThatLeft(t *testing.T) {
+	for _, late := range []bool{false, true} {
+		s := newFixture(t, 1, idempotent, signed(200, "ok"))
+		var m delay.Meter
+		s.edge.delays = &m
+		s.edge.callerLeft = func(context.Context) bool { return true }
+		if late {
+			m.Begin(clock.Now().Add(-time.Second))
+		}
+		c := s.dial(t)
+		c.send(t, "GET /a/x HTTP/1.1\r\nHost: 127.0.0.1\r\nX-Id: 1\r\nX-Timeout: 2s\r\n\r\n")
+		res, err := http.ReadResponse(c.reader, nil)
+		if got, want := s.runs.Load(), int64(1); !late && (err != nil || got != want) {
+			t.Errorf("host in time: response %v, error %v, %d runs, want %d", res, err, got, want)
+		}
+		if got := s.runs.Load(); late && (got != 0 || err == nil) {
+			t.Errorf("late host: response %v, error %v, %d runs, want a closed connection and 0", res, err, got)
+		}
+	}
+}
+
 // A host that runs late gets no connection within its timeout. Taken for the failure of
 // servers, that ejects one after the other and makes the others suspect.
 func TestLateHostBlamesNoServer(t *testing.T) {
--- a/hitchd/internal/edge/run.go
+++ b/hitchd/internal/edge/run.go
@@ -37,7 +37,7 @@
 	s := e.service(x.service)
 	response := e.attempts(ctx, s, x)
 	switch {
-	case errors.Is(ctx.Err(), context.Canceled):
+	case x.left || errors.Is(ctx.Err(), context.Canceled):
 		response.discard()
 		e.record(x, 0, result.ReasonCanceled)
 		panic(http.ErrAbortHandler)
@@ -89,6 +89,10 @@
 			x.expired = true
 			return response
 		}
+		if e.hasLeft(ctx, now, x) {
+			x.left = true
+			return response
+		}
 		c := s.picker.Choose(now, e.state().Fleet, pick.Request{Service: x.service, Object: x.object, Regions: x.route.Regions, Tried: x.tried})
 		e.check(ctx, s, c.Check)
 		if c.Reason != pick.Chosen {
@@ -96,7 +100,8 @@
 			return response
 		}
 		x.request.Fenced = func() bool {
-			return e.pauses.Since(clock.Now(), now) || c.Phase == pick.Warm && s.picker.SuspectedSince(now, c.Server.ID)
+			sending := clock.Now()
+			return e.pauses.Since(sending, now) || e.hasLeft(ctx, sending, x) || c.Phase == pick.Warm && s.picker.SuspectedSince(now, c.Server.ID)
 		}
 		a, outcome, sent := e.attempt(ctx, s, x, c)
 		x.mayHaveRun = x.mayHaveRun || outcome == result.Unknown
@@ -133,6 +138,16 @@
 	}
 }
 
+// lateCaller is the delay of this host's steps from which the close of a caller's connection
+// may have waited too long to be read.
+const lateCaller = 100 * time.Millisecond
+
+// hasLeft reports whether the caller has closed its connection although this host, which
+// runs late, hasn't read that yet.
+func (e *Edge) hasLeft(ctx context.Context, now time.Time, x *exchange) bool {
+	return e.delays.Worst(now, x.start) >= lateCaller && e.callerLeft(ctx)
+}
+
 // awaitFresh waits until the servers' table was read after the latest pause of this
 // process, but at most for refreshTime from its end: servers may have left meanwhile.
 func (e *Edge) awaitFresh(ctx context.Context, x *exchange) {
--- a/hitchd/internal/edge/serve.go
+++ b/hitchd/internal/edge/serve.go
@@ -42,6 +42,8 @@
 	// mayHaveRun is set once an attempt had an unknown outcome, expired when the
 	// attempts ended because of the deadline.
 	mayHaveRun, expired bool
+	// left is set when the attempts ended because the caller has closed its connection.
+	left bool
 	// suspect is set when the attempts ended because the request crashes servers.
 	suspect bool
 	// onTrial is set for a request that crashed servers and may reach one more.
--- a/hitchd/internal/pipe/listen.go
+++ b/hitchd/internal/pipe/listen.go
@@ -144,6 +144,13 @@
 	return x.caller.arrived(x)
 }
 
+// CallerLeft reports whether the caller of the request with the context has closed its
+// connection. It asks the socket, which knows before this process has read the close.
+func CallerLeft(ctx context.Context) bool {
+	x, ok := ctx.Value(laneKey{}).(*lane)
+	return ok && hungUp(x.caller.raw)
+}
+
 // CloseConnections makes each further response close its connection, unless another
 // request was accepted behind it.
 func (l *Listener) CloseConnections() { l.stopping.Store(true) }
--- a/hitchd/internal/pipe/pipe_test.go
+++ b/hitchd/internal/pipe/pipe_test.go
@@ -596,3 +596,30 @@
 		t.Errorf("%d of %d requests that began got no response, want 0", lost, began.Load())
 	}
 }
+
+// A caller's close is known from its socket while the process hasn't read it.
+func TestCallerLeft(t *testing.T) {
+	left := make(chan bool, 2)
+	closed := make(chan struct{})
+	f := serve(t, func(_ http.ResponseWriter, r *http.Request) {
+		left <- CallerLeft(r.Context())
+		<-closed
+		for end := time.Now().Add(5 * time.Second); !CallerLeft(r.Context()) && time.Now().Before(end); {
+			time.Sleep(time.Millisecond)
+		}
+		left <- CallerLeft(r.Context())
+	})
+	c := f.dial(t)
+	// The server reads nothing on while a part of the body is missing.
+	if _, err := io.WriteString(c, "POST /x HTTP/1.1\r\nHost: a\r\nContent-Length: 10\r\n\r\n12345"); err != nil {
+		t.Fatal(err)
+	}
+	if <-left {
+		t.Error("caller counts as gone while its connection is open")
+	}
+	_ = c.Close()
+	close(closed)
+	if !<-left {
+		t.Error("caller counts as present after it has closed its connection")
+	}
+}
