edge, fresh: decide nothing by a table that is too old while the store may be reached

What callers saw: 404 for a route that was confirmed 3.8 s before (CONFIG), requests at servers that had left (DRAIN), from hosts in touch with a stable store.

Cause: nothing asked how old a table is when it decides. Each host had a rule for when it begins to read the store itself, none for when it may no longer act; a host that is too late for its reads went on by tables of up to 8.9 s.

Class: a bound in time that holds only if the host that it binds runs in time.

Change: fresh.Table is the one question, asked before a route is decided, before a server is chosen and right before the first byte, through edge.send, the only way to a server. A table is usable within the platform's bound less 0.25 s for the way, or while the store has not answered a read of this host, run in time, within the contact time. Else the request is refused as not run. Refusing makes room for the host's own reads. A read that is 0.5 s overdue counts as unanswered while it goes on, so that an outage has no gap between bound and evidence.

--- a/hitchd/edge.go
+++ b/hitchd/edge.go
@@ -256,7 +256,7 @@
 		WarmUpLeft: platform.WarmUpLeft,
 		Notice:     platform.Notice,
 		RetryAfter: platform.RetryAfter,
-	}, pick.Location{Region: s.Region, Domain: s.Domain}, h.watch.State, h.sponsor, log.Named("edge"), edge.WithRetryShare(retryShare*s.Bounds.RetryRatio), edge.WithCrashReports(crashes), edge.WithSuspectUntil(suspectUntil(s)), edge.WithDemandShare(h.relay.RegionShare), edge.WithDelays(h.probe), edge.WithBounds(s.Bounds.Apply, s.Bounds.Drain))
+	}, pick.Location{Region: s.Region, Domain: s.Domain}, h.watch.State, h.sponsor, log.Named("edge"), edge.WithRetryShare(retryShare*s.Bounds.RetryRatio), edge.WithCrashReports(crashes), edge.WithSuspectUntil(suspectUntil(s)), edge.WithDemandShare(h.relay.RegionShare), edge.WithDelays(h.probe), edge.WithBounds(useBounds(s.Bounds)))
 	return h
 }
 
--- a/hitchd/edgetiming.go
+++ b/hitchd/edgetiming.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"magnoliahitch/platform"
+	"magnoliahitch/steer/fresh"
 )
 
 // Times within which a host follows the store, as parts of the platform's bounds. A
@@ -17,6 +18,11 @@
 	// agePerHop is the time by which a replica is older at a host than at the one that
 	// reads the store: the interval between two polls and two slow responses.
 	agePerHop = 900 * time.Millisecond
+	// sendMargin is the time that a request may take from this host's decision to a server.
+	sendMargin = 250 * time.Millisecond
+	// defaultContact is the time after a cut within which a host must follow the store again,
+	// unless the platform sets one.
+	defaultContact = 4 * time.Second
 )
 
 // maxAge returns the age of a table with the bound at which a host reads the store itself.
@@ -33,3 +39,16 @@
 func readWaits(b platform.Bounds) (operator, servers time.Duration) {
 	return maxAge(b.Apply) - agePerHop, maxAge(b.Drain) - agePerHop
 }
+
+// useBounds returns up to when requests are decided by the operator's and by the servers'
+// table.
+func useBounds(b platform.Bounds) (operator, servers fresh.Bounds) {
+	return useBound(b.Apply, b.Contact), useBound(b.Drain, b.Contact)
+}
+
+func useBound(bound, contact time.Duration) fresh.Bounds {
+	if contact <= 0 {
+		contact = defaultContact
+	}
+	return fresh.Bounds{Age: max(0, bound-sendMargin), Contact: contact}
+}
--- a/hitchd/internal/edge/edge.go
+++ b/hitchd/internal/edge/edge.go
@@ -15,6 +15,7 @@
 	"magnoliahitch/links/clock"
 	"magnoliahitch/steer/delay"
 	"magnoliahitch/steer/fleet"
+	"magnoliahitch/steer/fresh"
 	"magnoliahitch/steer/pause"
 	"magnoliahitch/steer/pick"
 	"magnoliahitch/steer/retry"
@@ -61,8 +62,8 @@
 	// callerLeft reports whether the caller of the request with the context has closed its
 	// connection.
 	callerLeft func(ctx context.Context) bool
-	// operatorBound and serversBound are set by [WithBounds].
-	operatorBound, serversBound time.Duration
+	// operatorBounds and serversBounds are set by [WithBounds].
+	operatorBounds, serversBounds fresh.Bounds
 
 	running atomic.Int64
 	// pauses detects that this process didn't run for a while.
@@ -103,10 +104,10 @@
 // WithDelays sets what tells how late this process runs.
 func WithDelays(g delay.Gauge) Option { return func(e *Edge) { e.delays = g } }
 
-// WithBounds sets the ages of the operator's and of the servers' table up to which requests
-// are decided by them. 0, the default, is no bound.
-func WithBounds(operator, servers time.Duration) Option {
-	return func(e *Edge) { e.operatorBound, e.serversBound = operator, servers }
+// WithBounds sets up to when requests are decided by the operator's and by the servers'
+// table. Without it there is no bound.
+func WithBounds(operator, servers fresh.Bounds) Option {
+	return func(e *Edge) { e.operatorBounds, e.serversBounds = operator, servers }
 }
 
 // defaultRetryShare is the retry budget without [WithRetryShare], as a share of
--- a/hitchd/internal/edge/run.go
+++ b/hitchd/internal/edge/run.go
@@ -89,6 +89,9 @@
 			x.expired = true
 			return response
 		}
+		if x.stale = !e.maySend(now, e.state()); x.stale {
+			return response
+		}
 		if e.hasLeft(ctx, now, x) {
 			x.left = true
 			return response
@@ -279,6 +282,8 @@
 	if !x.mayHaveRun {
 		reason := result.ReasonNoServer
 		switch {
+		case x.stale:
+			reason = result.ReasonStale
 		case x.suspect:
 			reason = result.ReasonSuspect
 		case !x.retryAt.IsZero():
--- a/hitchd/internal/edge/send.go
+++ b/hitchd/internal/edge/send.go
@@ -13,16 +13,15 @@
 )
 
 // send sends the request, or a health check, to the server once. It is the only way to a
-// server, and nothing is sent if the server isn't available when a connection is ready:
-// it may have left, or have announced something, since it was chosen. It records what
+// server, and nothing is sent if the server isn't available when a connection is ready, since
+// it may have left, or have announced something, or if the tables are too old then. It records what
 // the server announces in its responses.
 func (e *Edge) send(ctx context.Context, r *conns.Request, s fleet.Server) (*conns.Response, result.Outcome, error) {
 	fenced, availability := r.Fenced, fleet.Available
 	r.Fenced = func() bool {
-		now := clock.Now()
-		availability = e.state().Fleet.Recheck(now, &s)
-		e.noteStale(now, r.ID)
-		return availability != fleet.Available || fenced != nil && fenced()
+		now, st := clock.Now(), e.state()
+		availability = st.Fleet.Recheck(now, &s)
+		return availability != fleet.Available || !e.maySend(now, st) || fenced != nil && fenced()
 	}
 	r.OnResponse = func(status int, h http.Header) { e.recordNotice(s, status, e.codec.Notice(status, h)) }
 	a, outcome, err := e.pool.Send(ctx, r, s.ID, s.Addr)
--- a/hitchd/internal/edge/serve.go
+++ b/hitchd/internal/edge/serve.go
@@ -44,6 +44,8 @@
 	mayHaveRun, expired bool
 	// left is set when the attempts ended because the caller has closed its connection.
 	left bool
+	// stale is set when the attempts ended because a table is too old to decide by.
+	stale bool
 	// suspect is set when the attempts ended because the request crashes servers.
 	suspect bool
 	// onTrial is set for a request that crashed servers and may reach one more.
@@ -69,11 +71,15 @@
 	if x.start, known = pipe.Arrived(r.Context()); !known {
 		x.start = clock.Now()
 	}
-	st := e.state()
+	st, current := e.current(r.Context(), x)
 	if !st.Ready() {
 		e.refuse(w, x, result.ReasonNoConfig)
 		return
 	}
+	if !current {
+		e.refuse(w, x, result.ReasonStale)
+		return
+	}
 	x.version = st.Table.Version
 	target := r.RequestURI
 	if !strings.HasPrefix(target, "/") {
@@ -82,7 +88,6 @@
 	path, _, _ := strings.Cut(target, "?")
 	x.route = st.Table.Find(r.Host, path)
 	if x.route == nil {
-		e.noteStale(clock.Now(), x.id)
 		e.record(x, http.StatusNotFound, result.ReasonNoRoute)
 		http.Error(w, "no route for this host and path", http.StatusNotFound)
 		return
--- a/hitchd/internal/edge/stale.go
+++ b/hitchd/internal/edge/stale.go
@@ -1,39 +1,51 @@
 package edge
 
 import (
+	"context"
 	"fmt"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
 
 	"magnoliahitch/hitchd/internal/watch"
+	"magnoliahitch/links/clock"
+	"magnoliahitch/steer/fresh"
 )
 
-// staleTable returns the name of a table that is older than its bound, "" if there is none.
-func (e *Edge) staleTable(now time.Time, st *watch.State) string {
-	switch {
-	case e.operatorBound > 0 && now.Sub(st.OperatorRead) > e.operatorBound:
-		return "operator"
-	case e.serversBound > 0 && now.Sub(st.ServersRead) > e.serversBound:
-		return "servers"
+// mayRoute reports whether routes may be decided by the state's operator's table.
+func (e *Edge) mayRoute(now time.Time, st *watch.State) bool {
+	return usable(now, "operator", fresh.Table{Read: st.OperatorRead, Unanswered: st.OperatorUnanswered}, e.operatorBounds)
+}
+
+// maySend reports whether a server may get a request by the state.
+func (e *Edge) maySend(now time.Time, st *watch.State) bool {
+	return e.mayRoute(now, st) &&
+		usable(now, "servers", fresh.Table{Read: st.ServersRead, Unanswered: st.ServersUnanswered}, e.serversBounds)
+}
+
+// usable reports whether decisions may follow the table, and counts those by an old one.
+func usable(now time.Time, name string, t fresh.Table, b fresh.Bounds) bool {
+	if !t.Usable(now, b) {
+		return false
 	}
-	return ""
+	if b.Age > 0 && now.Sub(t.Read) > b.Age {
+		oldDecisions(name).Inc()
+	}
+	return true
 }
 
-// noteStale logs and counts that a request is decided by a table that is older than its
-// bound.
-func (e *Edge) noteStale(now time.Time, request string) {
-	st := e.state()
-	table := e.staleTable(now, st)
-	if table == "" {
-		return
+// current returns the state in force, and whether routes may be decided by it. After a
+// pause of this process it waits for a newer one.
+func (e *Edge) current(ctx context.Context, x *exchange) (*watch.State, bool) {
+	if st := e.state(); e.mayRoute(clock.Now(), st) {
+		return st, true
 	}
-	staleDecisions(table).Inc()
-	e.log.Info("request is decided by an old table", "request", request, "table", table, "operatorAgeMs", ms(now.Sub(st.OperatorRead)),
-		"serversAgeMs", ms(now.Sub(st.ServersRead)), "delayMs", ms(e.delays.Standing(now)))
+	e.awaitFresh(ctx, x)
+	st := e.state()
+	return st, e.mayRoute(clock.Now(), st)
 }
 
-// staleDecisions counts requests that were decided by a table older than its bound.
-func staleDecisions(table string) *metrics.Counter {
-	return metrics.GetOrCreateCounter(fmt.Sprintf(`hitch_edge_stale_decisions_total{table=%q}`, table))
+// oldDecisions counts decisions by a table older than its bound.
+func oldDecisions(table string) *metrics.Counter {
+	return metrics.GetOrCreateCounter(fmt.Sprintf(`hitch_edge_old_decisions_total{table=%q}`, table))
 }
--- a/hitchd/internal/edge/stale_test.go
+++ b/hitchd/internal/edge/stale_test.go
@@ -7,12 +7,16 @@
 
 	"magnoliahitch/hitchd/internal/conns"
 	"magnoliahitch/links/clock"
+	"magnoliahitch/steer/fresh"
 	"magnoliahitch/steer/result"
 )
 
 // old is beyond each bound of these tests.
 const old = 10 * time.Second
 
+// bounded sets bounds of 3 s for the operator's and 2.5 s for the servers' table.
+var bounded = WithBounds(fresh.Bounds{Age: 3 * time.Second, Contact: 4 * time.Second}, fresh.Bounds{Age: 2500 * time.Millisecond, Contact: 4 * time.Second})
+
 // age makes the tables as old as given.
 func (s *fixture) age(operator, servers time.Duration) {
 	now, st := clock.Now(), *s.state.Load()
@@ -36,7 +40,7 @@
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			s := newFixture(t, 1, idempotent, signed(200, "ok"))
-			WithBounds(3*time.Second, 2500*time.Millisecond)(s.edge)
+			bounded(s.edge)
 			s.age(c.operator, c.servers)
 			res, _ := s.do(t, http.MethodGet, c.path, "")
 			if res.StatusCode != c.status || (res.StatusCode == 503) != (res.Header.Get("Retry-After") != "") {
@@ -52,7 +56,7 @@
 // The servers' table gets too old while a request waits for a connection.
 func TestNothingIsSentByAnOldTable(t *testing.T) {
 	s := newFixture(t, 1, idempotent, signed(200, "ok"))
-	WithBounds(3*time.Second, 2500*time.Millisecond)(s.edge)
+	bounded(s.edge)
 	s.age(time.Second, old)
 	server := s.state.Load().Fleet.Servers("loans")[0]
 	r := &conns.Request{ID: "1", Method: http.MethodGet, Target: "/a/x", Host: "a", Header: http.Header{}, Deadline: clock.Now().Add(time.Second)}
@@ -61,3 +65,16 @@
 		t.Errorf("response %v, outcome %v, error %v, %d runs, want an error and not run", a, outcome, err, s.runs.Load())
 	}
 }
+
+// While the store doesn't answer, a host goes on with what it knows.
+func TestOldTablesDecideDuringOutage(t *testing.T) {
+	s := newFixture(t, 1, idempotent, signed(200, "ok"))
+	bounded(s.edge)
+	s.age(old, old)
+	st := *s.state.Load()
+	st.OperatorUnanswered, st.ServersUnanswered = clock.Now(), clock.Now()
+	s.state.Store(&st)
+	if res, _ := s.do(t, http.MethodGet, "/a/x", ""); res.StatusCode != http.StatusOK {
+		t.Errorf("status = %d, want 200", res.StatusCode)
+	}
+}
--- a/hitchd/internal/watch/follow.go
+++ b/hitchd/internal/watch/follow.go
@@ -38,7 +38,9 @@
 	// which its source may still be cut off.
 	retryBase       = 250 * time.Millisecond
 	retryMax        = 800 * time.Millisecond
-	retryMaxSourced = 1600 * time.Millisecond
+	retryMaxSourced = 1400 * time.Millisecond
+	// overdueTime is how long after it was due an answer counts as missing. The read goes on.
+	overdueTime = 500 * time.Millisecond
 	// lateRetry is the time from the start of a read that failed while this host ran late
 	// to the next one.
 	lateRetry = 100 * time.Millisecond
@@ -66,6 +68,8 @@
 	full        bool
 	compactions int
 	down        bool
+	// due is when the store is to answer the present read, or was to answer the last one.
+	due time.Time
 }
 
 // RunOperator keeps the operator's table current until the context ends.
@@ -170,6 +174,15 @@
 	if f.down {
 		wait = 0
 	}
+	due := clock.Now().Add(wait)
+	f.due = due
+	overdue := time.AfterFunc(wait+overdueTime, func() {
+		// The answer may wait for its turn at a host that runs late.
+		if delay.Conclusive(w.delays, clock.Now(), due) {
+			w.noteUnanswered(f.replica, due)
+		}
+	})
+	defer overdue.Stop()
 	if full {
 		rows, at, err = w.store.Rows(ctx, f.table)
 	} else {
@@ -193,6 +206,16 @@
 	return nil
 }
 
+// noteUnanswered records that the store had no answer for a read of the table at the time.
+func (w *Watch) noteUnanswered(c *replica, at time.Time) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if at.After(c.unanswered) {
+		c.unanswered = at
+		w.publish()
+	}
+}
+
 // readFailed records a failed read that began at the time, and returns the time from its start to the
 // next read. It is 0 when the store doesn't have the changes, except after a complete
 // read that didn't help.
@@ -220,6 +243,11 @@
 		w.log.Info("read ended while this host ran late", "table", f.table, "tookMs", now.Sub(start).Milliseconds(), "delayMs", w.delays.Worst(now, start).Milliseconds(), "error", err)
 		return lateRetry
 	}
+	if errors.Is(err, plat.ErrSilent) {
+		w.noteUnanswered(f.replica, f.due)
+	} else {
+		w.noteUnanswered(f.replica, now)
+	}
 	reads(f.table, "failed").Inc()
 	if !f.down {
 		f.down = true
--- a/hitchd/internal/watch/replica.go
+++ b/hitchd/internal/watch/replica.go
@@ -28,6 +28,9 @@
 	at plat.Position
 	// confirmed is when the replica was last known to be current.
 	confirmed time.Time
+	// unanswered is when the store was due to answer the last read of the table that it
+	// didn't answer, or refused; zero for none.
+	unanswered time.Time
 	// removed holds the last record of removed rows, with the position of the removal.
 	// Removals up to the position floor may have been discarded.
 	removed map[string]plat.Change
@@ -137,6 +140,7 @@
 	*c = newReplica(old.compare, old.grace)
 	c.enteredFrom = old.at
 	c.at, c.floor, c.confirmed, c.merged = at, at, old.confirmed, plat.Later(old.at, old.merged)
+	c.unanswered = old.unanswered
 	c.missingUntil, c.doubtfulUntil = now.Add(c.grace.missing), now.Add(c.grace.doubtful)
 	var older []plat.Change
 	for _, r := range rows {
--- a/hitchd/internal/watch/watch.go
+++ b/hitchd/internal/watch/watch.go
@@ -37,6 +37,9 @@
 	// confirmed as current, OperatorAt and ServersAt the store's positions then.
 	OperatorRead, ServersRead time.Time
 	OperatorAt, ServersAt     plat.Position
+	// OperatorUnanswered and ServersUnanswered are when the store was due to answer the last
+	// read of these tables that it didn't answer, or refused; zero for none.
+	OperatorUnanswered, ServersUnanswered time.Time
 }
 
 // Ready reports whether requests can be served: a configuration is in force and
@@ -123,6 +126,7 @@
 	w.current.Store(&State{
 		Table: w.table, Fleet: view, OperatorRead: w.operator.confirmed, ServersRead: w.servers.confirmed,
 		OperatorAt: w.operator.at, ServersAt: w.servers.at,
+		OperatorUnanswered: w.operator.unanswered, ServersUnanswered: w.servers.unanswered,
 	})
 }
 
--- a/hitchd/overload_test.go
+++ b/hitchd/overload_test.go
@@ -69,7 +69,7 @@
 	rows, at := s.rows(table, answered)
 	s.cpu.run(step)
 	if time.Since(began) > wait+timeout {
-		return nil, plat.Moment{}, plat.ErrDown
+		return nil, plat.Moment{}, plat.ErrSilent
 	}
 	return rows, plat.Moment{Position: at, Current: answered}, nil
 }
@@ -101,7 +101,7 @@
 		w := watch.New(store, overloadCodec, hclog.NewNullLogger(), func(map[string]plat.Change, plat.Position) {},
 			watch.WithWaits(operatorWait, serversWait), watch.WithDelays(&meter))
 		e := edge.New(overloadHeaders, pick.Location{Region: "north"}, w.State, nil, hclog.NewNullLogger(),
-			edge.WithDelays(&meter), edge.WithBounds(bounds.Apply, bounds.Drain))
+			edge.WithDelays(&meter), edge.WithBounds(useBounds(bounds)))
 		loop(func() { _ = w.RunOperator(ctx, "op") })
 		loop(func() { _ = w.RunServers(ctx, "servers") })
 		// The source has the first tables and nothing after them.
--- a/steer/result/result.go
+++ b/steer/result/result.go
@@ -68,6 +68,8 @@
 	ReasonNoServer Reason = "noServer"
 	// ReasonQueueFull means that the predicted wait for a slot exceeds its limit.
 	ReasonQueueFull Reason = "queueFull"
+	// ReasonStale means that the host's replica of the store is too old to decide by.
+	ReasonStale Reason = "stale"
 	// ReasonDeadline means that the deadline has passed or can't be met.
 	ReasonDeadline Reason = "deadline"
 	// ReasonShiftCap means that the budget of a shift between regions is used up.
