pipe: answer requests that arrived behind others before a stop closes the connection

What callers saw: in a planned stop a connection was closed by the response to the first request, and a complete one behind it, which may not be repeated, got no answer (LOST).

Cause: a response closed the connection when no other request had been handed on. One that must wait for its turn, such as an operation, isn't handed on but has been read.

Change: a response closes the connection only if no complete request head waits behind it.

Evidence: TestStopAnswersRequestsBehindOthers, unexpected EOF in place of the second response before.

--- a/hitchd/internal/pipe/pipe_test.go
+++ b/hitchd/internal/pipe/pipe_test.go
@@ -623,3 +623,22 @@
 		t.Error("caller counts as present after it has closed its connection")
 	}
 }
+
+// A request that has arrived behind others when a planned stop closes connections gets its
+// response: the caller could not repeat it.
+func TestStopAnswersRequestsBehindOthers(t *testing.T) {
+	g := newGates()
+	f := serve(t, g.serve)
+	c := f.dial(t)
+	c.send(t, get("/a"), post("/b", "body"), post("/c", "body"))
+	g.await(t, "/a")
+	time.Sleep(pause)
+	f.listener.CloseConnections()
+	for _, p := range []string{"/a", "/b", "/c"} {
+		g.release(p)
+	}
+	c.expect(t, "GET/a", "POST/b", "POST/c")
+	if _, err := c.reader.ReadByte(); err == nil {
+		t.Error("connection is open after the last response of a stop")
+	}
+}
--- a/hitchd/internal/pipe/queue.go
+++ b/hitchd/internal/pipe/queue.go
@@ -231,7 +231,8 @@
 	if x.exchange == nil {
 		return true
 	}
-	if c.queue[len(c.queue)-1] != x.exchange {
+	// A request that has arrived completely gets a response too.
+	if c.queue[len(c.queue)-1] != x.exchange || headEnd(c.ahead.bytes) > 0 {
 		return false
 	}
 	c.last = true
