pipe, edge, front: end requests within a planned stop, refuse what it has no time for

What callers saw: requests that came late in the grace of a planned stop were passed on and cut off without an answer at its end, operations among them (LOST). By the code it happened here: a host took requests for 2.8 s, passed each on with all of its deadline and ended 5.85 s after the signal; nothing told a request how much time was left.

Change: pipe.Listener.FinishBy tells all requests of a listener from when they are refused and when they must have ended. What is taken in a stop is passed on with what is left of it, so that the server stops in time; what is expected to take longer, or comes after the last one, is refused as not run; what still runs 0.4 s before the process ends gets 504. The product's own interface does the same in the last step of its stop.

--- a/hitchd/edgestop.go
+++ b/hitchd/edgestop.go
@@ -21,6 +21,9 @@
 	// exitMargin is the time between the end of the stop and the moment at which the
 	// platform kills the process.
 	exitMargin = 150 * time.Millisecond
+	// answerTime is the time before the end of a stop within which requests that haven't
+	// ended get their responses.
+	answerTime = 400 * time.Millisecond
 )
 
 // addEdgeStop adds the planned stop to the group. It begins when the context ends;
@@ -38,11 +41,13 @@
 }
 
 // stop removes this host from lookup responses, serves new requests until callers
-// no longer use the host, and waits for the requests in flight.
+// no longer use the host, and waits for the requests in flight. What can't end before the
+// process does is refused or gets a response of this host in time.
 func (h *edgeHost) stop(callers *http.Server, port *pipe.Listener) {
 	began := clock.Now()
 	h.log.Info("leaving", "running", h.edge.InFlight())
 	port.CloseConnections()
+	port.FinishBy(began.Add(acceptTime), began.Add(h.settings.Bounds.StopTimeout-exitMargin-answerTime))
 	ctx, cancel := context.WithTimeout(context.Background(), h.settings.Bounds.StopTimeout-exitMargin)
 	defer cancel()
 	h.relay.Leave(ctx)
--- a/hitchd/internal/edge/run.go
+++ b/hitchd/internal/edge/run.go
@@ -9,6 +9,7 @@
 	"github.com/go-faster/errors"
 
 	"magnoliahitch/hitchd/internal/conns"
+	"magnoliahitch/hitchd/internal/pipe"
 	"magnoliahitch/links/clock"
 	"magnoliahitch/steer/delay"
 	"magnoliahitch/steer/fleet"
@@ -37,7 +38,9 @@
 	s := e.service(x.service)
 	response := e.attempts(ctx, s, x)
 	switch {
-	case x.left || errors.Is(ctx.Err(), context.Canceled):
+	case errors.Is(context.Cause(ctx), pipe.ErrStopping) && response.Response == nil:
+		e.endExpired(w, x)
+	case x.left || errors.Is(ctx.Err(), context.Canceled) && !errors.Is(context.Cause(ctx), pipe.ErrStopping):
 		response.discard()
 		e.record(x, 0, result.ReasonCanceled)
 		panic(http.ErrAbortHandler)
@@ -98,6 +101,11 @@
 		}
 		c := s.picker.Choose(now, e.state().Fleet, pick.Request{Service: x.service, Object: x.object, Regions: x.route.Regions, Tried: x.tried})
 		e.check(ctx, s, c.Check)
+		if x.stopping = c.Reason == pick.Chosen && !x.end.IsZero() && x.attempts == 0 && c.Cost > x.end.Sub(now); x.stopping {
+			// It would be cut off at the server.
+			s.picker.Done(now, c.Server.ID, pick.Abandoned, 0, pick.Report{})
+			return response
+		}
 		if c.Reason != pick.Chosen {
 			x.retryAt = c.RetryAt
 			return response
@@ -282,6 +290,8 @@
 	if !x.mayHaveRun {
 		reason := result.ReasonNoServer
 		switch {
+		case x.stopping:
+			reason = result.ReasonStopping
 		case x.stale:
 			reason = result.ReasonStale
 		case x.suspect:
--- a/hitchd/internal/edge/serve.go
+++ b/hitchd/internal/edge/serve.go
@@ -44,6 +44,10 @@
 	mayHaveRun, expired bool
 	// left is set when the attempts ended because the caller has closed its connection.
 	left bool
+	// end is when the request must have ended in a planned stop, zero without one.
+	end time.Time
+	// stopping is set when the attempts ended because a planned stop leaves no time for one.
+	stopping bool
 	// stale is set when the attempts ended because a table is too old to decide by.
 	stale bool
 	// suspect is set when the attempts ended because the request crashes servers.
@@ -71,6 +75,12 @@
 	if x.start, known = pipe.Arrived(r.Context()); !known {
 		x.start = clock.Now()
 	}
+	end, refused, stopping := pipe.Stopping(r.Context(), clock.Now())
+	if refused {
+		e.refuse(w, x, result.ReasonStopping)
+		return
+	}
+	x.end = end
 	st, current := e.current(r.Context(), x)
 	if !st.Ready() {
 		e.refuse(w, x, result.ReasonNoConfig)
@@ -114,6 +124,9 @@
 	if t := x.route.Timeout; t > 0 {
 		timeout = min(timeout, t)
 	}
+	if stopping {
+		timeout = min(timeout, end.Sub(x.start))
+	}
 	ctx, cancel := context.WithTimeout(r.Context(), timeout-clock.Now().Sub(x.start))
 	defer cancel()
 	x.request = conns.Request{
--- a/hitchd/internal/front/request.go
+++ b/hitchd/internal/front/request.go
@@ -74,8 +74,17 @@
 		x.body = newBody(c.Response().Writer, req.Body, f.limits)
 		r.Body = x.body
 	}
-	r.Deadline, err = f.deadline(req, s, t.timeout)
-	return r, err
+	if r.Deadline, err = f.deadline(req, s, t.timeout); err != nil {
+		return nil, err
+	}
+	end, refused, stopping := pipe.Stopping(req.Context(), clock.Now())
+	switch {
+	case refused:
+		return nil, f.refuse(result.ReasonStopping, "take request during a planned stop")
+	case stopping && end.Before(r.Deadline):
+		r.Deadline = end
+	}
+	return r, nil
 }
 
 // target is the service and path that a request is forwarded to. Object, scope,
--- a/hitchd/internal/pipe/listen.go
+++ b/hitchd/internal/pipe/listen.go
@@ -71,6 +71,10 @@
 
 	// stopping is set when responses close their connections.
 	stopping atomic.Bool
+	// finish is set by FinishBy. requests ends, by endRequests, when all requests must.
+	finish      atomic.Pointer[finish]
+	requests    context.Context
+	endRequests context.CancelFunc
 
 	mu      sync.Mutex
 	callers map[*caller]struct{}
@@ -100,6 +104,7 @@
 		conns: make(chan *lane), lanes: make(chan *lane, maxLanes), failed: make(chan struct{}), ended: make(chan struct{}),
 		callers: make(map[*caller]struct{}),
 	}
+	l.requests, l.endRequests = context.WithCancel(context.Background())
 	for _, o := range options {
 		o(l)
 	}
@@ -115,6 +120,9 @@
 	s.Handler = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if x, ok := r.Context().Value(laneKey{}).(*lane); ok {
 			x.caller.begin(x, r)
+			var release func()
+			r, release = l.bound(r)
+			defer release()
 			if l.stopping.Load() {
 				w = &closer{ResponseWriter: w, lane: x}
 			}
--- a/hitchd/internal/pipe/pipe_test.go
+++ b/hitchd/internal/pipe/pipe_test.go
@@ -15,6 +15,8 @@
 	"testing"
 	"time"
 
+	"github.com/go-faster/errors"
+
 	"magnoliahitch/links/clock"
 )
 
@@ -624,6 +626,41 @@
 	}
 }
 
+// A planned stop ends what runs while there is time for a response, and says from when new
+// requests are refused.
+func TestStopEndsRequestsInTime(t *testing.T) {
+	f := serve(t, func(w http.ResponseWriter, r *http.Request) {
+		if _, refused, _ := Stopping(r.Context(), clock.Now()); refused {
+			w.WriteHeader(http.StatusServiceUnavailable)
+			return
+		}
+		<-r.Context().Done()
+		if !errors.Is(context.Cause(r.Context()), ErrStopping) {
+			t.Errorf("cause = %v, want %v", context.Cause(r.Context()), ErrStopping)
+		}
+		w.WriteHeader(http.StatusGatewayTimeout)
+	})
+	before, within, late := f.dial(t), f.dial(t), f.dial(t)
+	before.send(t, get("/a"))
+	time.Sleep(pause)
+	now := clock.Now()
+	f.listener.CloseConnections()
+	f.listener.FinishBy(now.Add(4*pause), now.Add(8*pause))
+	within.send(t, get("/b"))
+	time.Sleep(6 * pause)
+	late.send(t, get("/c"))
+	for _, k := range []struct {
+		name   string
+		client *client
+		status int
+	}{{"before the stop", before, 504}, {"in the stop", within, 504}, {"late in the stop", late, 503}} {
+		res, err := http.ReadResponse(k.client.reader, nil)
+		if err != nil || res.StatusCode != k.status {
+			t.Errorf("%s: response %v, error %v, want status %d", k.name, res, err, k.status)
+		}
+	}
+}
+
 // A request that has arrived behind others when a planned stop closes connections gets its
 // response: the caller could not repeat it.
 func TestStopAnswersRequestsBehindOthers(t *testing.T) {
