--- a/hitchd/internal/edge/broken_test.go
+++ b/hitchd/internal/edge/broken_test.go
@@ -245,3 +245,42 @@
 		})
 	}
 }
+
+// A server that stops in the middle of a response's head and closes. The caller gets a
+// failure in its place, never a success, and the responses to its other requests in order.
+func TestHeadThatBreaksOff(t *testing.T) {
+	const end = "\r\n\r\n"
+	for _, head := range []string{
+		"HTTP/1.1 200 OK\r\nX-Id: ID\r\nX-Signed: s\r\nContent-Length: 5",
+		"HTTP/1.1 200 OK\r\nX-Id: ID\r\nX-Signed: s\r\nTransfer-Encoding: chunked",
+		"HTTP/1.0 200 OK\r\nX-Id: ID\r\nX-Signed: s",
+		"HTTP/1.1 103 Early\r\n\r\nHTTP/1.1 200 OK\r\nX-Id: ID\r\nX-Signed: s\r\nContent-Length: 0",
+		"HTTP/1.1 204 No\r\nX-Id: ID\r\nX-Signed: s",
+	} {
+		text := strings.ReplaceAll(head+end, "ID", "2")
+		for n := 0; n < len(text); n += 5 {
+			for _, route := range []routes.Route{idempotent, {MaxAttempts: 1, Timeout: 5 * time.Second}} {
+				s := newFixture(t, 1, route, func(w http.ResponseWriter, r *http.Request) {
+					if r.Header.Get("X-Id") == "2" {
+						raw(text[:n], "")(w, r)
+						return
+					}
+					echo(w, r)
+				})
+				c := s.dial(t)
+				// The second request takes the connection to the server that the first one left.
+				c.send(t, get("1", 2*time.Second), post("2", 2*time.Second), get("3", 2*time.Second))
+				for _, k := range []struct {
+					id     string
+					status int
+				}{{"1", 200}, {"2", 502}, {"3", 200}} {
+					res, body := c.receive(t)
+					if res.StatusCode != k.status || k.status == 200 && body != "/a/"+k.id {
+						t.Fatalf("%q after %d of %d bytes: response to request %s %d %q, want %d", head, n, len(text), k.id, res.StatusCode, body, k.status)
+					}
+				}
+				_ = c.Close()
+			}
+		}
+	}
+}
