soak: hosts that get little of the processor, responses that break off in the head

No fault of the soak made a host late: SIGSTOP paused it, which excuses everything. Now three hosts in each run get 3 to 30 in 100 of the processor in turns within a tenth of a second, as a quota does. That excuses a host for what it answers late, not for what it sends to servers that left, to evacuated domains or by old configurations. A response that a server truncates now breaks off anywhere, in its head too. The platform's bounds of time are in the hosts' settings, which lacked them.

--- a/standin/internal/soak/act.go
+++ b/standin/internal/soak/act.go
@@ -64,6 +64,8 @@
 		return w.roll(ctx, e)
 	case HostPause:
 		return h.Pause(ctx, e.For)
+	case HostStarve:
+		return h.Starve(ctx, e.For, e.Share)
 	case HostReload:
 		return h.Reload()
 	case FrontDelay, FrontReset, FrontCut, FrontSilence:
--- a/standin/internal/soak/host.go
+++ b/standin/internal/soak/host.go
@@ -61,7 +61,7 @@
 internal_ports: [%d, %d]
 bootstrap: false
 limits: {cpu_share: 1, cores: 1, memory_mb: 206}
-bounds: {grace_s: %g, retry_budget_ratio: %g, warmup_overrun: %g, warmup_slack: %g, ttl_max_s: 5}
+bounds: {grace_s: %g, drain_s: %g, apply_s: %g, contact_s: %g, retry_budget_ratio: %g, warmup_overrun: %g, warmup_slack: %g, ttl_max_s: 5}
 platform: {address: %q}
 `
 
@@ -72,7 +72,7 @@
 		zones = append(zones, fmt.Sprintf("%s: %s", d.name, d.region))
 	}
 	text := fmt.Sprintf(settingsTemplate, h.Name, h.Domain, h.Region, h.IP, strings.Join(zones, ", "), h.IP, frontPort, h.IP, readyPort, h.IP, lookupPort,
-		h.IP, seedPort, strings.Join(seeds, ", "), peerPort, peerPort+1, b.StopTimeout.Seconds(), b.RetryShare, b.WarmUpOverrun, b.WarmUpSlack, h.store.Addr())
+		h.IP, seedPort, strings.Join(seeds, ", "), peerPort, peerPort+1, b.StopTimeout.Seconds(), b.Drain.Seconds(), b.Apply.Seconds(), b.QuietPeriod.Seconds(), b.RetryShare, b.WarmUpOverrun, b.WarmUpSlack, h.store.Addr())
 	h.settings = filepath.Join(dir, h.Name+".yaml")
 	if err := os.WriteFile(h.settings, []byte(text), 0o644); err != nil {
 		return errors.Wrap(err, "write settings of "+h.Name)
@@ -194,6 +194,32 @@
 		end := h.disturbances.Disturb(time.Now(), part)
 		defer func() { end(time.Now()) }()
 	}
+	return h.suspend(ctx, d)
+}
+
+// A starved process gets from leastShare to mostShare of each starvePeriod.
+const (
+	starvePeriod          = 100 * time.Millisecond
+	leastShare, mostShare = 0.03, 0.3
+)
+
+// Starve lets the process run in short turns only for the duration d. Share, from 0 to 1, is
+// how much of the processor it lacks.
+func (h *Host) Starve(ctx context.Context, d time.Duration, share float64) error {
+	end := h.disturbances.Disturb(time.Now(), partSlow(h.Name))
+	defer func() { end(time.Now()) }()
+	turn := time.Duration((mostShare - share*(mostShare-leastShare)) * float64(starvePeriod))
+	for until := time.Now().Add(d); time.Now().Before(until) && ctx.Err() == nil; sleep(ctx, turn) {
+		if err := h.suspend(ctx, starvePeriod-turn); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// suspend stops the process and lets it go on after d, unless another pause is in progress
+// then or the process was restarted.
+func (h *Host) suspend(ctx context.Context, d time.Duration) error {
 	starts := h.countPause(1)
 	if err := h.signal(syscall.SIGSTOP); err != nil {
 		return err
--- a/standin/internal/soak/ledger.go
+++ b/standin/internal/soak/ledger.go
@@ -108,6 +108,7 @@
 func partHost(name string) string    { return "host/" + name }
 func partPlanned(name string) string { return "planned/" + name }
 func partProcess(name string) string { return "process/" + name }
+func partSlow(name string) string    { return "slow/" + name }
 func partLink(addr string) string    { return "link/" + addr }
 
 // Violations returns the violations so far.
@@ -137,6 +138,12 @@
 // undisturbed reports whether the attempt's host, the store, the machine and the
 // parts in more had no fault between bounds.QuietPeriod before from, and to.
 func (l *Ledger) undisturbed(from, to time.Time, r *record, more ...string) bool {
+	return l.inTouch(from, to, r, append(more, partSlow(r.Host))...)
+}
+
+// inTouch is like undisturbed for what a host must keep although its process gets little of
+// the processor: it follows the store in time.
+func (l *Ledger) inTouch(from, to time.Time, r *record, more ...string) bool {
 	names := append([]string{partStore, partMachine, partHost(r.Host), partPlanned(r.Host)}, more...)
 	return l.disturbances.Undisturbed(from.Add(-l.bounds.QuietPeriod), to, names...)
 }
@@ -222,11 +229,11 @@
 }
 
 func (l *Ledger) checkLeaving(now time.Time, r *record, u *Upstream) {
-	if t := u.leaving; !t.IsZero() && now.Sub(t) > l.bounds.Drain && l.undisturbed(t, now, r, partLink(u.Link)) {
+	if t := u.leaving; !t.IsZero() && now.Sub(t) > l.bounds.Drain && l.inTouch(t, now, r, partLink(u.Link)) {
 		l.addViolation(now, NoWorkAfterDrain, r, "reached server %s %s after its drain or removal was acknowledged", u.ID, now.Sub(t))
 	}
 	t, on := l.evacuated[u.Domain]
-	if on && now.Sub(t) > l.bounds.Evacuate && l.undisturbed(t, now, r, partLink(u.Link)) {
+	if on && now.Sub(t) > l.bounds.Evacuate && l.inTouch(t, now, r, partLink(u.Link)) {
 		l.addViolation(now, NoWorkEvacuated, r, "reached server %s in %s %s after the evacuation was acknowledged", u.ID, u.Domain, now.Sub(t))
 	}
 }
--- a/standin/internal/soak/ledger_test.go
+++ b/standin/internal/soak/ledger_test.go
@@ -203,6 +203,18 @@
 			recordAttempt(l, "r", 15, false)
 			recordRun(l, "r", "s1", 15.1)
 		}},
+		{"draining server, at a host that gets little of the processor", NoWorkAfterDrain, func(l *Ledger, disturbances *Disturbances) {
+			l.Leaving(at(10), "s1")
+			disturbances.Disturb(at(8), partSlow("h"))
+			recordAttempt(l, "r", 12.4, false)
+			recordRun(l, "r", "s1", 12.6)
+		}},
+		{"connection closed by a host that gets little of the processor", "", func(l *Ledger, disturbances *Disturbances) {
+			disturbances.Disturb(at(8), partSlow("h"))
+			recordAttempt(l, "r", 10, false)
+			recordRun(l, "r", "s1", 10.1)
+			l.ConnectionClosed(at(11), "r", "reset")
+		}},
 		{"superseded route", ConfigInForce, func(l *Ledger, _ *Disturbances) {
 			l.Configure(at(10), 3, map[string]string{"/a/": "care"})
 			l.Configured(at(10))
--- a/standin/internal/soak/outcome.go
+++ b/standin/internal/soak/outcome.go
@@ -93,7 +93,7 @@
 	if now.Sub(r.Sent) >= r.EffectiveTimeout || len(r.arrivals) == 0 && now.Sub(r.Sent) <= l.bounds.LossSlack {
 		return
 	}
-	parts := []string{partMachine, partHost(r.Host)}
+	parts := []string{partMachine, partHost(r.Host), partSlow(r.Host)}
 	for _, a := range r.arrivals {
 		parts = append(parts, partLink(l.upstreams[a.server].Link))
 	}
@@ -134,7 +134,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	r := &record{Attempt: Attempt{Host: queried}}
-	if l.disturbances.Undisturbed(now.Add(-l.bounds.QuietPeriod), now, partHost(queried), partPlanned(queried), partMachine) {
+	if l.disturbances.Undisturbed(now.Add(-l.bounds.QuietPeriod), now, partHost(queried), partSlow(queried), partPlanned(queried), partMachine) {
 		l.countRare(now, LiveHosts, r, "lookup returned host %s, which is down", returned)
 	}
 }
--- a/standin/internal/soak/plan.go
+++ b/standin/internal/soak/plan.go
@@ -19,6 +19,8 @@
 	HostsStop  Kind = "hostsStop"
 	HostPause  Kind = "hostPause"
 	HostReload Kind = "hostReload"
+	// HostStarve lets a host run in short turns only.
+	HostStarve Kind = "hostStarve"
 
 	// Links between callers and one host.
 	FrontDelay   Kind = "frontDelay"
@@ -138,6 +140,7 @@
 	out = append(out, drawQueryOfDeath(seed, length))
 	out = append(out, drawRestores(seed, length)...)
 	out = append(out, drawRefusals(seed, length)...)
+	out = append(out, drawStarved(seed, length)...)
 	slices.SortStableFunc(out, func(a, b Event) int { return int(a.At - b.At) })
 	return out
 }
@@ -185,6 +188,19 @@
 	return out
 }
 
+// drawStarved returns hosts that get little of the processor, for long enough to lose touch.
+// It has random numbers of its own, as [drawQueryOfDeath].
+func drawStarved(seed uint64, length time.Duration) []Event {
+	r := rand.New(rand.NewPCG(seed, 5))
+	var out []Event
+	for range 3 {
+		e := Event{At: time.Duration(r.Int64N(int64(length))), Kind: HostStarve, Target: r.Uint32(), Share: r.Float64()}
+		e.For = min(length-e.At, 3*time.Second+time.Duration(r.Int64N(int64(maxFaultDuration))))
+		out = append(out, e)
+	}
+	return out
+}
+
 // activeFaults holds the faults that are active at one link, server or store.
 type activeFaults[T any] struct {
 	next   int
--- a/standin/internal/soak/routing.go
+++ b/standin/internal/soak/routing.go
@@ -93,14 +93,14 @@
 // acknowledged at the time: it was sent later than bounds.Apply after that, and nothing
 // was disturbed since shortly before the acknowledgement, or shortly before the request.
 func (l *Ledger) mustApply(acked, now time.Time, r *record) bool {
-	return r.Sent.Sub(acked) > l.bounds.Apply && (l.undisturbed(acked, now, r) || l.undisturbed(r.Sent, now, r))
+	return r.Sent.Sub(acked) > l.bounds.Apply && (l.inTouch(acked, now, r) || l.inTouch(r.Sent, now, r))
 }
 
 // disturbedFactor is the factor by which Bounds.Revert is longer for a disturbed host.
 const disturbedFactor = 8
 
 func (l *Ledger) revertBound(r *record, from, to time.Time) time.Duration {
-	if l.disturbances.Undisturbed(from.Add(-l.bounds.QuietPeriod), to, partHost(r.Host), partMachine) {
+	if l.disturbances.Undisturbed(from.Add(-l.bounds.QuietPeriod), to, partHost(r.Host), partSlow(r.Host), partMachine) {
 		return l.bounds.Revert
 	}
 	return disturbedFactor * l.bounds.Revert
--- a/standin/internal/soak/server.go
+++ b/standin/internal/soak/server.go
@@ -348,10 +348,13 @@
 	fmt.Fprintf(&out, "HTTP/1.1 %d %s\r\nContent-Length: %d\r\n", status, http.StatusText(status), len(body))
 	_ = w.Header().Write(&out)
 	out.WriteString("\r\n")
+	out.Write(body)
 	if dice < f.Lose+f.Truncate {
-		body = body[:len(body)/2]
+		// Within the head or the body.
+		_, _ = buf.WriteString(out.String()[:rand.IntN(out.Len())])
+		_ = buf.Flush()
+		return
 	}
-	out.Write(body)
 	if dice >= f.Lose+f.Truncate {
 		fmt.Fprintf(&out, "HTTP/1.1 200 OK\r\n%s: other\r\n%s: 0\r\nContent-Length: 2\r\n\r\nno", platform.HeaderRequestID, platform.HeaderSignature)
 	}
