edge: test of a caller that left without a host that refuses everything

It now has a gauge that tells of a step that ran late and of none that still does, and asks for the same: a closed connection and no run.

--- a/hitchd/internal/edge/late_test.go
+++ b/hitchd/internal/edge/late_test.go
@@ -43,16 +43,20 @@
 	}
 }
 
+// wasLate tells of a step that ran late, and of none that does.
+type wasLate struct{}
+
+func (wasLate) Worst(time.Time, time.Time) time.Duration { return time.Second }
+func (wasLate) Standing(time.Time) time.Duration         { return 0 }
+
 // The close of a caller's connection waits for its turn at a host that runs late. Nothing
 // may be sent for a caller that has left.
 func TestNothingIsSentForACallerThatLeft(t *testing.T) {
 	for _, late := range []bool{false, true} {
 		s := newFixture(t, 1, idempotent, signed(200, "ok"))
-		var m delay.Meter
-		s.edge.delays = &m
 		s.edge.callerLeft = func(context.Context) bool { return true }
 		if late {
-			m.Begin(clock.Now().Add(-time.Second))
+			s.edge.delays = wasLate{}
 		}
 		c := s.dial(t)
 		c.send(t, "GET /a/x HTTP/1.1\r\nHost: 127.0.0.1\r\nX-Id: 1\r\nX-Timeout: 2s\r\n\r\n")
