edge: answer 421 to requests that other hosts send as to a server

A record with the address of another host made two hosts pass a request to and fro until its deadline, and count it as running at both.

Cause: a host refused records with its own addresses only, and took any request that came in for a caller's.

Change: a request that names the server it is for is refused as misdirected and not run. The other host ejects that server as any whose address changed hands.

--- a/hitchd/internal/edge/edge_test.go
+++ b/hitchd/internal/edge/edge_test.go
@@ -320,3 +320,20 @@
 		t.Errorf("status %d, close %v, want 200 and a response that closes the connection", res.StatusCode, res.Close)
 	}
 }
+
+// A server's record with the address of a host: two of them would pass a request to and fro
+// until its deadline.
+func TestHostIsNoServer(t *testing.T) {
+	s := newFixture(t, 1, idempotent, signed(200, "ok"))
+	f := fleet.New()
+	f.Put(fleet.Server{ID: "s0", Service: "loans", Addr: strings.TrimPrefix(s.front.URL, "http://"), Region: "north", Domain: "north-a", Slots: 3})
+	view, _ := f.View()
+	st := *s.state.Load()
+	st.Fleet = view
+	s.state.Store(&st)
+	start := time.Now()
+	res, _ := s.do(t, http.MethodGet, "/a/x", "")
+	if took := time.Since(start); res.StatusCode != http.StatusServiceUnavailable || took > time.Second {
+		t.Errorf("status %d after %v, want 503 at once", res.StatusCode, took)
+	}
+}
--- a/hitchd/internal/edge/serve.go
+++ b/hitchd/internal/edge/serve.go
@@ -75,6 +75,13 @@
 	if x.start, known = pipe.Arrived(r.Context()); !known {
 		x.start = clock.Now()
 	}
+	if r.Header.Get(e.codec.Headers.Expect) != "" {
+		// Another host takes this one for a server, by a record with a wrong address. Passed
+		// on, the request could come back.
+		e.record(x, http.StatusMisdirectedRequest, result.ReasonNotServer)
+		http.Error(w, "this is no upstream server", http.StatusMisdirectedRequest)
+		return
+	}
 	end, refused, stopping := pipe.Stopping(r.Context(), clock.Now())
 	if refused {
 		e.refuse(w, x, result.ReasonStopping)
