--- a/hitchd/edgetiming.go
+++ b/hitchd/edgetiming.go
@@ -11,10 +11,10 @@
 // platform that allows more time is asked less often.
 const (
 	// minAge is the age of a table at which a host reads the store itself, for a bound of
-	// 2.5 s or less. followMargin is what remains of a longer bound then, for that read and
-	// the requests on their way.
+	// 2.5 s or less. followMargin is what remains of a longer bound then: for a check of the
+	// age, a read that is overdue, and the requests on their way.
 	minAge       = 1600 * time.Millisecond
-	followMargin = 1200 * time.Millisecond
+	followMargin = 900 * time.Millisecond
 	// agePerHop is the time by which a replica is older at a host than at the one that
 	// reads the store: the interval between two polls and two slow responses.
 	agePerHop = 900 * time.Millisecond
