probe, watch: count nothing as late that isn't measured any more

Found by reading: a pipe that failed would have left a byte that waits for ever, so that the host refuses all requests, or would have ended the process. The probe ends now with its error, which is logged, and the host counts as running in time. And the answer of a complete read, which doesn't wait, was due only after the wait of a read of changes. TestBusyProcessIsLate asks for the first since this commit.

--- a/hitchd/edge.go
+++ b/hitchd/edge.go
@@ -122,7 +122,7 @@
 	addLoop(&g, func(ctx context.Context) error { return h.watch.RunOperator(ctx, platform.OperatorTable) })
 	addLoop(&g, func(ctx context.Context) error { return h.watch.RunServers(ctx, platform.ServerTable) })
 	addLoop(&g, func(ctx context.Context) error { return h.watch.RunHosts(ctx, hostsTable, h.relay.StartDelay()) })
-	addLoop(&g, h.probe.Run)
+	addLoop(&g, h.measure)
 	addLoop(&g, h.tick)
 	addLoop(&g, func(ctx context.Context) error { return h.reload(ctx, path, reload) })
 	addListener(&g, callers, port, h.awaitReady)
@@ -314,6 +314,16 @@
 	}
 }
 
+// measure measures how late this process runs until the context ends. Without a measure the
+// host counts as running in time.
+func (h *edgeHost) measure(ctx context.Context) error {
+	if err := h.probe.Run(ctx); err != nil {
+		h.log.Warn("delays of this process aren't measured", "error", err)
+	}
+	<-ctx.Done()
+	return nil
+}
+
 // reload reads the settings again at each SIGHUP and logs whether the addresses
 // changed. A running process can't apply changed settings, so those that it
 // started with stay in force.
--- a/hitchd/internal/probe/probe.go
+++ b/hitchd/internal/probe/probe.go
@@ -22,14 +22,21 @@
 // which its reader gets in the way and in the turn of all that arrives from the network.
 type Probe struct{ delay.Meter }
 
-// Run measures until the context ends. It returns an error if the system gives it no pipe.
+// Run measures until the context ends. It returns an error if the system gives it no pipe, or
+// closes it.
 func (p *Probe) Run(ctx context.Context) error {
 	r, w, err := os.Pipe()
 	if err != nil {
 		return errors.Wrap(err, "open pipe of the delay probe")
 	}
-	defer func() { _ = r.Close(); _ = w.Close() }()
-	go p.read(r)
+	failed := make(chan error, 1)
+	go func() { failed <- p.read(r) }()
+	defer func() {
+		_ = r.Close()
+		_ = w.Close()
+		// A byte that nobody reads any more delays nothing.
+		p.End(clock.Now())
+	}()
 	t := time.NewTicker(interval)
 	defer t.Stop()
 	due := clock.Now().Add(interval)
@@ -37,6 +44,8 @@
 		select {
 		case <-ctx.Done():
 			return nil
+		case err := <-failed:
+			return errors.Wrap(err, "read from the pipe of the delay probe")
 		case <-t.C:
 		}
 		now := clock.Now()
@@ -54,12 +63,12 @@
 	}
 }
 
-// read records the arrival of each byte until the pipe is closed.
-func (p *Probe) read(r *os.File) {
+// read records the arrival of each byte until reading the pipe fails.
+func (p *Probe) read(r *os.File) error {
 	b := make([]byte, 1)
 	for {
 		if _, err := r.Read(b); err != nil {
-			return
+			return err
 		}
 		now := clock.Now()
 		delays.Update(p.Worst(now, now).Seconds())
--- a/hitchd/internal/probe/probe_test.go
+++ b/hitchd/internal/probe/probe_test.go
@@ -47,6 +47,9 @@
 	if err := <-done; err != nil {
 		t.Error(err)
 	}
+	if got := p.Standing(clock.Now().Add(time.Minute)); got != 0 {
+		t.Errorf("standing delay = %v a minute after the probe has ended, want 0", got)
+	}
 }
 
 // spin uses the processor for the duration.
--- a/hitchd/internal/watch/follow.go
+++ b/hitchd/internal/watch/follow.go
@@ -171,7 +171,7 @@
 	// The age of the replica counts: one that is old is confirmed at once. The timeout of a
 	// call includes its wait, so that a call that a cut swallowed ends sooner then.
 	wait := max(0, f.wait-age)
-	if f.down {
+	if f.down || full {
 		wait = 0
 	}
 	due := clock.Now().Add(wait)
@@ -216,8 +216,8 @@
 	}
 }
 
-// readFailed records a failed read that began at the time, and returns the time from its start to the
-// next read. It is 0 when the store doesn't have the changes, except after a complete
+// readFailed records a failed read that began at the time start, and returns the time from
+// then to the next read. It is 0 when the store doesn't have the changes, except after a complete
 // read that didn't help.
 func (w *Watch) readFailed(f *follower, start time.Time, err error) time.Duration {
 	now := clock.Now()
