--- a/hitchd/internal/keep/broken_test.go
+++ b/hitchd/internal/keep/broken_test.go
@@ -12,6 +12,27 @@
 	"magnoliahitch/steer/result"
 )
 
+// serveRaw starts a server that serves each connection by the function, and returns its
+// address.
+func serveRaw(t *testing.T, serve func(net.Conn)) string {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = l.Close() })
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go serve(c)
+		}
+	}()
+	return l.Addr().String()
+}
+
 // heads are response heads of different framing, each with its body.
 var heads = []string{
 	"HTTP/1.1 200 OK\r\nContent-Length: 12\r\nX-More: 1\r\n\r\ntwelve bytes",
@@ -26,12 +47,7 @@
 // breaks off within the response to the last one: the first n bytes of the text.
 func newBreakingServer(t *testing.T, first, n int, text string) string {
 	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { _ = l.Close() })
-	serve := func(c net.Conn) {
+	return serveRaw(t, func(c net.Conn) {
 		defer c.Close()
 		in := bufio.NewReader(c)
 		for i := 0; ; i++ {
@@ -50,17 +66,7 @@
 				return
 			}
 		}
-	}
-	go func() {
-		for {
-			c, err := l.Accept()
-			if err != nil {
-				return
-			}
-			go serve(c)
-		}
-	}()
-	return l.Addr().String()
+	})
 }
 
 // A server that stops in the middle of a response's head, or body, on a new connection or on
--- a/hitchd/internal/keep/repeated_test.go
+++ b/hitchd/internal/keep/repeated_test.go
@@ -18,12 +18,7 @@
 // repeats the refusal right before it runs the next one. It counts the runs.
 func newRepeatingServer(t *testing.T, ran *atomic.Int64) string {
 	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { _ = l.Close() })
-	serve := func(c net.Conn) {
+	return serveRaw(t, func(c net.Conn) {
 		defer c.Close()
 		in := bufio.NewReader(c)
 		for n := 0; ; n++ {
@@ -41,17 +36,7 @@
 				return
 			}
 		}
-	}
-	go func() {
-		for {
-			c, err := l.Accept()
-			if err != nil {
-				return
-			}
-			go serve(c)
-		}
-	}()
-	return l.Addr().String()
+	})
 }
 
 // A server that repeats a refusal right before it runs the next request of the connection:
