--- a/hitchd/internal/edge/send.go
+++ b/hitchd/internal/edge/send.go
@@ -13,9 +13,9 @@
 )
 
 // send sends the request, or a health check, to the server once. It is the only way to a
-// server, and nothing is sent if the server isn't available when a connection is ready, since
-// it may have left, or have announced something, or if the tables are too old then. It records what
-// the server announces in its responses.
+// server, and nothing is sent if the server isn't available when a connection is ready, or
+// if the tables are too old to tell: it may have left, or have announced something, since it
+// was chosen. It records what the server announces in its responses.
 func (e *Edge) send(ctx context.Context, r *conns.Request, s fleet.Server) (*conns.Response, result.Outcome, error) {
 	fenced, availability := r.Fenced, fleet.Available
 	r.Fenced = func() bool {
--- a/hitchd/internal/relay/rows.go
+++ b/hitchd/internal/relay/rows.go
@@ -140,7 +140,7 @@
 // them.
 func (r *Relay) expireRows(ctx context.Context, now time.Time) {
 	r.mu.Lock()
-	deaf := now.Sub(r.expiredAt) >= pollExpiry || r.delays.Worst(now, r.expiredAt) >= pollTimeout
+	anew := now.Sub(r.expiredAt) >= pollExpiry || r.delays.Worst(now, r.expiredAt) >= pollTimeout
 	r.expiredAt = now
 	live := make(map[string]bool)
 	for _, h := range r.members.Live(now) {
@@ -150,7 +150,7 @@
 	for name, x := range r.rows {
 		switch {
 		case x.host.Domain != r.self.Domain || name == r.self.Name || x.at.Era < r.rowsAt.Era:
-		case live[name] || deaf:
+		case live[name] || anew:
 			x.lastSeen = now
 			r.rows[name] = x
 		case now.Sub(x.lastSeen) >= rowRetention:
--- a/hitchd/stop.go
+++ b/hitchd/stop.go
@@ -80,9 +80,9 @@
 	s.log.Info("stopped", "after", time.Since(began))
 }
 
-// finishCallers waits for the callers' requests, and refuses further ones. The server's own shutdown closes
-// connections that it takes for idle although a request has just been read from
-// them, so these are drained first.
+// finishCallers waits for the callers' requests, and refuses further ones. The server's
+// own shutdown closes connections that it takes for idle although a request has just been
+// read from them, so these are drained first.
 func (s *stopper) finishCallers(ctx context.Context) error {
 	now := clock.Now()
 	s.port.FinishBy(now, now.Add(max(0, s.settings.Daemon.StopTimeout-answerTime)))
