review: an entry of another writer is taken for a server

Cause: DecodeServer accepts an entry without version, warmup_left_s and born. Change: case 5; nothing is fixed.

--- a/review/stand/main.go
+++ b/review/stand/main.go
@@ -11,6 +11,7 @@
 var cases = map[string]func(hitchd, record string, trouble bool) (broken bool, err error){
 	"early":       early,
 	"cut":         cut,
+	"foreign":     foreign,
 	"poisonKill":  poisonKill,
 	"poisonQuery": poisonQuery,
 }
