review: the client of cases 3 and 4 repeats at machines of one region

Cause: clients get the addresses of their region. Change: the pairs of machines in the script, and the claims.

--- a/review/stand/poison.go
+++ b/review/stand/poison.go
@@ -78,7 +78,7 @@
 	defer func() { stop.Store(true); wg.Wait() }()
 
 	// come sends the poison as a client does: at one host, and after a failure once more at
-	// another one.
+	// another one of its region.
 	var sent []reply
 	come := func(first, second *host) {
 		for _, h := range []*host{first, second} {
@@ -93,11 +93,11 @@
 			}
 		}
 	}
-	come(w.hosts[0], w.hosts[1])
+	come(w.hosts[0], w.hosts[3])
 	time.Sleep(2 * time.Second)
-	come(w.hosts[2], w.hosts[0])
+	come(w.hosts[2], w.hosts[5])
 	time.Sleep(2 * time.Second)
-	come(w.hosts[1], w.hosts[2])
+	come(w.hosts[1], w.hosts[4])
 	third := time.Time{}
 	if at := poisonRuns(w, sent); len(at) >= 3 {
 		third = at[2]
@@ -126,9 +126,9 @@
 	before := len(lost)
 	lostMu.Unlock()
 	late := time.Now()
-	come(w.hosts[0], w.hosts[1])
+	come(w.hosts[0], w.hosts[3])
 	time.Sleep(3 * time.Second)
-	come(w.hosts[2], w.hosts[0])
+	come(w.hosts[2], w.hosts[5])
 	time.Sleep(2 * time.Second)
 	stop.Store(true)
 	wg.Wait()
