--- a/review/stand/main.go
+++ b/review/stand/main.go
@@ -6,8 +6,14 @@
 import (
 	"fmt"
 	"os"
+	"os/signal"
+	"syscall"
+	"time"
 )
 
+// longest is the time after which a case is given up; it ends all processes then.
+const longest = 115 * time.Second
+
 var cases = map[string]func(hitchd, record string, trouble bool) (broken bool, err error){
 	"early":       early,
 	"cut":         cut,
@@ -21,6 +27,17 @@
 		fmt.Fprintln(os.Stderr, "usage: stand CASE HITCHD RECORD")
 		os.Exit(2)
 	}
+	interrupted := make(chan os.Signal, 1)
+	signal.Notify(interrupted, syscall.SIGINT, syscall.SIGTERM)
+	go func() {
+		select {
+		case <-interrupted:
+		case <-time.After(longest):
+		}
+		fmt.Fprintln(os.Stderr, "could not run: given up")
+		killAll()
+		os.Exit(2)
+	}()
 	broken, err := cases[os.Args[1]](os.Args[2], os.Args[3], os.Getenv("TROUBLE") != "0")
 	switch {
 	case err != nil:
--- a/review/stand/world.go
+++ b/review/stand/world.go
@@ -63,6 +63,9 @@
 	if err != nil {
 		return nil, err
 	}
+	started.Lock()
+	started.dirs = append(started.dirs, dir)
+	started.Unlock()
 	f, err := os.Create(recordPath)
 	if err != nil {
 		return nil, err
@@ -165,6 +168,26 @@
 	return b.String()
 }
 
+// started are all processes of hitchd that this program has started.
+var started struct {
+	sync.Mutex
+	list []*os.Process
+	dirs []string
+}
+
+// killAll ends all processes that run still, and removes their folders.
+func killAll() {
+	started.Lock()
+	defer started.Unlock()
+	for _, p := range started.list {
+		// A process that has ended and was waited for gets no signal.
+		_ = p.Kill()
+	}
+	for _, d := range started.dirs {
+		_ = os.RemoveAll(d)
+	}
+}
+
 // start starts the process, with the command of the deploy file.
 func (h *host) start(bootstrap bool) error {
 	path := filepath.Join(h.world.dir, h.name+".yaml")
@@ -182,6 +205,9 @@
 	if err := cmd.Start(); err != nil {
 		return err
 	}
+	started.Lock()
+	started.list = append(started.list, cmd.Process)
+	started.Unlock()
 	exited := make(chan struct{})
 	go func() { _ = cmd.Wait(); close(exited) }()
 	h.mu.Lock()
