--- a/review/build.sh
+++ b/review/build.sh
@@ -3,4 +3,4 @@
 set -e
 cd "$(dirname "$0")/stand"
 mkdir -p ../bin
-GOWORK=off GOFLAGS= go build -o ../bin/stand .
+GOWORK=off GOFLAGS= go build -buildvcs=false -o ../bin/stand .
