routes, edge: tell how the requests of a route are shared

'request ended' has partShare and partByObject now, a change of a route's parts is logged with the requests of each part until then, and hitch_edge_part_requests_total counts them. Which part is chosen doesn't change.

--- a/hitchd/internal/edge/edge.go
+++ b/hitchd/internal/edge/edge.go
@@ -80,7 +80,7 @@
 
 	mu        sync.Mutex
 	services  map[string]*service
-	splitters routes.Splitters
+	splitters *routes.Splitters
 }
 
 // service is this host's state of one service.
@@ -143,6 +143,7 @@
 		codec: codec, location: location, retryShare: defaultRetryShare, state: state, sponsor: sponsor, quota: quota.New(quota.Of(0)), log: log,
 		services: make(map[string]*service), delays: &delay.Meter{}, callerLeft: pipe.CallerLeft,
 	}
+	e.splitters = routes.NewSplitters(routes.WithObserver(e.logSplit))
 	for _, o := range options {
 		o(e)
 	}
@@ -239,6 +240,15 @@
 		"incarnation", c.Incarnation, "recordAgeMs", ms(c.RecordAge), "sentLastSecond", c.Sent)
 }
 
+// logSplit logs how this host distributed the requests of a route until its parts changed.
+func (e *Edge) logSplit(t routes.Tally) {
+	services, weights := make([]string, len(t.Parts)), make([]float64, len(t.Parts))
+	for i, p := range t.Parts {
+		services[i], weights[i] = p.Service, p.Weight
+	}
+	e.log.Info("parts of a route changed", "route", t.Route, "services", services, "weights", weights, "requests", t.Requests)
+}
+
 // countRequest adds a request to the service's retry budget.
 func (s *service) countRequest(now time.Time) {
 	s.mu.Lock()
--- a/hitchd/internal/edge/response.go
+++ b/hitchd/internal/edge/response.go
@@ -166,6 +166,9 @@
 		"attempts", x.attempts, "server", c.Server.ID, "region", c.Server.Region, "rank", c.Rank, "load", c.Load, "expectedMs", ms(c.Cost), "phase", string(c.Phase),
 		"usable", c.Usable, "abroadShare", c.SpilloverShare, "version", x.version,
 	}
+	if x.isSplit() {
+		args = append(args, "partShare", x.part.Share, "partByObject", x.part.ByObject)
+	}
 	if reason != "" {
 		now, st := clock.Now(), e.state()
 		args = append(args, "reason", string(reason), "mayHaveRun", x.mayHaveRun, "serversAgeMs", ms(now.Sub(st.ServersRead)),
@@ -181,6 +184,11 @@
 	return metrics.GetOrCreateCounter(fmt.Sprintf(`hitch_edge_requests_total{service=%q,status="%d",reason=%q}`, service, status, reason))
 }
 
+// partRequests counts the requests to each part of a route that has several.
+func partRequests(route, service string) *metrics.Counter {
+	return metrics.GetOrCreateCounter(fmt.Sprintf(`hitch_edge_part_requests_total{route=%q,service=%q}`, route, service))
+}
+
 // notices counts what servers announced in their responses.
 func notices(service, kind string) *metrics.Counter {
 	return metrics.GetOrCreateCounter(fmt.Sprintf(`hitch_edge_server_notices_total{service=%q,kind=%q}`, service, kind))
--- a/hitchd/internal/edge/serve.go
+++ b/hitchd/internal/edge/serve.go
@@ -37,6 +37,8 @@
 	// start is when the request arrived.
 	start   time.Time
 	route   *routes.Route
+	// part is the part of the route that the request goes to.
+	part    routes.Choice
 	service string
 	object  string
 	request conns.Request
@@ -73,6 +75,9 @@
 	version    uint64
 }
 
+// isSplit reports whether the request's route has several parts, of which one was chosen.
+func (x *exchange) isSplit() bool { return x.part.Service != "" && x.part.Share < 1 }
+
 // ServeHTTP serves one request of a caller. It refuses the request with status 503
 // until the configuration and the servers' table have been read.
 func (e *Edge) ServeHTTP(w http.ResponseWriter, r *http.Request) {
@@ -138,7 +143,11 @@
 		r.Body = http.MaxBytesReader(w, r.Body, limit)
 	}
 	x.object = e.codec.ObjectKey(r.Header)
-	x.service = e.splitters.Service(x.route, x.object)
+	x.part = e.splitters.Choose(x.route, x.object)
+	x.service = x.part.Service
+	if x.isSplit() {
+		partRequests(x.route.Name, x.service).Inc()
+	}
 	timeout, ok := e.codec.Timeout(r.Header)
 	if !ok {
 		timeout = defaultTimeout
--- a/hitchd/internal/front/request.go
+++ b/hitchd/internal/front/request.go
@@ -132,7 +132,7 @@
 	}
 	object := objectOf(r, req.Header)
 	return target{
-		service: f.routing.splitters.Service(r, object), path: path, object: object, scope: r.Host, regions: r.Regions, timeout: r.Timeout,
+		service: f.routing.splitters.Choose(r, object).Service, path: path, object: object, scope: r.Host, regions: r.Regions, timeout: r.Timeout,
 	}, nil
 }
 
--- a/steer/routes/routes_test.go
+++ b/steer/routes/routes_test.go
@@ -135,7 +135,7 @@
 	counts := make(map[string]int)
 	for range 80 {
 		for _, r := range []*Route{one, two, other} {
-			counts[r.Name+" "+s.Service(r, "")]++
+			counts[r.Name+" "+s.Choose(r, "").Service]++
 		}
 	}
 	if counts["one a"] != 80 {
