--- a/hitchd/internal/edge/serve.go
+++ b/hitchd/internal/edge/serve.go
@@ -35,8 +35,8 @@
 	// caller is the caller's IP address.
 	caller string
 	// start is when the request arrived.
-	start   time.Time
-	route   *routes.Route
+	start time.Time
+	route *routes.Route
 	// part is the part of the route that the request goes to.
 	part    routes.Choice
 	service string
