routes: keep the weights of a route over all hosts together

Cause: each host could lead by two requests, and all hosts lead to the same side, since they choose by the same hash of the object. 200 requests are one or two at each of 136 hosts, so that the bound of a host never came into play. Requests without an object all had the same hash, too.

The parts take turns now in an evenly spread sequence that begins at a random point at each host, so that deviations are independent and stay within a few requests of a host. Objects may move four requests, which the hosts divide among them; from five hosts on that is none, and an object is cached by the servers of each part. TestSplitKeepsObjects holds as it was.

WithRetryAllowance no longer sets the position of the host, which WithPosition does.

--- a/hitchd/edge.go
+++ b/hitchd/edge.go
@@ -258,9 +258,10 @@
 	options := []edge.Option{
 		edge.WithRetryShare(retryShare * s.Bounds.RetryRatio), edge.WithCrashReports(crashes), edge.WithSuspectUntil(suspectUntil(s)),
 		edge.WithDemandShare(h.relay.RegionShare), edge.WithDelays(h.probe), edge.WithMemory(s.MemoryBytes), edge.WithBounds(useBounds(s.Bounds)),
+		edge.WithPosition(h.relay.Position),
 	}
 	if slack := s.Bounds.RetrySlack; slack != nil {
-		options = append(options, edge.WithRetryAllowance(retry.NewAllowance(retryShare**slack, budgetStart(s)), h.relay.Position))
+		options = append(options, edge.WithRetryAllowance(retry.NewAllowance(retryShare**slack, budgetStart(s))))
 	}
 	h.edge = edge.New(edge.HeaderCodec{
 		Headers: conns.Headers{
--- a/hitchd/internal/edge/budget_test.go
+++ b/hitchd/internal/edge/budget_test.go
@@ -28,7 +28,8 @@
 		{"new process", 195, clock.Now(), 0},
 	} {
 		s := newFixture(t, 3, routes.Route{Idempotent: true, MaxAttempts: 3, Timeout: time.Second}, respondNotRun)
-		WithRetryAllowance(retry.NewAllowance(344, c.started), func() (int, int) { return c.hosts, 0 })(s.edge)
+		WithPosition(func() (int, int) { return c.hosts, 0 })(s.edge)
+		WithRetryAllowance(retry.NewAllowance(344, c.started))(s.edge)
 		s.edge.Tick()
 		const requests = 4
 		for range requests {
--- a/hitchd/internal/edge/edge.go
+++ b/hitchd/internal/edge/edge.go
@@ -48,8 +48,9 @@
 	codec      HeaderCodec
 	location   pick.Location
 	retryShare float64
-	// position is set by [WithRetryAllowance], nil without it. allowanceMu guards allowance.
-	position    func() (hosts, position int)
+	// position is set by [WithPosition], nil without it.
+	position func() (hosts, position int)
+	// allowance is set by [WithRetryAllowance], nil without it. allowanceMu guards it.
 	allowanceMu sync.Mutex
 	allowance   *retry.Allowance
 	// suspectUntil is set by [WithSuspectUntil]: a server whose record was read before
@@ -101,12 +102,13 @@
 // requests, 0 to 1.
 func WithRetryShare(share float64) Option { return func(e *Edge) { e.retryShare = share } }
 
+// WithPosition sets the function that returns the number of hosts, 0 while it isn't known, and
+// the position of this one among them, from 0. What all hosts may do together is divided by it.
+func WithPosition(f func() (hosts, position int)) Option { return func(e *Edge) { e.position = f } }
+
 // WithRetryAllowance divides retries that all hosts may make beyond the share of each service's
-// requests. Position returns the number of hosts, 0 while it isn't known, and the position of
-// this one among them. Without it each host may make three in a window.
-func WithRetryAllowance(a *retry.Allowance, position func() (hosts, position int)) Option {
-	return func(e *Edge) { e.allowance, e.position = a, position }
-}
+// requests. It needs [WithPosition]. Without it each host may make three in a window.
+func WithRetryAllowance(a *retry.Allowance) Option { return func(e *Edge) { e.allowance = a } }
 
 // WithCrashReports sets the record of requests that crash servers.
 func WithCrashReports(r *CrashReports) Option { return func(e *Edge) { e.crashes = r } }
@@ -148,7 +150,7 @@
 		o(e)
 	}
 	e.pool = conns.New(codec.Headers, conns.WithQuota(e.quota))
-	if e.position != nil {
+	if e.allowance != nil {
 		metrics.GetOrCreateGauge(`hitch_edge_least_retries`, func() float64 { return float64(e.leastRetries(clock.Now())) })
 	}
 	if e.crashes == nil {
@@ -209,7 +211,7 @@
 
 // newBudget returns the retry budget of a service.
 func (e *Edge) newBudget() *retry.Budget {
-	if e.position == nil {
+	if e.allowance == nil {
 		return retry.NewBudget(e.retryShare)
 	}
 	return retry.NewBudget(e.retryShare, retry.WithLeast(e.leastRetries))
@@ -223,12 +225,16 @@
 	return e.allowance.Least(now)
 }
 
-// countHosts tells the allowance of retries how many hosts there are.
+// countHosts tells what is divided among hosts how many there are.
 func (e *Edge) countHosts(now time.Time) {
 	if e.position == nil {
 		return
 	}
 	hosts, position := e.position()
+	e.splitters.SetHosts(hosts)
+	if e.allowance == nil {
+		return
+	}
 	e.allowanceMu.Lock()
 	defer e.allowanceMu.Unlock()
 	e.allowance.Observe(now, hosts, position)
--- a/hitchd/internal/edge/response.go
+++ b/hitchd/internal/edge/response.go
@@ -167,7 +167,7 @@
 		"usable", c.Usable, "abroadShare", c.SpilloverShare, "version", x.version,
 	}
 	if x.isSplit() {
-		args = append(args, "partShare", x.part.Share, "partByObject", x.part.ByObject)
+		args = append(args, "partShare", x.part.Share, "partAtObject", x.part.AtObject)
 	}
 	if reason != "" {
 		now, st := clock.Now(), e.state()
--- a/hitchd/internal/front/request.go
+++ b/hitchd/internal/front/request.go
@@ -131,6 +131,9 @@
 		return target{}, echo.ErrNotFound
 	}
 	object := objectOf(r, req.Header)
+	if len(r.Parts) > 1 {
+		f.routing.splitters.SetHosts(len(f.members.Live()))
+	}
 	return target{
 		service: f.routing.splitters.Choose(r, object).Service, path: path, object: object, scope: r.Host, regions: r.Regions, timeout: r.Timeout,
 	}, nil
--- a/steer/routes/doc.go
+++ b/steer/routes/doc.go
@@ -4,5 +4,7 @@
 // A [Table] is immutable and carries the version of the configuration that it
 // was built from. [Table.Find] selects the route of a request by the host name
 // and the longest matching path prefix. A [Splitter] distributes the requests
-// of a route over its parts in proportion to their weights.
+// of a route over its parts in proportion to their weights. Shares are a promise about
+// all hosts: whatever one host sends to a part beyond its share is independent of the
+// other hosts, or a part of what they may send beyond it together.
 package routes
--- a/steer/routes/fleet_test.go
+++ b/steer/routes/fleet_test.go
@@ -39,7 +39,11 @@
 }
 
 // newHost returns the state of one of the given number of hosts.
-func newHost(_ *rand.Rand, _ int) *Splitters { return NewSplitters() }
+func newHost(r *rand.Rand, hosts int) *Splitters {
+	s := NewSplitters(WithPoints(r.Float64))
+	s.SetHosts(hosts)
+	return s
+}
 
 // The platform allows 0.2 in 200 requests and 0.1 in 300, counted over all hosts.
 var shareBounds = []struct {
@@ -61,7 +65,7 @@
 		{[]Part{{"a", 1}, {"b", 1}, {"c", 0}}, []Part{{"a", 2}, {"b", 1}, {"c", 1}}},
 		{[]Part{{"a", 1}}, []Part{{"a", 1}, {"b", 1}}},
 	}
-	for _, hosts := range []int{1, 16} {
+	for _, hosts := range []int{1, 2, 16, 136, 300} {
 		for k, c := range changes {
 			for _, b := range shareBounds {
 				r := rand.New(rand.NewPCG(47, uint64(k)))
--- a/steer/routes/routes_test.go
+++ b/steer/routes/routes_test.go
@@ -67,12 +67,12 @@
 			parts = append(parts, Part{fmt.Sprint("s", i), w})
 			sum += w
 		}
-		var s Splitter
+		s := NewSplitter(parts, r.Float64())
 		counts := make(map[string]int)
 		const requests = 300
 		for range requests {
 			object := fmt.Sprint(int(math.Sqrt(float64(r.IntN(400)))))
-			counts[s.Choose(parts, object).Service]++
+			counts[s.Choose(object, fleetLead).Service]++
 		}
 		for _, p := range parts {
 			got, want := float64(counts[p.Service])/requests, p.Weight/sum
@@ -87,13 +87,13 @@
 func TestSplitKeepsObjects(t *testing.T) {
 	r := rand.New(rand.NewPCG(3, 4))
 	parts := []Part{{"a", 50}, {"b", 50}}
-	var s Splitter
+	s := NewSplitter(parts, r.Float64())
 	last := make(map[int]string)
 	moved := 0
 	const requests = 2000
 	for range requests {
 		o := r.IntN(50)
-		p := s.Choose(parts, fmt.Sprint(o)).Service
+		p := s.Choose(fmt.Sprint(o), fleetLead).Service
 		if before, seen := last[o]; seen && before != p {
 			moved++
 		}
@@ -105,11 +105,10 @@
 }
 
 func TestSplitWithoutParts(t *testing.T) {
-	var s Splitter
-	if got := s.Choose(nil, "x"); got != (Part{}) {
+	if got := NewSplitter(nil, 0).Choose("x", fleetLead); got != (Choice{}) {
 		t.Errorf("part of a route without parts = %v, want none", got)
 	}
-	if got := s.Choose([]Part{{"a", 0}, {"b", 0}}, "x"); got != (Part{}) {
+	if got := NewSplitter([]Part{{"a", 0}, {"b", 0}}, 0).Choose("x", fleetLead); got != (Choice{}) {
 		t.Errorf("part of a route whose weights are 0 = %v, want none", got)
 	}
 }
--- a/steer/routes/split.go
+++ b/steer/routes/split.go
@@ -1,111 +1,108 @@
 package routes
 
 import (
+	"math/rand/v2"
 	"slices"
 	"sync"
 
 	"github.com/cespare/xxhash/v2"
 )
 
-// Bounds of a [Splitter].
 const (
-	// maxLead is the number of requests above its share at which a part no longer gets
-	// the requests of its objects. It lets an object stay with one part most of the time.
-	maxLead = 2
-	// countWindow is the number of requests after which the counts are halved, so
-	// that recent requests count more.
-	countWindow = 400
+	// fleetLead is the number of requests by which all hosts together may exceed the share
+	// of a part so that objects stay with their parts.
+	fleetLead = 4
+	// golden is the step of a sequence whose points are spread evenly over the interval from 0 to 1,
+	// any run of them from any point on.
+	golden = 0.6180339887498949
 )
 
 // Splitter distributes the requests of one route over its parts in proportion
-// to their weights. An object is cached on the servers of one part, so its
-// requests go to the part that its hash selects unless that part exceeds its
-// share. A Splitter is not safe for concurrent use.
+// to their weights. It knows nothing of the requests at other hosts, so it begins
+// at a random point of the sequence in which parts take turns: the deviations of the
+// hosts are independent and don't add up. An object is cached on the servers of one
+// part, so its requests go to the part that its hash selects as long as that part
+// doesn't lead its turns by too much. All hosts have the same hash, so these leads do add up,
+// and the hosts divide what they may be. A Splitter is not safe for concurrent use.
 type Splitter struct {
-	// counts are the numbers of recent requests to each service.
-	counts map[string]float64
-	// total is the sum of counts.
-	total float64
+	parts []Part
+	sum   float64
+	// point, from 0 to 1, selects the part whose turn it is.
+	point float64
+	// leads are the numbers of requests that each part got beyond its turns.
+	leads []int
 }
 
-// Choose returns the part for the next request of the object. A single part is
-// returned whatever its weight. The result is the zero Part when there are no
-// parts or when the weights of several parts are all 0.
-func (s *Splitter) Choose(parts []Part, object string) Part {
-	best, _ := s.choose(parts, object)
-	return best
+// NewSplitter returns a Splitter of the parts that begins at the point of its sequence, from 0 to 1.
+func NewSplitter(parts []Part, point float64) *Splitter {
+	return &Splitter{parts: parts, sum: sumOf(parts), point: point, leads: make([]int, len(parts))}
 }
 
-// choose is like Choose and reports whether the object decided.
-func (s *Splitter) choose(parts []Part, object string) (best Part, byObject bool) {
-	if len(parts) == 1 {
-		return parts[0], false
+// Choose returns the part for the next request of the object, "" for none. A part may
+// exceed or miss its turns by as many requests as lead says to get those of its objects.
+// A single part is returned whatever its weight. The result is the zero Choice when there
+// are no parts or when the weights of several parts are all 0.
+func (s *Splitter) Choose(object string, lead int) Choice {
+	c, _ := s.choose(object, lead)
+	return c
+}
+
+// choose is like Choose and returns the index of the part too, -1 without one.
+func (s *Splitter) choose(object string, lead int) (Choice, int) {
+	switch {
+	case len(s.parts) == 1:
+		return Choice{Service: s.parts[0].Service, Share: 1}, 0
+	case s.sum <= 0:
+		return Choice{}, -1
 	}
-	sum := sumOf(parts)
-	if sum <= 0 || len(parts) == 0 {
-		return Part{}, false
+	turn := s.at(s.point)
+	if s.point += golden; s.point >= 1 {
+		s.point--
 	}
-	if s.counts == nil {
-		s.counts = make(map[string]float64)
+	best, own := turn, -1
+	if object != "" {
+		own = s.at(float64(xxhash.Sum64String("part\x00"+object)>>11) / (1 << 53))
+		if s.leads[own] < lead && s.leads[turn] > -lead {
+			best = own
+		}
 	}
-	best, byObject = preferred(parts, sum, object), true
-	if s.lead(best, sum) >= maxLead {
-		for _, p := range parts {
-			if p.Weight > 0 && s.lead(p, sum) < s.lead(best, sum) {
-				best, byObject = p, false
-			}
+	s.leads[turn]--
+	s.leads[best]++
+	p := s.parts[best]
+	return Choice{Service: p.Service, Share: p.Weight / s.sum, AtObject: best == own}, best
+}
+
+// at returns the index of the part in whose share of the interval from 0 to 1 the point is.
+func (s *Splitter) at(point float64) int {
+	last := 0
+	for i, p := range s.parts {
+		if p.Weight <= 0 {
+			continue
+		}
+		if point -= p.Weight / s.sum; point < 0 {
+			return i
 		}
+		last = i
 	}
-	s.count(best.Service)
-	return best, byObject
+	return last
 }
 
 // sumOf returns the sum of the weights.
 func sumOf(parts []Part) float64 {
 	sum := 0.0
 	for _, p := range parts {
-		sum += p.Weight
+		sum += max(0, p.Weight)
 	}
 	return sum
 }
 
-// preferred returns the part that the object's hash selects, with a probability
-// in proportion to the weights, whose sum is given.
-func preferred(parts []Part, sum float64, object string) Part {
-	point := float64(xxhash.Sum64String("part\x00"+object)>>11) / (1 << 53) * sum
-	for _, p := range parts {
-		if point -= p.Weight; point < 0 {
-			return p
-		}
-	}
-	return parts[len(parts)-1]
-}
-
-// lead returns by how many requests the part would exceed its share if it got the next request.
-func (s *Splitter) lead(p Part, sum float64) float64 {
-	return s.counts[p.Service] + 1 - p.Weight/sum*(s.total+1)
-}
-
-// count counts a request to the service.
-func (s *Splitter) count(service string) {
-	s.counts[service]++
-	if s.total++; s.total < countWindow {
-		return
-	}
-	s.total = 0
-	for n := range s.counts {
-		s.counts[n] /= 2
-		s.total += s.counts[n]
-	}
-}
-
 // Choice is the part that was chosen for a request.
 type Choice struct {
 	Service string
 	// Share is the part's share of the route's requests by its weight, 0 to 1.
 	Share float64
-	// ByObject reports whether the object of the request decided.
-	ByObject bool
+	// AtObject reports whether the part is the one that the hash of the object selects.
+	AtObject bool
 }
 
 // Tally holds the number of requests that this host sent to each part of a route while its
@@ -120,13 +117,17 @@
 // use. It is safe for concurrent use.
 type Splitters struct {
 	observe func(Tally)
-	mu      sync.Mutex
+	point   func() float64
+
+	mu sync.Mutex
+	// hosts is the greatest number of hosts so far, 0 while it isn't known.
+	hosts   int
 	byRoute map[string]*split
 }
 
 // split is a Splitter with the requests since the route has its parts.
 type split struct {
-	Splitter
+	*Splitter
 	tally Tally
 }
 
@@ -136,6 +137,10 @@
 // WithObserver sets a function that is called with the tally of a route whose parts have changed.
 func WithObserver(f func(Tally)) SplittersOption { return func(s *Splitters) { s.observe = f } }
 
+// WithPoints sets the function that returns the point at which the sequence of a route begins,
+// from 0 to 1. Without it the points are random.
+func WithPoints(f func() float64) SplittersOption { return func(s *Splitters) { s.point = f } }
+
 // NewSplitters returns Splitters without routes.
 func NewSplitters(options ...SplittersOption) *Splitters {
 	s := &Splitters{}
@@ -145,6 +150,23 @@
 	return s
 }
 
+// SetHosts sets the number of hosts that distribute requests of the same routes, this one
+// included, 0 while it isn't known. Objects don't decide until it is set. The greatest number
+// counts, since a host that has lost sight of others can't tell that they are gone.
+func (s *Splitters) SetHosts(hosts int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.hosts = max(s.hosts, hosts)
+}
+
+// lead returns this host's part of fleetLead. The caller holds mu.
+func (s *Splitters) lead() int {
+	if s.hosts == 0 {
+		return 0
+	}
+	return fleetLead / s.hosts
+}
+
 // Choose returns the part for the next request of the object on the route.
 func (s *Splitters) Choose(r *Route, object string) Choice {
 	if len(r.Parts) == 1 {
@@ -162,23 +184,31 @@
 func (s *Splitters) choose(r *Route, object string) (c Choice, ended Tally) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.byRoute == nil {
-		s.byRoute = make(map[string]*split)
-	}
 	e := s.byRoute[r.Name]
-	if e == nil {
-		e = &split{}
-		s.byRoute[r.Name] = e
-	}
-	if !slices.Equal(e.tally.Parts, r.Parts) {
+	if e == nil || !slices.Equal(e.tally.Parts, r.Parts) {
 		// What was sent under other weights says nothing of these.
-		ended = e.tally
-		*e = split{tally: Tally{r.Name, r.Parts, make([]int, len(r.Parts))}}
+		if e != nil {
+			ended = e.tally
+		}
+		e = s.newSplit(r)
 	}
-	p, byObject := e.Splitter.choose(r.Parts, object)
-	if i := slices.Index(r.Parts, p); i >= 0 {
+	c, i := e.choose(object, s.lead())
+	if i >= 0 {
 		e.tally.Requests[i]++
-		c = Choice{p.Service, p.Weight / sumOf(r.Parts), byObject}
 	}
 	return c, ended
 }
+
+// newSplit begins to distribute the requests of the route. The caller holds mu.
+func (s *Splitters) newSplit(r *Route) *split {
+	point := s.point
+	if point == nil {
+		point = rand.Float64
+	}
+	if s.byRoute == nil {
+		s.byRoute = make(map[string]*split)
+	}
+	e := &split{NewSplitter(r.Parts, point()), Tally{r.Name, r.Parts, make([]int, len(r.Parts))}}
+	s.byRoute[r.Name] = e
+	return e
+}
