routes: forget the splits of routes that are removed

A host kept the state of each split route that it had ever seen, without bound where routes come and go. TestRemovedRoutesAreForgotten; it couldn't be built before, since nothing removed them.

--- a/hitchd/internal/edge/edge.go
+++ b/hitchd/internal/edge/edge.go
@@ -173,6 +173,7 @@
 	if st.Table == nil {
 		return
 	}
+	e.splitters.Retain(st.Table)
 	addrs, ids := make(map[string]bool), make(map[string]bool)
 	for name := range st.Table.Services {
 		for _, s := range st.Fleet.Servers(name) {
--- a/hitchd/internal/front/routed.go
+++ b/hitchd/internal/front/routed.go
@@ -30,6 +30,7 @@
 	}
 	next := &cachedTable{c.Table(), c}
 	t.current.Store(next)
+	t.splitters.Retain(next.Table)
 	return next.Table
 }
 
--- a/steer/routes/fleet_test.go
+++ b/steer/routes/fleet_test.go
@@ -131,3 +131,21 @@
 		}
 	}
 }
+
+// A host that sees many routes come and go keeps none of them.
+func TestRemovedRoutesAreForgotten(t *testing.T) {
+	var ended []string
+	s := NewSplitters(WithObserver(func(t Tally) { ended = append(ended, t.Route) }))
+	kept := Route{Name: "kept", Host: "a.example", Prefix: "/", Parts: []Part{{"a", 1}, {"b", 1}}}
+	gone := kept
+	gone.Name = "gone"
+	s.Choose(&kept, "")
+	s.Choose(&gone, "")
+	s.Retain(NewTable(2, Limits{}, nil, []Route{kept}))
+	if got := len(s.byRoute); got != 1 {
+		t.Errorf("routes that are held = %d, want 1", got)
+	}
+	if len(ended) != 1 || ended[0] != "gone" {
+		t.Errorf("tallies of %v, want gone", ended)
+	}
+}
--- a/steer/routes/split.go
+++ b/steer/routes/split.go
@@ -123,6 +123,8 @@
 	// hosts is the greatest number of hosts so far, 0 while it isn't known.
 	hosts   int
 	byRoute map[string]*split
+	// retained is the table of the last call of Retain.
+	retained *Table
 }
 
 // split is a Splitter with the requests since the route has its parts.
@@ -134,7 +136,8 @@
 // SplittersOption configures [Splitters].
 type SplittersOption func(*Splitters)
 
-// WithObserver sets a function that is called with the tally of a route whose parts have changed.
+// WithObserver sets a function that is called with the tally of a route whose parts have changed
+// or which was removed.
 func WithObserver(f func(Tally)) SplittersOption { return func(s *Splitters) { s.observe = f } }
 
 // WithPoints sets the function that returns the point at which the sequence of a route begins,
@@ -212,3 +215,35 @@
 	s.byRoute[r.Name] = e
 	return e
 }
+
+// Retain forgets routes that the table doesn't have.
+func (s *Splitters) Retain(t *Table) {
+	for _, ended := range s.retain(t) {
+		if s.observe != nil {
+			s.observe(ended)
+		}
+	}
+}
+
+// retain is like Retain and returns the tallies of the routes that were forgotten.
+func (s *Splitters) retain(t *Table) (ended []Tally) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.retained == t {
+		return nil
+	}
+	s.retained = t
+	names := make(map[string]bool)
+	for _, rs := range t.byHost {
+		for _, r := range rs {
+			names[r.Name] = true
+		}
+	}
+	for name, e := range s.byRoute {
+		if !names[name] {
+			ended = append(ended, e.tally)
+			delete(s.byRoute, name)
+		}
+	}
+	return ended
+}
