conns: end an attempt whose response has no valid status

Callers got what stood behind such a response: after 'HTTP/1.1 000 X' with a body that is a whole signed 200 response they got that as their answer (MIXED), after one with another body nothing up to the deadline. 101, which nobody asked for, and 600 to 999 were passed on.

Cause: a status below 200 counted as informational before it was known to be a status, its body was read as the next head, and any status from 200 on as final. RFC 9110, section 15, has meaning for 100 to 599 and lets clients treat others as a failure of the server. So the attempt fails at once, its connection is closed, the header is no server's announcement, and the request may have run: an idempotent one is sent to another server, others get 502. An informational response with a body ends the attempt too, since the body would be read as the response.

--- a/hitchd/internal/conns/read.go
+++ b/hitchd/internal/conns/read.go
@@ -11,6 +11,7 @@
 
 	"github.com/go-faster/errors"
 
+	"magnoliahitch/hitchd/internal/call"
 	"magnoliahitch/links/clock"
 	"magnoliahitch/steer/result"
 )
@@ -91,7 +92,7 @@
 }
 
 // readHeader reads the header of the next final response and skips informational
-// ones.
+// ones. It returns [ErrInvalidStatus] for one that is neither.
 func (x *exchange) readHeader() (*http.Response, error) {
 	x.conn.in.left = maxResponseHeader
 	for {
@@ -99,8 +100,11 @@
 		if err != nil {
 			return nil, errors.Wrap(err, "read answer")
 		}
-		if res.StatusCode >= http.StatusOK || res.StatusCode == http.StatusSwitchingProtocols {
+		switch {
+		case call.IsFinal(res.StatusCode):
 			return res, nil
+		case !call.IsInterim(res.StatusCode, res.Header) || len(res.TransferEncoding) > 0:
+			return nil, errors.Wrapf(ErrInvalidStatus, "read answer %q", res.Status)
 		}
 	}
 }
@@ -108,7 +112,7 @@
 func (x *exchange) readBody(res *http.Response, skipped bool) (*Response, error) {
 	a := &Response{Status: res.StatusCode, Header: res.Header, Length: res.ContentLength, Reused: x.reused, Sent: x.written, quota: x.pool.quota}
 	framed := res.ContentLength >= 0 || len(res.TransferEncoding) > 0
-	reusable := framed && !res.Close && !skipped && res.StatusCode != http.StatusSwitchingProtocols
+	reusable := framed && !res.Close && !skipped
 	if n := keepAliveTimeout(res.Header); n > 0 {
 		x.conn.idleTimeout = n
 	}
--- a/hitchd/internal/conns/send.go
+++ b/hitchd/internal/conns/send.go
@@ -92,6 +92,10 @@
 // deadline, although the server had the complete request.
 var ErrUnfinished = errors.New("answer didn't end before the deadline")
 
+// ErrInvalidStatus is the error of an attempt whose response has no status of a response to a
+// request. What follows on the connection can't be told.
+var ErrInvalidStatus = errors.New("answer has no valid status")
+
 // Errors of attempts.
 var (
 	errOtherRequest = errors.New("answer belongs to another request")
--- a/hitchd/internal/edge/run.go
+++ b/hitchd/internal/edge/run.go
@@ -273,6 +273,8 @@
 	switch {
 	case a == nil && errors.Is(err, conns.ErrUnfinished) && !late:
 		return pick.Failed
+	case a == nil && errors.Is(err, conns.ErrInvalidStatus):
+		return pick.Failed
 	case a == nil && (ctx.Err() != nil || late && errors.As(err, &timeout) && timeout.Timeout()):
 		return pick.Abandoned
 	case a == nil && outcome == result.NotRun:
