keep: end an attempt whose response has no valid status

The attempt fails at once with an unknown outcome, and its connection is closed and never used again.

--- a/hitchd/internal/keep/attempt.go
+++ b/hitchd/internal/keep/attempt.go
@@ -25,7 +25,7 @@
 	errCancelled = errors.New("attempt was cancelled before its first byte")
 	errFenced    = errors.New("lease was lost before the first byte")
 	errOtherConn = errors.New("attempt already began on another connection")
-	errRefusedOn = errors.New("connection carried a refusal, which the server may repeat")
+	errEnded     = errors.New("connection carried a response after which it can't be used")
 )
 
 // attempt is one transmission of a request to one server. Its state changes once,
@@ -41,7 +41,7 @@
 	fenced atomic.Bool
 	// used are the connections that the attempt has, until [attempt.release].
 	used []*conn
-	// turnedAway is set when a connection didn't write because it had carried a refusal.
+	// turnedAway is set when a connection didn't write because it had ended.
 	turnedAway atomic.Bool
 }
 
@@ -55,16 +55,16 @@
 	c.attempt.Store(a)
 }
 
-// release gives the connections up. After a refusal no other attempt may use them: the
-// server could repeat it, and nothing tells which request a refusal belongs to. Without a response
+// release gives the connections up. After the last exchange no other attempt may use them: the
+// server could repeat a refusal, and nothing tells which request it belongs to. Without a response
 // their close resets them.
-func (a *attempt) release(responded, refused bool) {
+func (a *attempt) release(responded, last bool) {
 	for _, c := range a.used {
 		if responded {
 			c.resetOnClose(false)
 		}
-		if refused {
-			c.refused.Store(true)
+		if last {
+			c.ended.Store(true)
 			_ = c.Close()
 		}
 		c.exchange.Unlock()
@@ -76,9 +76,9 @@
 // is called before each write. At most one connection ever writes for an attempt,
 // even if the HTTP transport retries on another one.
 func (a *attempt) begin(c *conn) error {
-	if c.refused.Load() {
+	if c.ended.Load() {
 		a.turnedAway.Store(true)
-		return errRefusedOn
+		return errEnded
 	}
 	switch a.state.Load() {
 	case begun:
--- a/hitchd/internal/keep/pool.go
+++ b/hitchd/internal/keep/pool.go
@@ -187,9 +187,9 @@
 	// exchange is held by the attempt that owns the connection, until its response was
 	// looked at.
 	exchange sync.Mutex
-	// refused is set once a response on the connection refused a request.
-	refused atomic.Bool
-	closed  func()
+	// ended is set once a response on the connection refused a request or had no valid status.
+	ended  atomic.Bool
+	closed func()
 }
 
 // resetOnClose sets whether the close of the connection resets it, so that bytes which a cut
--- a/hitchd/internal/keep/send.go
+++ b/hitchd/internal/keep/send.go
@@ -6,9 +6,12 @@
 	"io"
 	"net/http"
 	"net/http/httptrace"
+	"net/textproto"
 	"strconv"
 	"time"
 
+	"github.com/go-faster/errors"
+
 	"magnoliahitch/hitchd/internal/call"
 	"magnoliahitch/links/clock"
 	"magnoliahitch/steer/config"
@@ -67,10 +70,13 @@
 			continue
 		}
 		e, crashed := a.classify(ctx, err, to.Name)
-		return nil, crashed, e
+		return nil, crashed && !errors.Is(err, errInvalidStatus), e
 	}
 }
 
+// errInvalidStatus is the error of a response that has no status of a response to a request.
+var errInvalidStatus = errors.New("response has no valid status")
+
 // roundTrip sends the request as the attempt, which owns the connection until the
 // response's headers were looked at. The body of a refusal is closed.
 func (s *sender) roundTrip(req *http.Request, a *attempt) (*http.Response, error) {
@@ -80,13 +86,23 @@
 				a.use(c)
 			}
 		},
+		Got1xxResponse: func(status int, h textproto.MIMEHeader) error {
+			if !call.IsInterim(status, http.Header(h)) {
+				return errors.Wrapf(errInvalidStatus, "informational response with status %d", status)
+			}
+			return nil
+		},
 	}
 	res, err := s.transport.RoundTrip(req.WithContext(httptrace.WithClientTrace(req.Context(), trace)))
-	refused := err == nil && refusedBeforeRun(res)
-	if refused {
+	invalid := err == nil && !call.IsFinal(res.StatusCode)
+	refused := err == nil && !invalid && refusedBeforeRun(res)
+	if refused || invalid {
 		_ = res.Body.Close()
 	}
-	a.release(err == nil, refused)
+	if invalid {
+		err = errors.Wrapf(errInvalidStatus, "status %q", res.Status)
+	}
+	a.release(err == nil, refused || invalid)
 	return res, err
 }
 
