--- a/standin/internal/store/rows.go
+++ b/standin/internal/store/rows.go
@@ -147,13 +147,22 @@
 	return out
 }
 
-// txRequest is the wire format of a transaction.
+// txRequest is the wire format of a transaction. Versions and values must not be left out.
 type txRequest struct {
-	Expected []row `json:"expected"`
-	Writes   []row `json:"writes"`
-	Remove   []row `json:"remove"`
+	Expected []struct {
+		row
+		Ver *int64 `json:"ver"`
+	} `json:"expected"`
+	Writes []struct {
+		row
+		Value *[]byte `json:"value"`
+	} `json:"writes"`
+	Remove []row `json:"remove"`
 }
 
+// errIncomplete refuses a transaction with an incomplete entry.
+var errIncomplete = echo.NewHTTPError(http.StatusBadRequest, "a table, key, version or value is missing")
+
 // transact commits a transaction. It completes even if the client cancels the
 // request, as in a real store.
 func (s *Server) transact(c echo.Context) error {
@@ -167,14 +176,20 @@
 	var t plat.Txn
 	era := s.store.At().Era
 	for _, r := range in.Expected {
+		if r.Ver == nil || r.Table == "" || r.Key == "" {
+			return errIncomplete
+		}
 		check := plat.Check{Key: r.storeKey()}
-		if r.Ver != 0 {
-			check.At = plat.Position{Era: era, Version: r.Ver}
+		if *r.Ver != 0 {
+			check.At = plat.Position{Era: era, Version: *r.Ver}
 		}
 		t.Checks = append(t.Checks, check)
 	}
 	for _, r := range in.Writes {
-		t.Puts = append(t.Puts, plat.Put{Key: r.storeKey(), Value: r.Value})
+		if r.Value == nil || r.Table == "" || r.Key == "" {
+			return errIncomplete
+		}
+		t.Puts = append(t.Puts, plat.Put{Key: r.storeKey(), Value: *r.Value})
 	}
 	for _, r := range in.Remove {
 		t.Deletes = append(t.Deletes, r.storeKey())
--- a/standin/internal/store/store_test.go
+++ b/standin/internal/store/store_test.go
@@ -231,3 +231,27 @@
 		t.Errorf("changes since an older era while the store refuses calls: error = %v, want compacted", err)
 	}
 }
+
+// As in the platform's store, versions and values must not be left out.
+func TestIncompleteTransactions(t *testing.T) {
+	u := httptest.NewServer(New().Handler())
+	t.Cleanup(u.Close)
+	for _, c := range []struct {
+		body string
+		want int
+	}{
+		{`{"expected":[{"table":"t","part":"","key":"k"}],"writes":[],"remove":[]}`, http.StatusBadRequest},
+		{`{"expected":[],"writes":[{"table":"t","part":"","key":"k"}],"remove":[]}`, http.StatusBadRequest},
+		{`{"expected":[],"writes":[{"part":"","key":"k","value":"eA=="}],"remove":[]}`, http.StatusBadRequest},
+		{`{"expected":[{"table":"t","part":"","key":"k","ver":0}],"writes":[{"table":"t","part":"","key":"k","value":""}],"remove":[]}`, http.StatusOK},
+	} {
+		res, err := http.Post(u.URL+"/api/rows-tx", "application/json", strings.NewReader(c.body))
+		if err != nil {
+			t.Fatal(err)
+		}
+		_ = res.Body.Close()
+		if got := res.StatusCode; got != c.want {
+			t.Errorf("%s: got status %d, want %d", c.body, got, c.want)
+		}
+	}
+}
