standin/soak: check the shares of a route with two services

Every configuration of the soak has such a route, with other shares each time, and one more configuration comes after the last fault, so that a change of weights is seen in a calm time. In each window of 200 requests to hosts in touch a service's share may be off by 0.2, whatever became of the requests that ran nowhere.

--- a/standin/internal/soak/invariant.go
+++ b/standin/internal/soak/invariant.go
@@ -33,6 +33,9 @@
 	// within RetryWindow.
 	RetryShare, RetrySlack float64
 	RetryWindow            time.Duration
+	// ShareSlack is how far the share of a route's service may be off in ShareWindow requests.
+	ShareWindow int
+	ShareSlack  float64
 	// StopTimeout is the time from SIGTERM to SIGKILL.
 	StopTimeout time.Duration
 	// Reuse is the minimum time from the end of a server to the reuse of its address.
@@ -70,6 +73,8 @@
 		RetryShare:      0.2,
 		RetrySlack:      112,
 		RetryWindow:     10 * time.Second,
+		ShareWindow:     200,
+		ShareSlack:      0.2,
 		StopTimeout:     6 * time.Second,
 		Reuse:           2 * time.Second,
 		Heartbeat:       1500 * time.Millisecond,
@@ -94,6 +99,9 @@
 	AtMostOnce Invariant = "atMostOnce"
 	// RefusedNotRun: a non-idempotent request that was refused neither has run nor runs later.
 	RefusedNotRun Invariant = "refusedNotRun"
+	// SharesKept: in Bounds.ShareWindow requests on a route while a configuration is in force, a
+	// service's share is off by at most Bounds.ShareSlack, whatever became of those that ran nowhere.
+	SharesKept Invariant = "sharesKept"
 	// RightService: a request runs only on a service to which a
 	// configuration routes it.
 	RightService Invariant = "rightService"
--- a/standin/internal/soak/ledger.go
+++ b/standin/internal/soak/ledger.go
@@ -88,6 +88,7 @@
 	queries    map[string]*query
 	counts     map[Invariant]int
 	arrivals   int
+	windows    int
 	violations []Violation
 }
 
@@ -153,7 +154,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.attempts[a.ID] = &record{Attempt: a}
-	if s := l.serviceOf(a.Route); s != "" {
+	for s := range l.sharesOf(a.Route) {
 		l.traffic(s).addRequest(a.Sent)
 	}
 }
--- a/standin/internal/soak/ledger_test.go
+++ b/standin/internal/soak/ledger_test.go
@@ -13,7 +13,7 @@
 func newTestLedger() (*Ledger, *Disturbances) {
 	disturbances := NewDisturbances()
 	l := NewLedger(PlatformBounds(), disturbances)
-	l.Configure(epoch, 1, map[string]string{"/a/": "stock", "/only-1/": "stock"})
+	l.Configure(epoch, 1, map[string]shares{"/a/": only("stock"), "/only-1/": only("stock")})
 	l.Configured(epoch)
 	for _, id := range []string{"s1", "s2", "s3"} {
 		l.Start(Upstream{ID: id, Service: "stock", Domain: "north-a", Link: id}, time.Time{})
@@ -68,6 +68,31 @@
 	}
 }
 
+// splitRequests records requests on a route with two equal parts, of which one in 1/refused is
+// refused and the first part runs the given share of all.
+func splitRequests(l *Ledger, count int, refused, first float64) {
+	l.Configure(at(5), 2, map[string]shares{"/a/": {"stock": 0.5, "care": 0.5}, "/only-2/": only("stock")})
+	l.Configured(at(5))
+	var refusals, firsts float64
+	for i := range count {
+		id, t := fmt.Sprint("p", i), 20+float64(i)/100
+		recordAttempt(l, id, t, false)
+		if refusals += refused; refusals >= 1 {
+			refusals--
+			l.Responded(at(t), id, Response{Status: 503})
+			continue
+		}
+		server := "care1"
+		if firsts += first / (1 - refused); firsts >= 1 {
+			firsts--
+			server = "s1"
+		}
+		recordRun(l, id, server, t)
+		l.Responded(at(t), id, complete(id))
+	}
+	l.Close(at(30), at(30))
+}
+
 func complete(id string) Response {
 	return Response{Status: 200, ID: id, Signed: true, Checksum: Checksum(Body(id))}
 }
@@ -83,6 +108,15 @@
 			recordRun(l, "r", "s1", 10)
 			l.Responded(at(10.1), "r", complete("r"))
 		}},
+		{"shares kept", "", func(l *Ledger, _ *Disturbances) { splitRequests(l, 300, 0, 0.65) }},
+		{"shares of refused requests", "", func(l *Ledger, _ *Disturbances) { splitRequests(l, 300, 0.5, 0) }},
+		{"shares not kept", SharesKept, func(l *Ledger, _ *Disturbances) { splitRequests(l, 300, 0, 0.75) }},
+		{"shares not kept beside refused requests", SharesKept, func(l *Ledger, _ *Disturbances) { splitRequests(l, 300, 0.2, 0.75) }},
+		{"shares of an older configuration", "", func(l *Ledger, _ *Disturbances) { splitRequests(l, 199, 0, 1) }},
+		{"shares at a host that isn't in touch", "", func(l *Ledger, disturbances *Disturbances) {
+			disturbances.Disturb(at(10), partHost("h"))
+			splitRequests(l, 300, 0, 1)
+		}},
 		{"harmless request refused like a fatal one", BystanderServed, func(l *Ledger, _ *Disturbances) {
 			recordAttempt(l, "r", 10, false)
 			l.Responded(at(10.1), "r", Response{Status: 503, Suspect: true})
@@ -243,13 +277,13 @@
 			l.ConnectionClosed(at(11), "r", "reset")
 		}},
 		{"superseded route", ConfigInForce, func(l *Ledger, _ *Disturbances) {
-			l.Configure(at(10), 3, map[string]string{"/a/": "care"})
+			l.Configure(at(10), 3, map[string]shares{"/a/": only("care")})
 			l.Configured(at(10))
 			recordAttempt(l, "r", 12.6, false)
 			recordRun(l, "r", "s1", 12.6)
 		}},
 		{"superseded route after the new one", ConfigNeverReverts, func(l *Ledger, _ *Disturbances) {
-			l.Configure(at(10), 3, map[string]string{"/a/": "care"})
+			l.Configure(at(10), 3, map[string]shares{"/a/": only("care")})
 			l.Configured(at(10))
 			recordAttempt(l, "q", 10.5, false)
 			recordRun(l, "q", "care1", 10.5)
--- a/standin/internal/soak/operator.go
+++ b/standin/internal/soak/operator.go
@@ -28,6 +28,8 @@
 const (
 	// movedPrefix is a route whose service may change with each configuration.
 	movedPrefix = "/moved/"
+	// splitPrefix is a route with two services, whose shares change with each configuration.
+	splitPrefix = "/split/"
 	// versionPrefix starts the prefix of the route that only one version has.
 	versionPrefix = "/only-"
 )
@@ -35,6 +37,9 @@
 // routeTimeout is the timeout of all routes.
 const routeTimeout = 1500 * time.Millisecond
 
+// splitShares are the shares of the first service of the split route, in turn.
+var splitShares = []float64{0.9, 0.5, 0.1, 0.7}
+
 // requestRoute is the route drawn for a request.
 type requestRoute struct {
 	prefix  string
@@ -44,11 +49,14 @@
 
 // route draws a route that every configuration has.
 func (w *World) route(r *rand.Rand) requestRoute {
-	switch {
-	case r.Float64() < unsafeShare:
+	if r.Float64() < unsafeShare {
 		return requestRoute{[]string{"/reserve/", "/return/"}[r.IntN(2)], true, routeTimeout}
-	case r.IntN(6) == 0:
+	}
+	switch r.IntN(6) {
+	case 0:
 		return requestRoute{movedPrefix, false, routeTimeout}
+	case 1, 2:
+		return requestRoute{splitPrefix, false, routeTimeout}
 	}
 	return requestRoute{[]string{"/stock/", "/care/"}[r.IntN(2)], false, routeTimeout}
 }
@@ -88,12 +96,12 @@
 	o.configMu.Lock()
 	defer o.configMu.Unlock()
 	o.version += 1 + o.version%3
-	routes := map[string]string{movedPrefix: services[o.version%2*2]}
+	first := splitShares[o.version%len(splitShares)]
+	routes := map[string]shares{movedPrefix: only(services[o.version%2*2]), splitPrefix: {"stock": first, "care": 1 - first}}
 	for _, s := range services {
-		routes["/"+s+"/"] = s
+		routes["/"+s+"/"] = only(s)
 	}
-	only := fmt.Sprintf("%s%d/", versionPrefix, o.version)
-	routes[only] = services[0]
+	routes[fmt.Sprintf("%s%d/", versionPrefix, o.version)] = only(services[0])
 	o.ledger.Configure(time.Now(), o.version, routes)
 	o.config = encodeConfig(o.version, routes)
 	if o.writeConfig(ctx) {
@@ -150,17 +158,21 @@
 	return res.StatusCode == http.StatusOK
 }
 
-func encodeConfig(version int, routes map[string]string) []byte {
+func encodeConfig(version int, routes map[string]shares) []byte {
 	type object = map[string]any
 	var rules, clusters []object
-	for prefix, service := range routes {
+	for prefix, parts := range routes {
 		kind := "safe"
-		if service == "reserve" || service == "return" {
-			kind = "unsafe"
+		var backends []object
+		for service, share := range parts {
+			backends = append(backends, object{"service": service, "weight": 100 * share})
+			if service == "reserve" || service == "return" {
+				kind = "unsafe"
+			}
 		}
 		rules = append(rules, object{
 			"name": strings.Trim(prefix, "/"), "kind": kind, "target_latency_s": 0.3, "match": object{"prefix": prefix}, "sticky": true,
-			"action": object{"service": service, "timeout_s": routeTimeout.Seconds(), "max_attempts": maxAttempts},
+			"action": object{"backends": backends, "timeout_s": routeTimeout.Seconds(), "max_attempts": maxAttempts},
 		})
 	}
 	for _, s := range services {
--- a/standin/internal/soak/outcome.go
+++ b/standin/internal/soak/outcome.go
@@ -169,7 +169,7 @@
 	minSuccessShare = 0.25
 )
 
-// Close checks the invariants that need the whole run: DeadlineKept,
+// Close checks the invariants that need the whole run: DeadlineKept, SharesKept,
 // RespondedInTime and Recovered. The last fault ended at healed.
 func (l *Ledger) Close(now, healed time.Time) {
 	l.mu.Lock()
@@ -177,6 +177,7 @@
 	if n := l.counts[DeadlineKept]; n > minWrongDeadlines && float64(n) > wrongDeadlineShare*float64(l.arrivals) {
 		l.addViolation(now, DeadlineKept, nil, "%d of %d arrivals at servers had no deadline or a later one than the caller's", n, l.arrivals)
 	}
+	l.checkShares(now)
 	over, late := 0, 0
 	sent, served := 0, 0
 	for _, r := range l.attempts {
@@ -205,16 +206,16 @@
 	}
 }
 
-// Totals counts the attempts by outcome, and the violations.
+// Totals counts the attempts by outcome, the windows whose shares were checked, and the violations.
 type Totals struct {
-	Sent, Served, Refused, Failed, Left, Violations int
+	Sent, Served, Refused, Failed, Left, Windows, Violations int
 }
 
 // Totals returns the counts so far.
 func (l *Ledger) Totals() Totals {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	t := Totals{Sent: len(l.attempts), Violations: len(l.violations)}
+	t := Totals{Sent: len(l.attempts), Windows: l.windows, Violations: len(l.violations)}
 	for _, r := range l.attempts {
 		switch {
 		case r.success:
--- a/standin/internal/soak/routing.go
+++ b/standin/internal/soak/routing.go
@@ -12,11 +12,17 @@
 // config is a configuration that the operator wrote.
 type config struct {
 	version int
-	// services maps each route's path prefix to its service.
-	services    map[string]string
+	// routes maps each route's path prefix to its services.
+	routes      map[string]shares
 	sent, acked time.Time
 }
 
+// shares are the shares of a route's services, which sum up to 1.
+type shares map[string]float64
+
+// only returns the shares of a route with one service.
+func only(service string) shares { return shares{service: 1} }
+
 // effect is the newest configuration that a host was observed to apply.
 type effect struct {
 	version int
@@ -24,10 +30,10 @@
 }
 
 // Configure records that the operator starts to write a configuration.
-func (l *Ledger) Configure(now time.Time, version int, services map[string]string) {
+func (l *Ledger) Configure(now time.Time, version int, routes map[string]shares) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.configs = append(l.configs, config{version: version, services: services, sent: now})
+	l.configs = append(l.configs, config{version: version, routes: routes, sent: now})
 }
 
 // Configured records that the store acknowledged the newest configuration.
@@ -37,12 +43,12 @@
 	l.configs[len(l.configs)-1].acked = now
 }
 
-// serviceOf returns the service of the route in the newest configuration.
-func (l *Ledger) serviceOf(route string) string {
+// sharesOf returns the shares of the route's services in the newest configuration, nil for none.
+func (l *Ledger) sharesOf(route string) shares {
 	if len(l.configs) == 0 {
-		return ""
+		return nil
 	}
-	return l.configs[len(l.configs)-1].services[route]
+	return l.configs[len(l.configs)-1].routes[route]
 }
 
 // superseded returns when the next acknowledged configuration after the i-th was
@@ -63,7 +69,7 @@
 	timely := false
 	var late time.Time
 	for i, c := range l.configs {
-		if c.services[r.Route] != service {
+		if c.routes[r.Route][service] == 0 {
 			continue
 		}
 		if oldest == 0 {
@@ -116,7 +122,7 @@
 	allowed := 0
 	var last config
 	for _, c := range l.configs {
-		if c.services[r.Route] != "" {
+		if c.routes[r.Route] != nil {
 			allowed++
 			last = c
 		}
--- a/standin/internal/soak/world.go
+++ b/standin/internal/soak/world.go
@@ -89,7 +89,8 @@
 }
 
 // runScenario waits for the hosts, and then runs the callers while it injects
-// the faults of the plan. At the end it checks that hosts have recovered.
+// the faults of the plan. At the end it changes the configuration once more, without a fault, and
+// checks that hosts have recovered.
 func (w *World) runScenario(ctx context.Context) error {
 	if err := w.awaitReady(ctx); err != nil {
 		return err
@@ -109,7 +110,9 @@
 	sleep(ctx, w.options.Calm)
 	w.runPlan(ctx, plan)
 	healed := time.Now()
-	sleep(ctx, w.bounds.Recovery+recoveryWindow)
+	sleep(ctx, w.bounds.Recovery/2)
+	w.operator.configure(ctx)
+	sleep(ctx, w.bounds.Recovery/2+recoveryWindow)
 	stop()
 	callers.Wait()
 	w.ledger.Close(time.Now(), healed)
