route: keep the counts of a retry budget when its share changes

Each change of a profile's retryShare gave a service a new budget, and so the least retries of a new window at each host. Budgets stay and get the new share.

--- a/hitchd/internal/route/dispatch.go
+++ b/hitchd/internal/route/dispatch.go
@@ -134,7 +134,7 @@
 		return true
 	}
 	b := d.state.budgets[d.request.Cell.Service]
-	d.retryGranted = b.RetryBudget != nil && b.Take(clock.Now())
+	d.retryGranted = b != nil && b.Take(clock.Now())
 	return d.retryGranted
 }
 
@@ -142,7 +142,7 @@
 func (d *dispatch) countRequest(now time.Time) {
 	d.budgetMu.Lock()
 	defer d.budgetMu.Unlock()
-	if b := d.state.budgets[d.request.Cell.Service]; b.RetryBudget != nil {
+	if b := d.state.budgets[d.request.Cell.Service]; b != nil {
 		b.CountRequest(now)
 	}
 }
--- a/hitchd/internal/route/route.go
+++ b/hitchd/internal/route/route.go
@@ -40,10 +40,12 @@
 }
 
 // RetryBudget limits retries to a share of the requests. CountRequest counts a
-// request; Take takes a retry and reports whether the budget allowed it.
+// request; Take takes a retry and reports whether the budget allowed it. SetShare changes
+// the share and keeps what was counted.
 type RetryBudget interface {
 	CountRequest(now time.Time)
 	Take(now time.Time) bool
+	SetShare(share float64)
 }
 
 // Router is the stage that forwards requests from the caller port to keepers.
@@ -67,14 +69,7 @@
 // routingState is what is derived from a configuration.
 type routingState struct {
 	rules   *shift.Rules
-	budgets map[string]serviceBudget
-}
-
-// serviceBudget is the retry budget of a service, with the share that it was
-// made for.
-type serviceBudget struct {
-	RetryBudget
-	share float64
+	budgets map[string]RetryBudget
 }
 
 // New returns a router that passes requests for the cells of this host to
@@ -88,18 +83,20 @@
 	return t
 }
 
-// Configure applies the configuration. A service whose retry share stays the
-// same keeps its retry budget.
+// Configure applies the configuration. A service keeps its retry budget.
 func (t *Router) Configure(c *config.Config) {
-	s := &routingState{rules: shift.NewRules(c), budgets: make(map[string]serviceBudget, len(c.Services))}
+	s := &routingState{rules: shift.NewRules(c), budgets: make(map[string]RetryBudget, len(c.Services))}
 	old := t.state.Load()
+	t.budgetMu.Lock()
+	defer t.budgetMu.Unlock()
 	for n, v := range c.Services {
 		share := c.Profiles[v.Profile].RetryShare
-		if old != nil && old.budgets[n].RetryBudget != nil && old.budgets[n].share == share {
+		if old != nil && old.budgets[n] != nil {
 			s.budgets[n] = old.budgets[n]
+			s.budgets[n].SetShare(share)
 			continue
 		}
-		s.budgets[n] = serviceBudget{t.newBudget(share), share}
+		s.budgets[n] = t.newBudget(share)
 	}
 	t.state.Store(s)
 }
--- a/hitchd/internal/route/route_test.go
+++ b/hitchd/internal/route/route_test.go
@@ -84,6 +84,8 @@
 
 func (allowRetries) Take(time.Time) bool { return true }
 
+func (allowRetries) SetShare(float64) {}
+
 // denyRetries is a retry budget that allows none.
 type denyRetries struct{ allowRetries }
 
