pick, edge: spread requests without an object over all servers

Requests without an object all preferred the same two servers of a region, on every host, and a spillover moved none of them or all at once (SHIFT).

The edge draws a number for each attempt that takes the object's place in the order of servers and in the spillover.

Tests of the edge send requests without an object and rely on the order of the servers; there they concern one object now, which has the order that none had.

--- a/hitchd/internal/edge/edge_test.go
+++ b/hitchd/internal/edge/edge_test.go
@@ -1,6 +1,7 @@
 package edge
 
 import (
+	"cmp"
 	"context"
 	"io"
 	"net/http"
@@ -23,8 +24,9 @@
 )
 
 var codec = HeaderCodec{
-	Headers:   conns.Headers{RequestID: "X-Id", Deadline: "X-Deadline", Expect: "X-Expect", NotRun: "X-Not-Run", Signature: "X-Signed", Load: "X-Load"},
-	ObjectKey: func(h http.Header) string { return h.Get("X-Object") },
+	Headers: conns.Headers{RequestID: "X-Id", Deadline: "X-Deadline", Expect: "X-Expect", NotRun: "X-Not-Run", Signature: "X-Signed", Load: "X-Load"},
+	// Without the header the requests of a test concern one object, so that they prefer the same servers: 5, 0, 4, 3, 1.
+	ObjectKey: func(h http.Header) string { return cmp.Or(h.Get("X-Object"), "o29654") },
 	Timeout: func(h http.Header) (time.Duration, bool) {
 		d, err := time.ParseDuration(h.Get("X-Timeout"))
 		return d, err == nil
--- a/hitchd/internal/edge/run.go
+++ b/hitchd/internal/edge/run.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"time"
@@ -100,7 +101,7 @@
 			x.left = true
 			return response
 		}
-		c := s.picker.Choose(now, e.state().Fleet, pick.Request{Service: x.service, Object: x.object, Regions: x.route.Regions, Tried: x.tried})
+		c := s.picker.Choose(now, e.state().Fleet, pick.Request{Service: x.service, Object: x.object, Spread: rand.Uint64(), Regions: x.route.Regions, Tried: x.tried})
 		e.check(ctx, s, c.Check)
 		if x.stopping = c.Reason == pick.Chosen && !x.end.IsZero() && x.attempts == 0 && c.Cost > x.end.Sub(now); x.stopping {
 			// It would be cut off at the server.
--- a/steer/pick/picker.go
+++ b/steer/pick/picker.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"slices"
+	"strconv"
 	"sync"
 	"time"
 
@@ -56,12 +57,23 @@
 	Service string
 	// Object identifies the object that the request concerns; empty if unknown.
 	Object string
+	// Spread selects the servers of a request without an object. Different requests should have
+	// different values, on all hosts.
+	Spread uint64
 	// Regions are the only regions that may serve the request; empty means all.
 	Regions []string
 	// Tried are the ids of the servers that the request was already sent to.
 	Tried []string
 }
 
+// key returns what selects servers by affinity.
+func (r *Request) key() string {
+	if r.Object == "" && r.Spread != 0 {
+		return "\x00" + strconv.FormatUint(r.Spread, 16)
+	}
+	return r.Object
+}
+
 // Reason is the result of a selection.
 type Reason string
 
@@ -188,7 +200,7 @@
 		return u.none()
 	}
 	first, second := local, remote
-	if p.spillover.assignedRemote(r.Object) && len(remote) > 0 {
+	if p.spillover.assignedRemote(r.key()) && len(remote) > 0 {
 		first, second = remote, local
 	}
 	if len(first) == 0 && !u.localHeldUntil.IsZero() && u.localHealthy && !p.spillover.reroutes.allow(now) {
@@ -337,7 +349,7 @@
 				continue
 			}
 		}
-		c := candidate{server: s, state: st, score: score(r.Object, s.ID), phase: p.updatePhase(now, v, s, st), remote: s.Region != p.location.Region}
+		c := candidate{server: s, state: st, score: score(r.key(), s.ID), phase: p.updatePhase(now, v, s, st), remote: s.Region != p.location.Region}
 		usage.add(now, &c)
 		if c.remote {
 			u.remote = append(u.remote, c)
--- a/steer/pick/picker_test.go
+++ b/steer/pick/picker_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"slices"
 	"testing"
 	"time"
@@ -240,3 +241,37 @@
 		t.Errorf("changes = %+v, want %+v", got, want)
 	}
 }
+
+// Requests without an object were all for the same two servers of a region, and moved abroad all at once.
+func TestRequestsWithoutObjectUseAllServers(t *testing.T) {
+	p, v := newPicker(), view(servers(map[string]int{"north": 10, "south": 10}, nil))
+	r := rand.New(rand.NewPCG(47, 1))
+	used := make(map[string]int)
+	const requests = 400
+	for i := range requests {
+		now := at(time.Duration(i) * 50 * time.Millisecond)
+		c := p.Choose(now, v, Request{Service: "loans", Spread: r.Uint64()})
+		used[c.Server.ID]++
+		p.Done(now.Add(20*time.Millisecond), c.Server.ID, Succeeded, 20*time.Millisecond, Report{})
+	}
+	for id, n := range used {
+		if n > requests/10*2 {
+			t.Errorf("server %s got %d of %d requests, want about %d", id, n, requests, requests/10)
+		}
+	}
+	if len(used) < 10 {
+		t.Errorf("%d of 10 servers of the region were used", len(used))
+	}
+	p.spillover.share, p.spillover.updatedAt = 0.3, at(30*time.Second)
+	abroad := 0
+	for range requests {
+		c := p.Choose(at(30*time.Second), v, Request{Service: "loans", Spread: r.Uint64()})
+		if c.Server.Region == "south" {
+			abroad++
+		}
+		p.Done(at(30*time.Second), c.Server.ID, Succeeded, 20*time.Millisecond, Report{})
+	}
+	if got := float64(abroad) / requests; got < 0.2 || got > 0.4 {
+		t.Errorf("share in remote regions = %.2f, want 0.3", got)
+	}
+}
