routes: keep routes of one name apart

Two rules on different host names may have one name, or none. Their requests were counted together, so that the parts of one were charged with those of the other; since the parts have turns of their own, each request of one began the turns of the other anew. A split belongs to the name, the host name and the prefix. TestRoutesOfOneNameAreKeptApart failed before: with equal points all requests were for the first part.

--- a/hitchd/internal/edge/edge.go
+++ b/hitchd/internal/edge/edge.go
@@ -253,7 +253,7 @@
 	for i, p := range t.Parts {
 		services[i], weights[i] = p.Service, p.Weight
 	}
-	e.log.Info("parts of a route changed", "route", t.Route, "services", services, "weights", weights, "requests", t.Requests)
+	e.log.Info("parts of a route changed", "route", t.Route, "hostName", t.Host, "prefix", t.Prefix, "services", services, "weights", weights, "requests", t.Requests)
 }
 
 // countRequest adds a request to the service's retry budget.
--- a/steer/routes/fleet_test.go
+++ b/steer/routes/fleet_test.go
@@ -149,3 +149,25 @@
 		t.Errorf("tallies of %v, want gone", ended)
 	}
 }
+
+// Rules on different host names, or unnamed ones, may have the same name. Their counts were shared.
+func TestRoutesOfOneNameAreKeptApart(t *testing.T) {
+	var ended []Tally
+	s := NewSplitters(WithPoints(func() float64 { return 0 }), WithObserver(func(t Tally) { ended = append(ended, t) }))
+	one := &Route{Host: "a.example", Prefix: "/", Parts: []Part{{"a", 1}, {"b", 1}}}
+	two := &Route{Host: "b.example", Prefix: "/", Parts: []Part{{"a", 3}, {"b", 1}}}
+	counts := make(map[string]int)
+	for range 80 {
+		for _, r := range []*Route{one, two} {
+			counts[r.Host+" "+s.Choose(r, "").Service]++
+		}
+	}
+	for key, want := range map[string]int{"a.example a": 40, "a.example b": 40, "b.example a": 60, "b.example b": 20} {
+		if got := counts[key]; got < want-2 || got > want+2 {
+			t.Errorf("%s: got %d requests, want %d, at most 2 more or less", key, got, want)
+		}
+	}
+	if len(ended) > 0 {
+		t.Errorf("%d tallies ended, want none", len(ended))
+	}
+}
--- a/steer/routes/split.go
+++ b/steer/routes/split.go
@@ -108,12 +108,14 @@
 // Tally holds the number of requests that this host sent to each part of a route while its
 // parts were the same.
 type Tally struct {
-	Route    string
+	// Route is the name of the route, which need not be unique.
+	Route, Host, Prefix string
+
 	Parts    []Part
 	Requests []int
 }
 
-// Splitters holds a [Splitter] for each route name. The zero value is ready to
+// Splitters holds a [Splitter] for each route. The zero value is ready to
 // use. It is safe for concurrent use.
 type Splitters struct {
 	observe func(Tally)
@@ -122,11 +124,16 @@
 	mu sync.Mutex
 	// hosts is the greatest number of hosts so far, 0 while it isn't known.
 	hosts   int
-	byRoute map[string]*split
+	byRoute map[routeKey]*split
 	// retained is the table of the last call of Retain.
 	retained *Table
 }
 
+// routeKey identifies a route across configurations. Names alone may repeat.
+type routeKey struct{ name, host, prefix string }
+
+func keyOf(r *Route) routeKey { return routeKey{r.Name, r.Host, r.Prefix} }
+
 // split is a Splitter with the requests since the route has its parts.
 type split struct {
 	*Splitter
@@ -176,7 +183,7 @@
 		return Choice{Service: r.Parts[0].Service, Share: 1}
 	}
 	c, ended := s.choose(r, object)
-	if ended.Route != "" && s.observe != nil {
+	if ended.Parts != nil && s.observe != nil {
 		s.observe(ended)
 	}
 	return c
@@ -187,7 +194,7 @@
 func (s *Splitters) choose(r *Route, object string) (c Choice, ended Tally) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	e := s.byRoute[r.Name]
+	e := s.byRoute[keyOf(r)]
 	if e == nil || !slices.Equal(e.tally.Parts, r.Parts) {
 		// What was sent under other weights says nothing of these.
 		if e != nil {
@@ -209,10 +216,10 @@
 		point = rand.Float64
 	}
 	if s.byRoute == nil {
-		s.byRoute = make(map[string]*split)
+		s.byRoute = make(map[routeKey]*split)
 	}
-	e := &split{NewSplitter(r.Parts, point()), Tally{r.Name, r.Parts, make([]int, len(r.Parts))}}
-	s.byRoute[r.Name] = e
+	e := &split{NewSplitter(r.Parts, point()), Tally{r.Name, r.Host, r.Prefix, r.Parts, make([]int, len(r.Parts))}}
+	s.byRoute[keyOf(r)] = e
 	return e
 }
 
@@ -233,16 +240,16 @@
 		return nil
 	}
 	s.retained = t
-	names := make(map[string]bool)
+	kept := make(map[routeKey]bool)
 	for _, rs := range t.byHost {
 		for _, r := range rs {
-			names[r.Name] = true
+			kept[keyOf(r)] = true
 		}
 	}
-	for name, e := range s.byRoute {
-		if !names[name] {
+	for k, e := range s.byRoute {
+		if !kept[k] {
 			ended = append(ended, e.tally)
-			delete(s.byRoute, name)
+			delete(s.byRoute, k)
 		}
 	}
 	return ended
