--- a/hitchd/internal/conns/status_test.go
+++ b/hitchd/internal/conns/status_test.go
@@ -14,11 +14,11 @@
 	"magnoliahitch/steer/result"
 )
 
-// statuses are status lines that no server may answer a request with: RFC 9110, section 15, gives
+// statuses are status lines that answer no request: RFC 9110, section 15, gives
 // a meaning to 100 to 599, and 101 answers an Upgrade header, which is never sent on.
 var statuses = []string{"000 X", "000", "0 0", "001 X", "099 X", "+20 X", "101 Switching Protocols", "600 X", "999 X"}
 
-// MIXED, issue 47: a status that is none came to the caller as an answer, or what stood behind it did.
+// An invalid status came to the caller as a response, or what stood behind it did.
 func TestInvalidStatusIsNoAnswer(t *testing.T) {
 	const whole = "HTTP/1.1 200 OK\r\nX-Id: r1\r\nX-Signed: s\r\nContent-Length: 4\r\n\r\nfake"
 	framings := []struct{ name, rest string }{
--- a/hitchd/internal/edge/status_test.go
+++ b/hitchd/internal/edge/status_test.go
@@ -24,7 +24,7 @@
 	_ = c.Close()
 }
 
-// MIXED, issue 47: a status that is none isn't passed on. The request may have run, so that only an
+// An invalid status isn't passed on. The request may have run, so that only an
 // idempotent one is sent to another server.
 func TestInvalidStatusOfAServer(t *testing.T) {
 	for _, status := range []string{"000 X", "099 X", "101 Switching Protocols", "600 X", "999 X"} {
--- a/hitchd/internal/keep/status_test.go
+++ b/hitchd/internal/keep/status_test.go
@@ -32,7 +32,7 @@
 	})
 }
 
-// MIXED, issue 47: a status that is none isn't an answer, and neither is what stands behind it.
+// Neither an invalid status nor what stands behind it is a response.
 func TestInvalidStatusIsNoAnswer(t *testing.T) {
 	const whole = "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nfake"
 	length := fmt.Sprintf("Content-Length: %d\r\n\r\n%s", len(whole), whole)
--- a/standin/internal/soak/operator.go
+++ b/standin/internal/soak/operator.go
@@ -163,16 +163,22 @@
 	var rules, clusters []object
 	for prefix, parts := range routes {
 		kind := "safe"
+		action := object{"timeout_s": routeTimeout.Seconds(), "max_attempts": maxAttempts}
 		var backends []object
 		for service, share := range parts {
 			backends = append(backends, object{"service": service, "weight": 100 * share})
+			action["service"] = service
 			if service == "reserve" || service == "return" {
 				kind = "unsafe"
 			}
 		}
+		if len(parts) > 1 {
+			delete(action, "service")
+			action["backends"] = backends
+		}
 		rules = append(rules, object{
 			"name": strings.Trim(prefix, "/"), "kind": kind, "target_latency_s": 0.3, "match": object{"prefix": prefix}, "sticky": true,
-			"action": object{"backends": backends, "timeout_s": routeTimeout.Seconds(), "max_attempts": maxAttempts},
+			"action": action,
 		})
 	}
 	for _, s := range services {
--- a/steer/routes/fleet_test.go
+++ b/steer/routes/fleet_test.go
@@ -56,7 +56,7 @@
 	return func(int) string { return fmt.Sprint(r.IntN(n)) }
 }
 
-// Issue 47: a part of a route got another share than its weight says.
+// After a change a part got another share than its weight says.
 func TestWeightsAreKeptAfterTheyChange(t *testing.T) {
 	changes := []struct{ old, parts []Part }{
 		{[]Part{{"a", 90}, {"b", 10}}, []Part{{"a", 50}, {"b", 50}}},
@@ -77,7 +77,7 @@
 	}
 }
 
-// Issue 47: what each host may send beyond a part's share adds up over the fleet.
+// What each host may send beyond a part's share adds up over the fleet.
 func TestWeightsAreKeptByAllHostsTogether(t *testing.T) {
 	objects := []struct {
 		name string
