--- a/hitchd/internal/conns/status_test.go
+++ b/hitchd/internal/conns/status_test.go
@@ -29,7 +29,7 @@
 		{"response behind it", "Content-Length: 0\r\n\r\n" + whole},
 		{"response without length behind it", "\r\n" + whole},
 	}
-	seals := []string{"", "X-Id: r1\r\n", "X-Id: r1\r\nX-Signed: s\r\n", "X-Id: r1\r\nX-Not-Run: 1\r\n"}
+	signatures := []string{"", "X-Id: r1\r\n", "X-Id: r1\r\nX-Signed: s\r\n", "X-Id: r1\r\nX-Not-Run: 1\r\n"}
 	check := func(name, text string, r *Request) {
 		t.Helper()
 		closed := make(chan struct{}, 1)
@@ -62,9 +62,9 @@
 	}
 	for _, status := range statuses {
 		for _, f := range framings {
-			for _, seal := range seals {
-				name := status + ", " + f.name + ", " + strings.ReplaceAll(seal, "\r\n", " ")
-				text := "HTTP/1.1 " + status + "\r\n" + seal + f.rest
+			for _, signature := range signatures {
+				name := status + ", " + f.name + ", " + strings.ReplaceAll(signature, "\r\n", " ")
+				text := "HTTP/1.1 " + status + "\r\n" + signature + f.rest
 				check(name, text, request("r1"))
 			}
 		}
