review: case 8, a request that crashes servers isn't recognised if its caller leaves

Cause: the server of an abandoned attempt is looked at once, 0.4 s after its end; it may crash later, before the deadline that it was given.

--- a/review/stand-2/fatal.go
+++ b/review/stand-2/fatal.go
@@ -29,6 +29,9 @@
 	contact = 4 * time.Second
 )
 
+// fatalPath is the path of the request that crashes servers.
+const fatalPath = "/hold/fatal"
+
 // runFatal plays the case BUDGET: a request crashes servers, and its caller leaves before
 // the crash.
 func runFatal(w *world, trouble bool) bool {
@@ -36,8 +39,9 @@
 	var mu sync.Mutex
 	var crashes, arrivals []time.Time
 	var servers []*server
+	fatal := func(r *http.Request) bool { return r.URL.Path == fatalPath }
 	onRun := func(_ *server, r *http.Request) {
-		if r.URL.Path == fatalPath {
+		if fatal(r) {
 			mu.Lock()
 			defer mu.Unlock()
 			arrivals = append(arrivals, time.Now())
@@ -52,7 +56,7 @@
 	}
 	for i := range 8 {
 		s := w.startServer(fmt.Sprintf("i-%d", i), "booking", i%4, 40*time.Millisecond, 400)
-		s.crashAfter, s.onRun, s.onFatal = crashAfter, onRun, onFatal
+		s.crashAfter, s.onRun, s.onFatal, s.fatal = crashAfter, onRun, onFatal, fatal
 		servers = append(servers, s)
 	}
 	w.startHosts(4)
--- a/review/stand-2/main.go
+++ b/review/stand-2/main.go
@@ -31,7 +31,7 @@
 	signal.Notify(signals, syscall.SIGINT, syscall.SIGTERM)
 	go func() { <-signals; w.end(); os.Exit(2) }()
 	trouble := os.Getenv("TROUBLE") != "0"
-	cases := map[string]func(*world, bool) bool{"lost": runLost, "fatal": runFatal}
+	cases := map[string]func(*world, bool) bool{"lost": runLost, "fatal": runFatal, "caller": runCaller}
 	f := cases[os.Args[1]]
 	if f == nil {
 		fmt.Println("no such case")
--- a/review/stand-2/server.go
+++ b/review/stand-2/server.go
@@ -25,16 +25,17 @@
 	size int
 	// breakOff is the share of answers that the server breaks off.
 	breakOff float64
-	// crashAfter is the time from the begin of a request with the path of fatalPath to the
-	// server's crash. The server doesn't drop requests whose connection is closed if it is set.
+	// crashAfter is the time from the begin of a fatal request to the server's crash. The
+	// server doesn't drop requests whose connection is closed if it is set.
 	crashAfter time.Duration
 	http       *http.Server
 	coldUntil  time.Time
 	// onRun is called for each request that the server begins to run.
 	onRun func(s *server, r *http.Request)
 	ended atomic.Bool
-	// onFatal is called when the request of fatalPath crashes the server.
+	// onFatal is called when a request crashes the server, and fatal tells which does.
 	onFatal func(s *server)
+	fatal   func(r *http.Request) bool
 
 	mu       sync.Mutex
 	sequence int64
@@ -82,7 +83,7 @@
 	time.AfterFunc(back, func() {
 		next := &server{
 			world: s.world, id: s.id + "x", service: s.service, zone: s.zone, region: s.region, slots: make(chan struct{}, 3), work: s.work, size: s.size,
-			born: time.Now().UnixMilli(), ran: make(map[string]bool), broken: make(map[string]bool), crashAfter: s.crashAfter, onRun: s.onRun, onFatal: s.onFatal,
+			born: time.Now().UnixMilli(), ran: make(map[string]bool), broken: make(map[string]bool), crashAfter: s.crashAfter, onRun: s.onRun, onFatal: s.onFatal, fatal: s.fatal,
 			coldUntil: time.Now().Add(3 * time.Second),
 		}
 		next.listen(s.addr)
@@ -91,9 +92,6 @@
 	})
 }
 
-// fatalPath is the path of the request that crashes servers.
-const fatalPath = "/hold/fatal"
-
 func (s *server) beat() {
 	s.mu.Lock()
 	s.sequence++
@@ -143,7 +141,7 @@
 	if s.onRun != nil {
 		s.onRun(s, r)
 	}
-	if s.crashAfter > 0 && r.URL.Path == fatalPath {
+	if s.crashAfter > 0 && s.fatal(r) {
 		sleep(ctx, s.crashAfter)
 		if ctx.Err() == nil {
 			s.onFatal(s)
