--- a/review/stand-2/caller.go
+++ b/review/stand-2/caller.go
@@ -15,6 +15,7 @@
 const (
 	popularPath = "/look/7"
 	badCaller   = "till-7"
+	callerTime  = 40 * time.Second
 	badPause    = 2500 * time.Millisecond
 	// badCrash is the time from the begin of the request to the crash.
 	badCrash = 20 * time.Millisecond
@@ -36,9 +37,10 @@
 	}
 	onFatal := func(s *server) {
 		mu.Lock()
-		crashes = append(crashes, time.Now())
-		mu.Unlock()
-		s.crash(serverBack, func(*server) {})
+		defer mu.Unlock()
+		if s.crash(serverBack) {
+			crashes = append(crashes, time.Now())
+		}
 	}
 	for i := range 8 {
 		s := w.startServer(fmt.Sprintf("i-%d", i), "catalogue", i%4, 40*time.Millisecond, 400)
@@ -46,7 +48,7 @@
 	}
 	w.startHosts(4)
 	time.Sleep(6 * time.Second)
-	ctx, cancel := context.WithTimeout(context.Background(), fatalTime)
+	ctx, cancel := context.WithTimeout(context.Background(), callerTime)
 	defer cancel()
 	var group sync.WaitGroup
 	var sent, good atomic.Int64
--- a/review/stand-2/fatal.go
+++ b/review/stand-2/fatal.go
@@ -11,24 +11,32 @@
 	"time"
 )
 
-// Load of the case: one caller repeats a request that crashes each server that runs it, others
-// hold entries.
+// Load of the case: one caller of five repeats a request that crashes each server that runs it,
+// the others hold entries.
 const (
-	fatalTime = 60 * time.Second
-	// fatalPause is the time between two repeats.
-	fatalPause = time.Second
+	// givingUp is how long the caller leaves before its deadline, leaveAfter the time after which
+	// it leaves: half of the route's latency objective of 375 ms.
+	givingUp   = 5500 * time.Millisecond
+	leaveAfter = 185 * time.Millisecond
+	// fatalTime is the time of the load.
+	fatalTime = 12 * time.Second
 	// crashAfter is the time from the begin of the request to the crash, before its deadline.
 	crashAfter = 700 * time.Millisecond
 	// serverBack is the time from a crash to the next start of the server.
 	serverBack = 3 * time.Second
 	deadlineMs = 1500
-	// leaveAfter is the time after which the caller leaves: half of the route's latency
-	// objective of 375 ms.
-	leaveAfter = 185 * time.Millisecond
 	// contact is the time after the third crash from which arrivals count.
 	contact = 4 * time.Second
 )
 
+// fatalTimes are the times at which the caller sends the request: at once and often, twice while
+// it leaves, and later, when it waits for the answer.
+var fatalTimes = []time.Duration{
+	0, 40 * time.Millisecond, 80 * time.Millisecond, 120 * time.Millisecond, 160 * time.Millisecond, 200 * time.Millisecond,
+	4960 * time.Millisecond, 5020 * time.Millisecond, 5080 * time.Millisecond, 5140 * time.Millisecond, 5200 * time.Millisecond, 5260 * time.Millisecond,
+	7500 * time.Millisecond, 9 * time.Second, 10500 * time.Millisecond,
+}
+
 // fatalPath is the path of the request that crashes servers.
 const fatalPath = "/hold/fatal"
 
@@ -50,9 +58,10 @@
 	var onFatal func(s *server)
 	onFatal = func(s *server) {
 		mu.Lock()
-		crashes = append(crashes, time.Now())
-		mu.Unlock()
-		s.crash(serverBack, func(*server) {})
+		defer mu.Unlock()
+		if s.crash(serverBack) {
+			crashes = append(crashes, time.Now())
+		}
 	}
 	for i := range 8 {
 		s := w.startServer(fmt.Sprintf("i-%d", i), "booking", i%4, 40*time.Millisecond, 400)
@@ -79,17 +88,21 @@
 			}
 		}()
 	}
-	refused := 0
-	for n := 0; ctx.Err() == nil; n++ {
+	var refused atomic.Int64
+	begin := time.Now()
+	for n, at := range fatalTimes {
+		sleep(ctx, time.Until(begin.Add(at)))
 		wait := 2 * time.Second
-		if trouble {
+		if trouble && at+leaveAfter <= givingUp {
 			wait = leaveAfter
 		}
-		begun := time.Now()
-		if w.post(n, fatalPath, fmt.Sprintf("f-%d", n), "item=fatal", wait) == http.StatusServiceUnavailable {
-			refused++
-		}
-		sleep(ctx, fatalPause-time.Since(begun))
+		group.Add(1)
+		go func() {
+			defer group.Done()
+			if w.post(n, fatalPath, fmt.Sprintf("f-%d", n), "item=fatal", wait) == http.StatusServiceUnavailable {
+				refused.Add(1)
+			}
+		}()
 	}
 	group.Wait()
 	mu.Lock()
@@ -103,7 +116,7 @@
 		}
 	}
 	text := fmt.Sprintf("fatal request: %d arrivals, %d crashes, %d refusals, %d arrivals later than 4 s after the third crash (allowed 3); other requests: %d sent, %d served",
-		len(arrivals), len(crashes), refused, late, sent.Load(), good.Load())
+		len(arrivals), len(crashes), refused.Load(), late, sent.Load(), good.Load())
 	w.record.add("%s", text)
 	fmt.Println(text)
 	return late > 3
--- a/review/stand-2/lost.go
+++ b/review/stand-2/lost.go
@@ -11,26 +11,41 @@
 	"time"
 )
 
-// Load of the case: callers that look up catalogue entries, four at a time on a kept connection.
+// Load of the case: callers that look up catalogue entries, eight at a time on a kept connection.
 const (
-	lostCallers = 6
-	lostAhead   = 4
-	lostTime    = 40 * time.Second
+	lostCallers = 16
+	lostAhead   = 8
+	lostPause   = 100 * time.Millisecond
 	lostAnswer  = 300 << 10
+	// The servers are faulty for garbleTime: garbleShare of their answers break off.
+	garbleTime  = 5500 * time.Millisecond
+	garbleShare = 0.02
+	// lostTime is the time of the load, from garbleBegin of which on servers are faulty.
+	lostTime    = 10 * time.Second
+	garbleBegin = 2 * time.Second
 )
 
 // runLost plays the case LOST: servers break answers off while callers pipeline.
 func runLost(w *world, trouble bool) bool {
 	w.configure(2, rule{"shop.example", "look", "safe", "/look/", "catalogue", 4, 2})
 	var servers []*server
-	for i := range 4 {
-		servers = append(servers, w.startServer(fmt.Sprintf("i-%d", i), "catalogue", i, 20*time.Millisecond, lostAnswer))
+	for i, zone := range []int{0, 1, 1, 2, 3, 3} {
+		servers = append(servers, w.startServer(fmt.Sprintf("i-%d", i), "catalogue", zone, 20*time.Millisecond, lostAnswer))
 	}
 	w.startHosts(4)
 	time.Sleep(5 * time.Second)
 	if trouble {
-		// One of two in each region.
-		servers[0].breakOff, servers[2].breakOff = 0.05, 0.05
+		// One of three in each region.
+		for _, x := range []float64{garbleShare, 0} {
+			after := garbleBegin
+			if x == 0 {
+				after += garbleTime
+			}
+			time.AfterFunc(after, func() {
+				servers[0].setBreakOff(x)
+				servers[3].setBreakOff(x)
+			})
+		}
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), lostTime)
 	defer cancel()
@@ -73,7 +88,7 @@
 					answered += got
 					unanswered = append(unanswered, ids[got:]...)
 					mu.Unlock()
-					sleep(ctx, 300*time.Millisecond)
+					sleep(ctx, lostPause)
 				}
 				_ = c.Close()
 			}
@@ -87,7 +102,7 @@
 		for k, s := range servers {
 			r, b := s.has(id)
 			broke = broke || b
-			sound = sound || r && k%2 == 1
+			sound = sound || r && k%3 != 0
 		}
 		switch {
 		case broke:
--- a/review/stand-2/main.go
+++ b/review/stand-2/main.go
@@ -25,6 +25,11 @@
 			code = 2
 		}
 	}()
+	// The hosts are in the group of this process, which run.sh ends.
+	if err := syscall.Setpgid(0, 0); err != nil {
+		fmt.Println("could not run:", err)
+		return 2
+	}
 	w := newWorld(os.Args[2])
 	defer w.end()
 	signals := make(chan os.Signal, 1)
--- a/review/stand-2/server.go
+++ b/review/stand-2/server.go
@@ -56,7 +56,16 @@
 // listen starts the server at the address.
 func (s *server) listen(addr string) {
 	l, err := net.Listen("tcp4", addr)
-	errRun(err, "server")
+	for tries := 0; err != nil && tries < 20; tries++ {
+		time.Sleep(50 * time.Millisecond)
+		l, err = net.Listen("tcp4", addr)
+	}
+	if err != nil {
+		// The server stays away.
+		s.ended.Store(true)
+		s.world.record.add("server %s can't listen: %v", s.id, err)
+		return
+	}
 	s.addr = l.Addr().String()
 	s.http = &http.Server{Handler: s, IdleTimeout: 10 * time.Second}
 	go func() { _ = s.http.Serve(l) }()
@@ -72,10 +81,10 @@
 }
 
 // crash ends the server at once. Its entry expires after three heartbeats. Another start of
-// it, under another id, is there after the time.
-func (s *server) crash(back time.Duration, begun func(*server)) {
+// it, under another id, is there after the time. It reports false for one that has ended.
+func (s *server) crash(back time.Duration) bool {
 	if s.ended.Swap(true) {
-		return
+		return false
 	}
 	s.world.record.add("server %s crashes", s.id)
 	_ = s.http.Close()
@@ -88,8 +97,8 @@
 		}
 		next.listen(s.addr)
 		s.world.record.add("server %s is back as %s", s.id, next.id)
-		begun(next)
 	})
+	return true
 }
 
 func (s *server) beat() {
@@ -156,10 +165,11 @@
 	h.Set("Server-Seal", "seal."+id)
 	h.Set("Content-Length", strconv.Itoa(len(body)))
 	h.Set("Server-Load", fmt.Sprintf("%d,0,3", len(s.slots)))
-	if rand.Float64() < s.breakOff {
-		s.mu.Lock()
-		s.broken[id] = true
-		s.mu.Unlock()
+	s.mu.Lock()
+	breaks := rand.Float64() < s.breakOff
+	s.broken[id] = breaks
+	s.mu.Unlock()
+	if breaks {
 		s.world.record.add("server %s breaks its answer to %s off", s.id, id)
 		_, _ = w.Write(body[:len(body)-5000])
 		_ = http.NewResponseController(w).Flush()
@@ -168,6 +178,13 @@
 	_, _ = w.Write(body)
 }
 
+func (s *server) setBreakOff(share float64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.world.record.add("server %s breaks %g of its answers off", s.id, share)
+	s.breakOff = share
+}
+
 func (s *server) has(id string) (ran, broke bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
