--- a/hitchd/internal/conns/pool.go
+++ b/hitchd/internal/conns/pool.go
@@ -13,6 +13,7 @@
 	"github.com/go-faster/errors"
 	"golang.org/x/sys/unix"
 
+	"magnoliahitch/links/socket"
 	"magnoliahitch/steer/quota"
 )
 
@@ -44,10 +45,13 @@
 	maxCarried = 512
 )
 
+// dialFunc opens a connection.
+type dialFunc func(ctx context.Context, network, addr string) (net.Conn, error)
+
 // Pool holds the idle connections to upstream servers, by address. It is safe
 // for concurrent use.
 type Pool struct {
-	dialer  *net.Dialer
+	dial    dialFunc
 	headers Headers
 	quota   *quota.Quota
 
@@ -64,7 +68,7 @@
 
 // New returns an empty pool that uses the given header names.
 func New(headers Headers, options ...Option) *Pool {
-	p := &Pool{dialer: Dialer(), headers: headers, quota: quota.New(quota.Of(0)), idle: make(map[string][]*conn)}
+	p := &Pool{dial: socket.Dial(Dialer()), headers: headers, quota: quota.New(quota.Of(0)), idle: make(map[string][]*conn)}
 	for _, o := range options {
 		o(p)
 	}
@@ -164,13 +168,13 @@
 	return id == "" || slices.Contains(c.carried, xxhash.Sum64String(id))
 }
 
-// dial opens a connection to the address.
-func (p *Pool) dial(ctx context.Context, addr string) (*conn, error) {
-	raw, err := p.dialer.DialContext(ctx, "tcp", addr)
+// open opens a connection to the address.
+func (p *Pool) open(ctx context.Context, addr string) (*conn, error) {
+	raw, err := p.dial(ctx, "tcp", addr)
 	if err != nil {
 		return nil, err
 	}
-	if t, ok := raw.(*net.TCPConn); ok {
+	if t, ok := raw.(lingerer); ok {
 		// Bytes that a cut holds up would reach the server after their attempt was given up,
 		// also one that this process doesn't outlive.
 		if err := t.SetLinger(0); err != nil {
@@ -182,9 +186,12 @@
 	return &conn{Conn: raw, addr: addr, in: in, reader: bufio.NewReaderSize(in, bufferSize), idleTimeout: idleMax}, nil
 }
 
+// lingerer is a connection whose close can reset it.
+type lingerer interface{ SetLinger(seconds int) error }
+
 // end closes the connection in order: the server gets all bytes that were written.
 func (c *conn) end() {
-	if t, ok := c.Conn.(*net.TCPConn); ok {
+	if t, ok := c.Conn.(lingerer); ok {
 		_ = t.SetLinger(-1)
 	}
 	_ = c.Close()
--- a/hitchd/internal/conns/send.go
+++ b/hitchd/internal/conns/send.go
@@ -207,7 +207,7 @@
 	case closed && !r.Check:
 		err = ErrIdleClosed
 	default:
-		c, err = p.dial(ctx, addr)
+		c, err = p.open(ctx, addr)
 	}
 	if err != nil {
 		return nil, result.NotRun, errors.Wrapf(err, "connect to %s at %s", id, addr)
