keep: end a response whose connection was lost as an error

What callers of the product's own interface saw: the part of a response before a reset as a whole one, if the upload was still being written.

Fix: the connections to servers are of package socket.

--- a/hitchd/internal/keep/pool.go
+++ b/hitchd/internal/keep/pool.go
@@ -10,6 +10,7 @@
 	"github.com/go-faster/errors"
 
 	"magnoliahitch/hitchd/internal/conns"
+	"magnoliahitch/links/socket"
 )
 
 // dialTimeout is the maximum time for opening a connection.
@@ -22,7 +23,8 @@
 // holds spare connections, which are opened in advance and not used yet; used ones
 // that are idle are held by the HTTP transport.
 type pool struct {
-	dialer net.Dialer
+	// connect opens a connection.
+	connect func(ctx context.Context, network, addr string) (net.Conn, error)
 
 	mu      sync.Mutex
 	servers map[string]*serverConns
@@ -37,7 +39,7 @@
 }
 
 func newPool() *pool {
-	return &pool{dialer: net.Dialer{Timeout: dialTimeout}, servers: make(map[string]*serverConns)}
+	return &pool{connect: socket.Dial(&net.Dialer{Timeout: dialTimeout}), servers: make(map[string]*serverConns)}
 }
 
 // setLimit sets how many connections may be open to the address. An address
@@ -107,7 +109,7 @@
 	}
 	s.open++
 	p.mu.Unlock()
-	raw, err := p.dialer.DialContext(ctx, "tcp", addr)
+	raw, err := p.connect(ctx, "tcp", addr)
 	if err != nil {
 		p.closed(addr)
 		return nil, err
@@ -195,7 +197,7 @@
 // resetOnClose sets whether the close of the connection resets it, so that bytes which a cut
 // holds up don't reach the server later, also when this process ends.
 func (c *conn) resetOnClose(on bool) {
-	t, ok := c.Conn.(*net.TCPConn)
+	t, ok := c.Conn.(interface{ SetLinger(seconds int) error })
 	if !ok {
 		return
 	}
