head, conns: end an attempt whose response has an invalid header line

What callers saw: a server sent a head in which the name of a field held a blank. They got a signed 200 with that line's framing ignored, so that chunk sizes stood in the body, and with "s X: 1" for the signature where the line began with a blank.

Cause: net/http accepts blanks in the names of fields, and joins a line that begins with a blank or a tab to the one before. Names with control bytes were an error already.

Fix: the bytes of each header, of informational responses, refusals, health checks and responses to other requests too, are scanned by the grammar of RFC 9112 before net/http sees them; trailers are checked by their names. A carriage return without a line feed and a zero byte are invalid as well, by RFC 9110, 5.5. The attempt has an unknown outcome, its connection is closed, and it is no crash of the server, like one without a valid status.

--- a/hitchd/internal/conns/pool.go
+++ b/hitchd/internal/conns/pool.go
@@ -13,6 +13,7 @@
 	"github.com/go-faster/errors"
 	"golang.org/x/sys/unix"
 
+	"magnoliahitch/links/head"
 	"magnoliahitch/links/socket"
 	"magnoliahitch/steer/quota"
 )
@@ -201,18 +202,40 @@
 type bounded struct {
 	conn net.Conn
 	left int64
+	// head checks the bytes of the header of a response, nil outside of one. Invalid is its
+	// error, after which nothing more is read.
+	head    *head.Scanner
+	invalid error
 }
 
-// Read reads from the connection. It returns errTooLong at the bound.
+// Read reads from the connection. It returns errTooLong at the bound, and [ErrInvalidHeader]
+// instead of the bytes of an invalid header.
 func (b *bounded) Read(p []byte) (int, error) {
-	if b.left <= 0 {
+	switch {
+	case b.invalid != nil:
+		return 0, b.invalid
+	case b.left <= 0:
 		return 0, errTooLong
 	}
 	n, err := b.conn.Read(p[:min(int64(len(p)), b.left)])
 	b.left -= int64(n)
+	if b.scan(p[:n]); b.invalid != nil {
+		return 0, b.invalid
+	}
 	return n, err
 }
 
+// scan checks those of the bytes that belong to a header.
+func (b *bounded) scan(p []byte) {
+	if b.head == nil {
+		return
+	}
+	var done bool
+	if _, done, b.invalid = b.head.Scan(p); done {
+		b.head = nil
+	}
+}
+
 // take removes the connection that became idle last and returns it, nil if there is none.
 func (p *Pool) take(addr string) *conn {
 	p.mu.Lock()
--- a/hitchd/internal/conns/read.go
+++ b/hitchd/internal/conns/read.go
@@ -13,6 +13,7 @@
 
 	"magnoliahitch/hitchd/internal/call"
 	"magnoliahitch/links/clock"
+	"magnoliahitch/links/head"
 	"magnoliahitch/steer/result"
 )
 
@@ -59,7 +60,7 @@
 			return nil, errOtherRequest
 		}
 		x.conn.in.left = maxSkippedBody
-		if _, err := io.Copy(io.Discard, res.Body); err != nil {
+		if _, err := io.Copy(io.Discard, body{res}); err != nil {
 			return nil, errors.Wrap(err, "skip response to another request")
 		}
 	}
@@ -92,11 +93,19 @@
 }
 
 // readHeader reads the header of the next final response and skips informational
-// ones. It returns [ErrInvalidStatus] for one that is neither.
+// ones. It returns [ErrInvalidStatus] for one that is neither, and [ErrInvalidHeader] for one
+// with an invalid line.
 func (x *exchange) readHeader() (*http.Response, error) {
 	x.conn.in.left = maxResponseHeader
 	for {
+		if err := x.conn.beginHead(); err != nil {
+			return nil, errors.Wrap(err, "read answer")
+		}
 		res, err := http.ReadResponse(x.conn.reader, &http.Request{Method: x.request.Method})
+		if invalid := x.conn.in.invalid; err != nil && invalid != nil {
+			// The parser may have another error for the line that was cut off.
+			err = invalid
+		}
 		if err != nil {
 			return nil, errors.Wrap(err, "read answer")
 		}
@@ -109,6 +118,32 @@
 	}
 }
 
+// beginHead begins the check of the next header, whose first bytes may have been read already.
+func (c *conn) beginHead() error {
+	// It has all bytes that are buffered.
+	buffered, err := c.reader.Peek(c.reader.Buffered())
+	if err != nil {
+		return err
+	}
+	c.in.head = &head.Scanner{}
+	c.in.scan(buffered)
+	return c.in.invalid
+}
+
+// body is the body of a response, which ends with its trailer.
+type body struct{ *http.Response }
+
+// Read reads from the body. It returns [ErrInvalidHeader] for its end if the trailer is invalid.
+func (b body) Read(p []byte) (int, error) {
+	n, err := b.Body.Read(p)
+	if err == io.EOF {
+		if invalid := head.Check(b.Trailer); invalid != nil {
+			return n, errors.Wrap(invalid, "read trailer")
+		}
+	}
+	return n, err
+}
+
 func (x *exchange) readBody(res *http.Response, skipped bool) (*Response, error) {
 	a := &Response{Status: res.StatusCode, Header: res.Header, Length: res.ContentLength, Reused: x.reused, Sent: x.written, quota: x.pool.quota}
 	framed := res.ContentLength >= 0 || len(res.TransferEncoding) > 0
@@ -130,7 +165,7 @@
 	}
 	x.begun = true
 	x.conn.in.left = maxResponseBody
-	ended, err := a.buffer(res.Body)
+	ended, err := a.buffer(body{res})
 	if err != nil {
 		n := len(a.Body)
 		a.Close()
@@ -138,7 +173,7 @@
 	}
 	if !ended {
 		x.widen(a)
-		a.Stream = &stream{Reader: res.Body, onEnd: func(err error) { x.end(framed && err == nil, reusable) }}
+		a.Stream = &stream{Reader: body{res}, onEnd: func(err error) { x.end(framed && err == nil, reusable) }}
 		return a, nil
 	}
 	if x.request.Method != http.MethodHead {
@@ -155,7 +190,7 @@
 	if err := x.conn.SetReadDeadline(time.Now().Add(skipTime)); err != nil {
 		return false
 	}
-	if _, err := io.Copy(io.Discard, res.Body); err != nil {
+	if _, err := io.Copy(io.Discard, body{res}); err != nil {
 		return false
 	}
 	return x.conn.SetReadDeadline(time.Time{}) == nil
--- a/hitchd/internal/conns/send.go
+++ b/hitchd/internal/conns/send.go
@@ -15,6 +15,7 @@
 	"github.com/go-faster/errors"
 
 	"magnoliahitch/links/clock"
+	"magnoliahitch/links/head"
 	"magnoliahitch/steer/quota"
 	"magnoliahitch/steer/result"
 )
@@ -96,6 +97,10 @@
 // request. What follows on the connection can't be told.
 var ErrInvalidStatus = errors.New("answer has no valid status")
 
+// ErrInvalidHeader is the error of an attempt whose response has an invalid line in its header,
+// or an invalid trailer.
+var ErrInvalidHeader = head.ErrInvalid
+
 // Errors of attempts.
 var (
 	errOtherRequest = errors.New("answer belongs to another request")
--- a/hitchd/internal/edge/run.go
+++ b/hitchd/internal/edge/run.go
@@ -274,7 +274,7 @@
 	switch {
 	case a == nil && errors.Is(err, conns.ErrUnfinished) && !late:
 		return pick.Failed
-	case a == nil && errors.Is(err, conns.ErrInvalidStatus):
+	case a == nil && (errors.Is(err, conns.ErrInvalidStatus) || errors.Is(err, conns.ErrInvalidHeader)):
 		return pick.Failed
 	case a == nil && (ctx.Err() != nil || late && errors.As(err, &timeout) && timeout.Timeout()):
 		return pick.Abandoned
--- /dev/null
+++ b/links/head/head.go
@@ -0,0 +1,144 @@
+package head
+
+import (
+	"net/http"
+
+	"github.com/go-faster/errors"
+)
+
+// ErrInvalid is the error of a head that breaks the syntax of RFC 9112.
+var ErrInvalid = errors.New("invalid header of a response")
+
+// state is the position in a head.
+type state uint8
+
+const (
+	inVersion state = iota
+	beforeStatus
+	inStatusLine
+	atLine
+	inName
+	inValue
+	// afterReturn follows the carriage return of a line, atEnd that of the empty line.
+	afterReturn
+	atEnd
+)
+
+// Scanner checks the head of a response. The zero value expects its first byte.
+type Scanner struct {
+	state state
+	// line is the number of the line in the head, from 0 on.
+	line    int
+	interim bool
+}
+
+// Interim reports whether the status line that was scanned is one of an informational response,
+// behind which another head follows.
+func (s *Scanner) Interim() bool { return s.interim }
+
+// Scan checks the next bytes. It returns the number of those that belong to the head, and whether
+// the head is complete. The error is [ErrInvalid].
+func (s *Scanner) Scan(b []byte) (n int, done bool, err error) {
+	for i, c := range b {
+		done, ok := s.next(c)
+		if !ok {
+			return i, false, errors.Wrapf(ErrInvalid, "line %d: unexpected byte 0x%02x %s", s.line+1, c, s.state)
+		}
+		if done {
+			return i + 1, true, nil
+		}
+	}
+	return len(b), false, nil
+}
+
+// next checks a byte, and reports whether it ends the head and whether it is valid.
+func (s *Scanner) next(c byte) (done, ok bool) {
+	switch s.state {
+	case inVersion:
+		if c == ' ' {
+			s.state = beforeStatus
+			return false, true
+		}
+		return false, s.inLine(c)
+	case beforeStatus:
+		if c != ' ' {
+			s.state, s.interim = inStatusLine, c == '1'
+		}
+		return false, s.inLine(c)
+	case atLine:
+		switch {
+		case c == '\n':
+			return true, true
+		case c == '\r':
+			s.state = atEnd
+			return false, true
+		}
+		s.state = inName
+		return false, isToken(c)
+	case inName:
+		if c == ':' {
+			s.state = inValue
+			return false, true
+		}
+		return false, isToken(c)
+	case afterReturn:
+		return false, c == '\n' && s.inLine(c)
+	case atEnd:
+		return c == '\n', c == '\n'
+	}
+	return false, s.inLine(c)
+}
+
+// inLine checks a byte of the status line or of a value.
+func (s *Scanner) inLine(c byte) bool {
+	switch c {
+	case '\n':
+		s.state = atLine
+		s.line++
+	case '\r':
+		s.state = afterReturn
+	}
+	return c != 0
+}
+
+// String names the position for errors.
+func (s state) String() string {
+	switch s {
+	case atLine, inName:
+		return "in the name of a field"
+	case afterReturn, atEnd:
+		return "behind a carriage return"
+	case inValue:
+		return "in the value of a field"
+	}
+	return "in the status line"
+}
+
+// Check returns [ErrInvalid] if a name in the header is no token. Use it where the bytes can't be
+// scanned: it doesn't know of lines that were joined.
+func Check(h http.Header) error {
+	for name := range h {
+		for i := range len(name) {
+			if !isToken(name[i]) {
+				return errors.Wrapf(ErrInvalid, "field %q", name)
+			}
+		}
+		if name == "" {
+			return errors.Wrap(ErrInvalid, "field without a name")
+		}
+	}
+	return nil
+}
+
+// isToken reports whether the byte may be in a token, RFC 9110, section 5.6.2.
+func isToken(c byte) bool {
+	switch {
+	case 'a' <= c && c <= 'z', 'A' <= c && c <= 'Z', '0' <= c && c <= '9':
+		return true
+	}
+	switch c {
+	case '!', '#', '$', '%', '&', '\'', '*', '+', '-', '.', '^', '_', '`', '|', '~':
+		return true
+	}
+	return false
+}
