keep: end an attempt whose response has an invalid header line

A refusal in such a response was taken for a proof that the operation hasn't run.

The connections of the transport scan what they read, from the moment an attempt owns them to the end of the header that isn't informational. An invalid header isn't a crash of its server.

--- a/hitchd/internal/conns/read.go
+++ b/hitchd/internal/conns/read.go
@@ -60,7 +60,7 @@
 			return nil, errOtherRequest
 		}
 		x.conn.in.left = maxSkippedBody
-		if _, err := io.Copy(io.Discard, body{res}); err != nil {
+		if _, err := io.Copy(io.Discard, head.Body(res)); err != nil {
 			return nil, errors.Wrap(err, "skip response to another request")
 		}
 	}
@@ -130,20 +130,6 @@
 	return c.in.invalid
 }
 
-// body is the body of a response, which ends with its trailer.
-type body struct{ *http.Response }
-
-// Read reads from the body. It returns [ErrInvalidHeader] for its end if the trailer is invalid.
-func (b body) Read(p []byte) (int, error) {
-	n, err := b.Body.Read(p)
-	if err == io.EOF {
-		if invalid := head.Check(b.Trailer); invalid != nil {
-			return n, errors.Wrap(invalid, "read trailer")
-		}
-	}
-	return n, err
-}
-
 func (x *exchange) readBody(res *http.Response, skipped bool) (*Response, error) {
 	a := &Response{Status: res.StatusCode, Header: res.Header, Length: res.ContentLength, Reused: x.reused, Sent: x.written, quota: x.pool.quota}
 	framed := res.ContentLength >= 0 || len(res.TransferEncoding) > 0
@@ -165,7 +151,7 @@
 	}
 	x.begun = true
 	x.conn.in.left = maxResponseBody
-	ended, err := a.buffer(body{res})
+	ended, err := a.buffer(head.Body(res))
 	if err != nil {
 		n := len(a.Body)
 		a.Close()
@@ -173,7 +159,7 @@
 	}
 	if !ended {
 		x.widen(a)
-		a.Stream = &stream{Reader: body{res}, onEnd: func(err error) { x.end(framed && err == nil, reusable) }}
+		a.Stream = &stream{Reader: head.Body(res), onEnd: func(err error) { x.end(framed && err == nil, reusable) }}
 		return a, nil
 	}
 	if x.request.Method != http.MethodHead {
@@ -190,7 +176,7 @@
 	if err := x.conn.SetReadDeadline(time.Now().Add(skipTime)); err != nil {
 		return false
 	}
-	if _, err := io.Copy(io.Discard, body{res}); err != nil {
+	if _, err := io.Copy(io.Discard, head.Body(res)); err != nil {
 		return false
 	}
 	return x.conn.SetReadDeadline(time.Time{}) == nil
--- a/hitchd/internal/keep/attempt.go
+++ b/hitchd/internal/keep/attempt.go
@@ -52,9 +52,20 @@
 	c.exchange.Lock()
 	c.resetOnClose(true)
 	a.used = append(a.used, c)
+	c.expect()
 	c.attempt.Store(a)
 }
 
+// invalidHeader returns the error of an invalid header on one of the connections, nil for none.
+func (a *attempt) invalidHeader() error {
+	for _, c := range a.used {
+		if err := c.invalidHeader(); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
 // release gives the connections up. After the last exchange no other attempt may use them: the
 // server could repeat a refusal, and nothing tells which request it belongs to. Without a response
 // their close resets them.
--- a/hitchd/internal/keep/pool.go
+++ b/hitchd/internal/keep/pool.go
@@ -10,6 +10,7 @@
 	"github.com/go-faster/errors"
 
 	"magnoliahitch/hitchd/internal/conns"
+	"magnoliahitch/links/head"
 	"magnoliahitch/links/socket"
 )
 
@@ -192,6 +193,53 @@
 	// ended is set once a response on the connection refused a request or had no valid status.
 	ended  atomic.Bool
 	closed func()
+
+	// mu guards the check of the header of the response to the attempt. Scanner is nil outside
+	// of a header, and invalid is its error, after which nothing more is read.
+	mu      sync.Mutex
+	scanner *head.Scanner
+	invalid error
+}
+
+// expect begins the check of the header of the next response.
+func (c *conn) expect() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.scanner = &head.Scanner{}
+}
+
+// invalidHeader returns the error of the header, nil if it was valid so far.
+func (c *conn) invalidHeader() error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.invalid
+}
+
+// Read reads from the connection. It returns [head.ErrInvalid] instead of the bytes of an invalid
+// header.
+func (c *conn) Read(b []byte) (int, error) {
+	n, err := c.Conn.Read(b)
+	if invalid := c.scan(b[:n]); invalid != nil {
+		return 0, invalid
+	}
+	return n, err
+}
+
+// scan checks those of the bytes that belong to a header.
+func (c *conn) scan(b []byte) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for c.scanner != nil && len(b) > 0 && c.invalid == nil {
+		n, done, err := c.scanner.Scan(b)
+		b, c.invalid = b[n:], err
+		switch {
+		case done && c.scanner.Interim():
+			c.scanner = &head.Scanner{}
+		case done:
+			c.scanner = nil
+		}
+	}
+	return c.invalid
 }
 
 // resetOnClose sets whether the close of the connection resets it, so that bytes which a cut
--- a/hitchd/internal/keep/send.go
+++ b/hitchd/internal/keep/send.go
@@ -14,6 +14,7 @@
 
 	"magnoliahitch/hitchd/internal/call"
 	"magnoliahitch/links/clock"
+	"magnoliahitch/links/head"
 	"magnoliahitch/steer/config"
 	"magnoliahitch/steer/crash"
 	"magnoliahitch/steer/result"
@@ -70,7 +71,7 @@
 			continue
 		}
 		e, crashed := a.classify(ctx, err, to.Name)
-		return nil, crashed && !errors.Is(err, errInvalidStatus), e
+		return nil, crashed && !errors.Is(err, errInvalidStatus) && !errors.Is(err, head.ErrInvalid), e
 	}
 }
 
@@ -94,6 +95,10 @@
 		},
 	}
 	res, err := s.transport.RoundTrip(req.WithContext(httptrace.WithClientTrace(req.Context(), trace)))
+	if invalid := a.invalidHeader(); err != nil && invalid != nil {
+		// The transport may have another error for the line that was cut off.
+		err = errors.Wrap(invalid, "read response")
+	}
 	invalid := err == nil && !call.IsFinal(res.StatusCode)
 	refused := err == nil && !invalid && refusedBeforeRun(res)
 	if refused || invalid {
--- a/hitchd/internal/keep/try.go
+++ b/hitchd/internal/keep/try.go
@@ -10,6 +10,7 @@
 
 	"magnoliahitch/hitchd/internal/call"
 	"magnoliahitch/links/clock"
+	"magnoliahitch/links/head"
 	"magnoliahitch/steer/result"
 	"magnoliahitch/steer/slots"
 )
@@ -53,7 +54,7 @@
 	if n, err := strconv.Atoi(res.Header.Get(headerRunning)); err == nil {
 		t.cell.report(clock.Now(), name, n)
 	}
-	body := newTrackedBody(t.ctx, res.Body, func(err error) { t.finishBody(res, err) })
+	body := newTrackedBody(t.ctx, head.Body(res), func(err error) { t.finishBody(res, err) })
 	return roundResult{server: name, response: &call.Response{
 		Status: res.StatusCode,
 		Header: call.EndToEnd(res.Header),
@@ -78,7 +79,7 @@
 	case t.ctx.Err() != nil || errors.Is(err, errClosedEarly):
 		e.Reason = result.ReasonCanceled
 	default:
-		crashed = true
+		crashed = !errors.Is(err, head.ErrInvalid)
 	}
 	t.finish(e, crashed)
 }
--- a/links/head/head.go
+++ b/links/head/head.go
@@ -1,6 +1,7 @@
 package head
 
 import (
+	"io"
 	"net/http"
 
 	"github.com/go-faster/errors"
@@ -114,6 +115,26 @@
 	return "in the status line"
 }
 
+// Body returns the body of the response. Its end is [ErrInvalid] instead of [io.EOF] if a name in
+// the trailer is no token.
+func Body(r *http.Response) io.ReadCloser { return body{r.Body, r} }
+
+type body struct {
+	io.ReadCloser
+	response *http.Response
+}
+
+// Read reads from the body.
+func (b body) Read(p []byte) (int, error) {
+	n, err := b.ReadCloser.Read(p)
+	if err == io.EOF {
+		if invalid := Check(b.response.Trailer); invalid != nil {
+			return n, errors.Wrap(invalid, "read trailer")
+		}
+	}
+	return n, err
+}
+
 // Check returns [ErrInvalid] if a name in the header is no token. Use it where the bytes can't be
 // scanned: it doesn't know of lines that were joined.
 func Check(h http.Header) error {
