relay: take no answer to a poll with an invalid header line

An answer to a poll between hosts with a blank in the name of a field, or of a trailer, was taken.

An answer without a valid status, and one that breaks off at any byte, were errors before: the status must be 200, and its encoding tells its end. Their tests are kept (TestPollThatBreaksOff).

--- a/hitchd/internal/relay/poll.go
+++ b/hitchd/internal/relay/poll.go
@@ -15,6 +15,7 @@
 	"magnoliahitch/hitchd/internal/peer"
 	"magnoliahitch/hitchd/internal/watch"
 	"magnoliahitch/links/clock"
+	"magnoliahitch/links/head"
 	"magnoliahitch/steer/fleet"
 	"magnoliahitch/steer/member"
 )
@@ -105,7 +106,10 @@
 	if res.StatusCode != http.StatusOK {
 		return errors.Errorf("status %d", res.StatusCode)
 	}
-	if data, err = io.ReadAll(io.LimitReader(res.Body, maxResponse)); err != nil {
+	if err := head.Check(res.Header); err != nil {
+		return err
+	}
+	if data, err = io.ReadAll(io.LimitReader(head.Body(res), maxResponse)); err != nil {
 		return err
 	}
 	return msgpack.Unmarshal(data, out)
