client: take no answer of a host with an invalid header line

hitchctl took an answer with a blank in the name of a field.

An answer without a valid status, and one that breaks off at any byte, failed before: JSON tells its end. Their tests are kept (TestAnswerThatBreaksOff).

--- a/hitchctl/client/call.go
+++ b/hitchctl/client/call.go
@@ -12,6 +12,7 @@
 
 	"github.com/go-faster/errors"
 
+	"magnoliahitch/links/head"
 	"magnoliahitch/steer/config"
 )
 
@@ -120,7 +121,10 @@
 		return errors.Wrapf(err, "call host %s", addr)
 	}
 	defer res.Body.Close()
-	data, err := io.ReadAll(io.LimitReader(res.Body, maxResponse))
+	if err := head.Check(res.Header); err != nil {
+		return errors.Wrapf(err, "call host %s", addr)
+	}
+	data, err := io.ReadAll(io.LimitReader(head.Body(res), maxResponse))
 	if err != nil {
 		return errors.Wrapf(err, "call host %s", addr)
 	}
--- a/hitchctl/client/explain.go
+++ b/hitchctl/client/explain.go
@@ -7,6 +7,8 @@
 	"net/url"
 
 	"github.com/go-faster/errors"
+
+	"magnoliahitch/links/head"
 )
 
 type serviceArgument struct {
@@ -118,11 +120,14 @@
 		return errors.Wrapf(err, "look up at host %s", addr)
 	}
 	defer res.Body.Close()
+	if err := head.Check(res.Header); err != nil {
+		return errors.Wrapf(err, "look up at host %s", addr)
+	}
 	if res.StatusCode != http.StatusOK {
 		return withExitCode(ExitRefused, errors.Errorf("look up %s at host %s: %s", c.Args.Service, addr, res.Header.Get("Hitch-Reason")))
 	}
 	var a lookupResponse
-	if err := json.NewDecoder(res.Body).Decode(&a); err != nil {
+	if err := json.NewDecoder(head.Body(res)).Decode(&a); err != nil {
 		return errors.Wrapf(err, "look up at host %s", addr)
 	}
 	return c.session.print(a, func() {
