head: refuse transfer codings in HTTP/1.0 and other versions of HTTP

Callers got the sizes of chunks as a part of a signed body when a server sent a chunked body with the version HTTP/1.0. Bodies of HTTP/2.0 and 0.9 in the framing of 1.1 came as answers too.

Cause: net/http drops Transfer-Encoding from a message of HTTP/1.0, which RFC 9112, 6.1, has treated as one with faulty framing, and takes any version.

--- a/hitchd/internal/conns/head_test.go
+++ b/hitchd/internal/conns/head_test.go
@@ -92,3 +92,30 @@
 		}
 	}
 }
+
+// A server sent a chunked body in HTTP/1.0, which has no transfer codings, or in a version whose
+// framing isn't that of HTTP/1.1. Callers got the sizes of the chunks as a part of the body.
+func TestFramingOfOtherVersionIsNoAnswer(t *testing.T) {
+	const fields = "X-Id: 1\r\nX-Signed: s\r\n"
+	const chunks = "5\r\nhello\r\n0\r\n\r\n"
+	for text, want := range map[string]string{
+		"HTTP/1.0 200 OK\r\n" + fields + "Transfer-Encoding: chunked\r\n\r\n" + chunks:                       "",
+		"HTTP/1.0 200 OK\r\ntransfer-ENCODING:chunked\r\n" + fields + "Content-Length: 15\r\n\r\n" + chunks:  "",
+		"HTTP/2.0 200 OK\r\n" + fields + "Content-Length: 5\r\n\r\nhello":                                    "",
+		"HTTP/0.9 200 OK\r\n" + fields + "\r\nhello":                                                         "",
+		"HTTP/1.0 200 OK\r\n" + fields + "Content-Length: 5\r\n\r\nhello":                                    "hello",
+		"HTTP/1.0 200 OK\r\n" + fields + "Transfer-Encodings: chunked\r\nTransfer: a\r\n\r\nhello":           "hello",
+		"HTTP/1.1 200 OK\r\n" + fields + "Transfer-Encoding: chunked\r\n\r\n" + chunks:                       "hello",
+		"HTTP/1.1 200 OK\r\n" + fields + "Transfer-Encoding: chunked\r\nContent-Length: 99\r\n\r\n" + chunks: "hello",
+	} {
+		u := listen(t, func(c net.Conn, _ *bufio.Reader, _ string) {
+			_, _ = io.WriteString(c, text)
+			time.Sleep(20 * time.Millisecond)
+			_ = c.Close()
+		})
+		a, outcome, err := send(t, New(headers), request("1"), u.addr)
+		if want == "" && (!errors.Is(err, head.ErrInvalid) || outcome != result.Unknown) || want != "" && (err != nil || string(a.Body) != want) {
+			t.Errorf("%q: got %v, outcome %s, error %v, want body %q", text, a, outcome, err, want)
+		}
+	}
+}
--- a/links/head/head.go
+++ b/links/head/head.go
@@ -28,11 +28,21 @@
 // Scanner checks the head of a response. The zero value expects its first byte.
 type Scanner struct {
 	state state
-	// line is the number of the line in the head, from 0 on.
-	line    int
-	interim bool
+	// line is the number of the line in the head, from 0 on, column the number of bytes of the
+	// version or of the name before the next one.
+	line, column int
+	interim      bool
+	// uncoded is set for HTTP/1.0, which has no transfer codings, and coded while the name is
+	// the beginning of the field that names one.
+	uncoded, coded bool
 }
 
+const (
+	// version is that of all heads but for its last digit.
+	version        = "HTTP/1."
+	transferCoding = "transfer-encoding"
+)
+
 // Interim reports whether the status line that was scanned is one of an informational response,
 // behind which another head follows.
 func (s *Scanner) Interim() bool { return s.interim }
@@ -56,11 +66,7 @@
 func (s *Scanner) next(c byte) (done, ok bool) {
 	switch s.state {
 	case inVersion:
-		if c == ' ' {
-			s.state = beforeStatus
-			return false, true
-		}
-		return false, s.inLine(c)
+		return false, s.inVersion(c)
 	case beforeStatus:
 		if c != ' ' {
 			s.state, s.interim = inStatusLine, c == '1'
@@ -74,14 +80,14 @@
 			s.state = atEnd
 			return false, true
 		}
-		s.state = inName
-		return false, isToken(c)
+		s.state, s.column, s.coded = inName, 0, s.uncoded
+		return false, s.inName(c)
 	case inName:
 		if c == ':' {
 			s.state = inValue
-			return false, true
+			return false, !s.coded || s.column != len(transferCoding)
 		}
-		return false, isToken(c)
+		return false, s.inName(c)
 	case afterReturn:
 		return false, c == '\n' && s.inLine(c)
 	case atEnd:
@@ -90,6 +96,27 @@
 	return false, s.inLine(c)
 }
 
+// inVersion checks a byte of the version, or the blank behind it.
+func (s *Scanner) inVersion(c byte) bool {
+	s.column++
+	switch n := s.column - 1; {
+	case n < len(version):
+		return c == version[n]
+	case n == len(version):
+		s.uncoded = c == '0'
+		return '0' <= c && c <= '9'
+	}
+	s.state = beforeStatus
+	return c == ' '
+}
+
+// inName checks a byte of the name of a field.
+func (s *Scanner) inName(c byte) bool {
+	s.coded = s.coded && s.column < len(transferCoding) && c|0x20 == transferCoding[s.column]|0x20
+	s.column++
+	return isToken(c)
+}
+
 // inLine checks a byte of the status line or of a value.
 func (s *Scanner) inLine(c byte) bool {
 	switch c {
