standin/soak: keep a reset as one on its way through a link

The link between a host and a server gave an orderly end for a server's reset, if its write to the server had taken the error: the cause that package socket mends in the product. A host behind it can't tell such a part from a whole response.

The connections of links are of package socket, whose New now takes TCP connections alone.

--- a/links/socket/socket.go
+++ b/links/socket/socket.go
@@ -24,13 +24,9 @@
 	lost error
 }
 
-// New returns the connection as a [Conn]. One without a TCP socket is returned as it is. The
-// error is that of a connection which is closed.
-func New(c net.Conn) (net.Conn, error) {
-	t, ok := c.(*net.TCPConn)
-	if !ok {
-		return c, nil
-	}
+// New returns the connection as a [Conn], whose owner leaves the connection alone. The error is
+// that of a connection which is closed.
+func New(t *net.TCPConn) (*Conn, error) {
 	raw, err := t.SyscallConn()
 	if err != nil {
 		return nil, errors.Wrap(err, "access socket")
@@ -46,7 +42,11 @@
 		if err != nil {
 			return nil, err
 		}
-		c, err := New(raw)
+		t, ok := raw.(*net.TCPConn)
+		if !ok {
+			return raw, nil
+		}
+		c, err := New(t)
 		if err != nil {
 			_ = raw.Close()
 			return nil, err
@@ -145,5 +145,8 @@
 // SetLinger is [net.TCPConn.SetLinger].
 func (c *Conn) SetLinger(seconds int) error { return c.tcp.SetLinger(seconds) }
 
+// CloseWrite is [net.TCPConn.CloseWrite].
+func (c *Conn) CloseWrite() error { return c.tcp.CloseWrite() }
+
 // SetReadBuffer is [net.TCPConn.SetReadBuffer].
 func (c *Conn) SetReadBuffer(bytes int) error { return c.tcp.SetReadBuffer(bytes) }
--- a/links/socket/socket_test.go
+++ b/links/socket/socket_test.go
@@ -5,6 +5,7 @@
 	"io"
 	"net"
 	"net/http"
+	"path/filepath"
 	"strings"
 	"sync"
 	"syscall"
@@ -173,19 +174,22 @@
 	}
 }
 
-// A connection without a socket stays as it is, and the error of the dialer is returned.
-func TestOtherConnections(t *testing.T) {
-	a, b := net.Pipe()
-	defer a.Close()
-	defer b.Close()
-	if c, err := New(a); c != a || err != nil {
-		t.Errorf("got %v, error %v, want the pipe", c, err)
-	}
+// The error of the dialer is returned, and a connection that isn't over TCP as it is.
+func TestDial(t *testing.T) {
 	ctx, cancel := context.WithCancel(t.Context())
 	cancel()
 	if c, err := Dial(&net.Dialer{})(ctx, "tcp", "127.0.0.1:1"); err == nil {
 		t.Errorf("got %v, want an error", c)
 	}
+	l, err := net.Listen("unix", filepath.Join(t.TempDir(), "socket"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	c, err := Dial(&net.Dialer{})(t.Context(), "unix", l.Addr().String())
+	if _, ok := c.(*net.UnixConn); !ok || err != nil {
+		t.Errorf("got %T, error %v, want a connection of package net", c, err)
+	}
 }
 
 // net/http took the part before a reset for a whole response, if its write of the request got
--- a/standin/internal/soak/link.go
+++ b/standin/internal/soak/link.go
@@ -8,6 +8,8 @@
 	"time"
 
 	"github.com/go-faster/errors"
+
+	"magnoliahitch/links/socket"
 )
 
 // Direction is the direction of bytes through a link.
@@ -48,7 +50,7 @@
 
 // pipe is one connection through a link.
 type pipe struct {
-	near, far *net.TCPConn
+	near, far *socket.Conn
 	// blocked is closed to block both directions for good, done when the pipe is reset.
 	blocked, done       chan struct{}
 	blockOnce, doneOnce sync.Once
@@ -143,26 +145,30 @@
 		if err != nil {
 			return
 		}
-		go l.proxy(c.(*net.TCPConn))
+		near, err := socket.New(c.(*net.TCPConn))
+		if err != nil {
+			// Closed already.
+			continue
+		}
+		go l.proxy(near)
 	}
 }
 
 // proxy forwards one connection until both directions have ended.
-func (l *Link) proxy(near *net.TCPConn) {
+func (l *Link) proxy(near *socket.Conn) {
 	l.mu.Lock()
 	target, refuse := l.target, l.fault.Refuse
 	l.mu.Unlock()
-	d := net.Dialer{LocalAddr: l.source}
 	var far net.Conn
 	var err error
 	if !refuse {
-		far, err = d.Dial("tcp4", target)
+		far, err = socket.Dial(&net.Dialer{LocalAddr: l.source})(context.Background(), "tcp4", target)
 	}
 	if refuse || err != nil {
 		abort(near)
 		return
 	}
-	p := &pipe{near: near, far: far.(*net.TCPConn), blocked: make(chan struct{}), done: make(chan struct{})}
+	p := &pipe{near: near, far: far.(*socket.Conn), blocked: make(chan struct{}), done: make(chan struct{})}
 	l.mu.Lock()
 	l.pipes[p] = true
 	l.mu.Unlock()
@@ -179,7 +185,7 @@
 
 // forward copies bytes from one side of the pipe to the other, and then the end
 // of the stream. Any other error resets the pipe.
-func (l *Link) forward(p *pipe, to, from *net.TCPConn, d Direction) {
+func (l *Link) forward(p *pipe, to, from *socket.Conn, d Direction) {
 	b := make([]byte, linkBuffer)
 	for {
 		n, err := from.Read(b)
@@ -236,8 +242,14 @@
 	p.doneOnce.Do(func() { close(p.done) })
 }
 
+// resetter is a connection whose close can reset it.
+type resetter interface {
+	SetLinger(seconds int) error
+	Close() error
+}
+
 // abort closes a connection with a TCP reset.
-func abort(c *net.TCPConn) {
+func abort(c resetter) {
 	_ = c.SetLinger(0)
 	_ = c.Close()
 }
--- a/standin/internal/soak/link_test.go
+++ b/standin/internal/soak/link_test.go
@@ -7,6 +7,8 @@
 	"time"
 
 	"github.com/go-faster/errors"
+
+	"magnoliahitch/links/socket"
 )
 
 // newEchoLink returns a link to an echo server, and a function that opens a
@@ -44,6 +46,47 @@
 	}
 }
 
+// A server's reset stays one on its way through a link, also when the link is still sending to the
+// server. The link's write got the error of the socket, and its read an orderly end.
+func TestResetStaysReset(t *testing.T) {
+	ln, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = ln.Close() })
+	go func() {
+		for {
+			c, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			_, _ = io.WriteString(c, "part")
+			time.Sleep(2 * time.Millisecond)
+			abort(c.(*net.TCPConn))
+		}
+	}()
+	l, err := NewLink(t.Context(), "127.0.0.1:0", ln.Addr().String(), "")
+	if err != nil {
+		t.Fatal(err)
+	}
+	ended := 0
+	for range 50 {
+		c, err := socket.Dial(&net.Dialer{})(t.Context(), "tcp4", l.Addr())
+		if err != nil {
+			t.Fatal(err)
+		}
+		go func() { _, _ = c.Write(make([]byte, 8<<20)) }()
+		_ = c.SetReadDeadline(time.Now().Add(10 * time.Second))
+		if _, err := io.Copy(io.Discard, c); err == nil {
+			ended++
+		}
+		_ = c.Close()
+	}
+	if ended > 0 {
+		t.Errorf("%d of 50 connections that a server reset ended in order", ended)
+	}
+}
+
 // roundTrip sends a byte and waits until it is echoed.
 func roundTrip(c net.Conn, wait time.Duration) error {
 	if _, err := c.Write([]byte("x")); err != nil {
