standin/soak: servers give invalid headers and break early responses off

Servers with the fault serverGarble also put a blank into the name of the field that tells a response's framing, and reset early responses without a length behind a part, while the request still arrives.

--- a/standin/internal/soak/act.go
+++ b/standin/internal/soak/act.go
@@ -22,7 +22,9 @@
 	lostCommits   = 30
 	maxSlowdown   = 8.0
 	corruptShare  = 0.15
-	refuseShare   = 0.3
+	// Few requests are answered early.
+	cutShare    = 0.5
+	refuseShare = 0.3
 	// rollInterval is the time between the planned stops of a rolling restart.
 	rollInterval = 600 * time.Millisecond
 	// stormInterval is the time between two configurations of a Storm.
@@ -297,7 +299,7 @@
 	case ServerLose:
 		f.Lose = corruptShare
 	case ServerGarble:
-		f.Truncate, f.Extra = corruptShare/2, corruptShare/2
+		f.Truncate, f.Extra, f.Malform, f.Cut = corruptShare/2, corruptShare/2, corruptShare/2, cutShare
 	case ServerHoldOff:
 		f.HoldOff = refuseShare
 	case ServerRepeat:
@@ -335,6 +337,7 @@
 	f := w.serverFaults[x].merge(func(a, b ServerFault) ServerFault {
 		return ServerFault{
 			Slow: max(a.Slow, b.Slow), Fail: max(a.Fail, b.Fail), Lose: max(a.Lose, b.Lose), Truncate: max(a.Truncate, b.Truncate), Extra: max(a.Extra, b.Extra),
+			Malform: max(a.Malform, b.Malform), Cut: max(a.Cut, b.Cut),
 			HoldOff: max(a.HoldOff, b.HoldOff), Repeat: max(a.Repeat, b.Repeat), Unavailable: max(a.Unavailable, b.Unavailable),
 		}
 	})
--- a/standin/internal/soak/server.go
+++ b/standin/internal/soak/server.go
@@ -43,6 +43,8 @@
 	earlySuffix       = "-early"
 	earlyResponseBody = 400 << 10
 	maxEarlyPause     = 100 * time.Millisecond
+	// maxCutDelay is below the time in which such a body arrives.
+	maxCutDelay = 20 * time.Millisecond
 )
 
 // ServerFault is the fault of a server. The zero value is a healthy server.
@@ -50,8 +52,10 @@
 	// Slow is the factor on the service time, 0 for none.
 	Slow float64
 	// Fail, Lose, Truncate and Extra are the shares of requests that fail with status
-	// 500, and whose response is lost, truncated, or followed by another one.
-	Fail, Lose, Truncate, Extra float64
+	// 500, and whose response is lost, truncated, or followed by another one. Malform is the share
+	// of those whose response has a blank in the name of the field that tells its framing, Cut
+	// that of early responses without a length that a reset breaks off.
+	Fail, Lose, Truncate, Extra, Malform, Cut float64
 	// HoldOff is the share of requests that are refused with a time in which none should
 	// follow, Repeat that of those whose refusal is repeated before the next response of the
 	// connection, and Unavailable that of those that run and get a status of a refusal.
@@ -346,6 +350,10 @@
 	s.sign(w.Header(), id)
 	s.ledger.Finish(id, http.StatusOK)
 	body := Body(id)
+	if rand.Float64() < s.fault.Load().Cut && hijackable(w) {
+		cut(w, body)
+		return
+	}
 	w.Header().Set("Content-Length", strconv.Itoa(len(body)))
 	_, _ = w.Write(body)
 	_ = c.Flush()
@@ -357,6 +365,25 @@
 	s.ledger.ReadOn(time.Now(), id, s.ID, Checksum(got))
 }
 
+// cut writes a part of a response without a length and resets the connection, while the request is
+// still being received.
+func cut(w http.ResponseWriter, body []byte) {
+	c, _, err := w.(http.Hijacker).Hijack()
+	if err != nil {
+		return
+	}
+	var out strings.Builder
+	out.WriteString("HTTP/1.1 200 OK\r\n")
+	_ = w.Header().Write(&out)
+	out.WriteString("\r\n")
+	out.Write(body[:rand.IntN(len(body))])
+	_, _ = c.Write([]byte(out.String()))
+	time.Sleep(rand.N(maxCutDelay))
+	if t, ok := c.(*net.TCPConn); ok {
+		abort(t)
+	}
+}
+
 // hijackable reports whether the writer can give up its connection, which that of the request
 // after a repeated refusal can't.
 func hijackable(w http.ResponseWriter) bool {
@@ -364,10 +391,11 @@
 	return ok
 }
 
-// respond writes the response, which the fault may lose, truncate or follow with another one.
+// respond writes the response, which the fault may lose, truncate, follow with another one or
+// give an invalid header.
 func (s *Server) respond(w http.ResponseWriter, f ServerFault, status int, body []byte) {
 	dice := rand.Float64()
-	if dice >= f.Lose+f.Truncate+f.Extra || !hijackable(w) {
+	if dice >= f.Lose+f.Truncate+f.Extra+f.Malform || !hijackable(w) {
 		w.Header().Set("Content-Length", strconv.Itoa(len(body)))
 		w.WriteHeader(status)
 		_, _ = w.Write(body)
@@ -382,6 +410,14 @@
 		return
 	}
 	var out strings.Builder
+	if dice >= f.Lose+f.Truncate+f.Extra {
+		fmt.Fprintf(&out, "HTTP/1.1 %d %s\r\nTransfer-Encoding : chunked\r\n", status, http.StatusText(status))
+		_ = w.Header().Write(&out)
+		fmt.Fprintf(&out, "\r\n%x\r\n%s\r\n0\r\n\r\n", len(body), body)
+		_, _ = buf.WriteString(out.String())
+		_ = buf.Flush()
+		return
+	}
 	fmt.Fprintf(&out, "HTTP/1.1 %d %s\r\nContent-Length: %d\r\n", status, http.StatusText(status), len(body))
 	_ = w.Header().Write(&out)
 	out.WriteString("\r\n")
--- a/standin/internal/soak/server_test.go
+++ b/standin/internal/soak/server_test.go
@@ -39,7 +39,7 @@
 		t.Fatal(err)
 	}
 	t.Cleanup(s.Crash)
-	for _, id := range []string{"r", "q", "p", "o"} {
+	for _, id := range []string{"r", "q", "p", "o", "n", "m-early"} {
 		recordAttempt(l, id, time.Since(epoch).Seconds(), false)
 	}
 	res, body, err := call(t, s, "r", "s9")
@@ -53,6 +53,14 @@
 	if res, body, err = call(t, s, "p", "s9"); err == nil && Checksum(body) == Checksum(Body("p")) {
 		t.Errorf("response = %v, want a truncated one", res)
 	}
+	s.fault.Store(&ServerFault{Malform: 1})
+	if res, body, err = call(t, s, "n", "s9"); err != nil || Checksum(body) == Checksum(Body("n")) || res.Header.Get("Transfer-Encoding ") != "chunked" {
+		t.Errorf("response = %v, %v, want one with an invalid field and the sizes of chunks in its body", res, err)
+	}
+	s.fault.Store(&ServerFault{Cut: 1})
+	if res, body, err = call(t, s, "m-early", "s9"); err == nil && Checksum(body) == Checksum(Body("m-early")) {
+		t.Errorf("response = %v, want a part", res)
+	}
 	s.fault.Store(&ServerFault{Lose: 1})
 	if res, _, err = call(t, s, "o", "s9"); err == nil {
 		t.Errorf("response = %v, want none", res)
