--- a/hitchd/internal/edge/cut_test.go
+++ b/hitchd/internal/edge/cut_test.go
@@ -98,3 +98,25 @@
 		}
 	}
 }
+
+// A request that crashes servers behind a part of their responses is recognised. The part counted
+// as a success, which cleared the record.
+func TestCrashBehindPartOfResponse(t *testing.T) {
+	s := newFixture(t, 8, routes.Route{MaxAttempts: 1, Timeout: 2 * time.Second}, func(w http.ResponseWriter, r *http.Request) {
+		server := r.Context().Value(http.ServerContextKey).(*http.Server)
+		partThenReset(10, 0)(w, r)
+		_ = server.Close()
+	})
+	for i := range 7 {
+		status, err := s.upload(t, "HTTP/1.1", 1_000_000)
+		if err == nil && status == http.StatusOK {
+			t.Error("a part of a response is complete")
+		}
+		for end := time.Now().Add(time.Second); crashed(s.edge.crashes) < min(i+1, maxCrashes) && time.Now().Before(end); {
+			time.Sleep(time.Millisecond)
+		}
+	}
+	if got, want := s.runs.Load(), int64(maxCrashes); got != want {
+		t.Errorf("%d servers ran it, want %d", got, want)
+	}
+}
