--- a/Makefile
+++ b/Makefile
@@ -53,6 +53,7 @@
 
 fuzz:
 	cd hitchd && go test -run '^$$' -fuzz FuzzResponse -fuzztime $(FUZZTIME) -fuzzminimizetime 5x ./internal/conns
+	cd links && go test -run '^$$' -fuzz FuzzScanner -fuzztime $(FUZZTIME) -fuzzminimizetime 5x ./head
 	cd hitchd && go test -run '^$$' -fuzz FuzzFraming -fuzztime $(FUZZTIME) -fuzzminimizetime 5x ./internal/pipe
 
 bench:
