head: take announced trailers that didn't come for no fields

A whole response was lost if its Trailer field had an odd name in its value: net/http lists announced trailers without values beside those that came.

--- a/hitchd/internal/conns/head_test.go
+++ b/hitchd/internal/conns/head_test.go
@@ -72,6 +72,16 @@
 	}
 }
 
+// A field that announces trailers has names in its value, which may be wrong or not come.
+func TestAnnouncedTrailerIsNoField(t *testing.T) {
+	u := listen(t, func(c net.Conn, _ *bufio.Reader, _ string) {
+		_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nX-Id: 1\r\nX-Signed: s\r\nTrailer: X Y, X-Z\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n0\r\n\r\n")
+	})
+	if a, _, err := send(t, New(headers), request("1"), u.addr); err != nil || string(a.Body) != "hello" {
+		t.Errorf("got %v, error %v, want the whole response", a, err)
+	}
+}
+
 // A head that arrives in pieces, and one that is longer than the buffer, are checked too.
 func TestInvalidFieldInPieces(t *testing.T) {
 	for _, length := range []int{0, 1, bufferSize - 60, bufferSize, 3 * bufferSize, 20 * bufferSize} {
--- a/links/head/head.go
+++ b/links/head/head.go
@@ -163,9 +163,13 @@
 }
 
 // Check returns [ErrInvalid] if a name in the header is no token. Use it where the bytes can't be
-// scanned: it doesn't know of lines that were joined.
+// scanned: it doesn't know of lines that were joined. Names without a value are trailers that
+// were announced and didn't come.
 func Check(h http.Header) error {
-	for name := range h {
+	for name, values := range h {
+		if len(values) == 0 {
+			continue
+		}
 		for i := range len(name) {
 			if !isToken(name[i]) {
 				return errors.Wrapf(ErrInvalid, "field %q", name)
--- a/links/head/head_test.go
+++ b/links/head/head_test.go
@@ -93,6 +93,9 @@
 			t.Errorf("%q: error %v, want valid %t", name, err, want)
 		}
 	}
+	if err := Check(http.Header{"X Y": nil}); err != nil {
+		t.Errorf("announced trailer: error %v", err)
+	}
 	if err := Check(nil); err != nil {
 		t.Errorf("no header: error %v", err)
 	}
