standin/soak: select each server once for a fault

With a multiple of seven servers a fault met some of them twice, and the end of the fault took one of the two away.

--- a/standin/internal/soak/fleet.go
+++ b/standin/internal/soak/fleet.go
@@ -193,14 +193,19 @@
 	return nil
 }
 
-// selectServers returns endpoints, at least one; their number grows with the
+// selectServers returns distinct endpoints, at least one; their number grows with the
 // square of the share.
 func (f *fleet) selectServers(target uint32, share float64) []*endpoint {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	var out []*endpoint
+	step := 7
+	if len(f.endpoints)%step == 0 {
+		// The step would come back to the first one before it has met all.
+		step = 1
+	}
 	for i := range 1 + int(share*share*float64(len(f.endpoints)-1)) {
-		out = append(out, f.endpoints[(int(target)+i*7)%len(f.endpoints)])
+		out = append(out, f.endpoints[(int(target)+i*step)%len(f.endpoints)])
 	}
 	return out
 }
