standin/soak: lay the notice that a server leaves to that server

The ledger took the last server that a request reached for the one whose response was passed on. The other way round a notice was missed.

Servers tell the ledger now which requests they answered with a notice; of two such servers nothing tells whose response came.

Evidence: two rows of TestInvariants, one for each way, failed before.

--- a/standin/internal/soak/ledger.go
+++ b/standin/internal/soak/ledger.go
@@ -39,6 +39,8 @@
 	Attempt
 	arrivals []arrival
 	runs     []string
+	// announced are the servers that got it while they announced that they leave.
+	announced []string
 	// statuses are those of the servers' responses.
 	statuses  []int
 	refused   bool
@@ -253,6 +255,15 @@
 	}
 }
 
+// Announce records that the server announces in its response that it leaves.
+func (l *Ledger) Announce(id, server string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if r := l.attempts[id]; r != nil && !slices.Contains(r.announced, server) {
+		r.announced = append(r.announced, server)
+	}
+}
+
 // unreadBody is the checksum of a body that a server hasn't read when it runs the request.
 const unreadBody = 0
 
--- a/standin/internal/soak/ledger_test.go
+++ b/standin/internal/soak/ledger_test.go
@@ -45,12 +45,25 @@
 // passOn records a response of the server in which it announced that it leaves.
 func passOn(l *Ledger, id, server string, seconds float64) {
 	recordAttempt(l, id, seconds, false)
+	l.Announce(id, server)
 	recordRun(l, id, server, seconds)
 	out := complete(id)
 	out.Leaving = true
 	l.Responded(at(seconds), id, out)
 }
 
+// passOnBeforeRetry records a response of the first server in which it announced that it leaves,
+// which the host passed on after the second one had got the request too.
+func passOnBeforeRetry(l *Ledger, first, second string) {
+	recordAttempt(l, "q", 10, false)
+	l.Announce("q", first)
+	recordRun(l, "q", first, 10)
+	l.Arrive(at(10), "q", second, time.Second)
+	out := complete("q")
+	out.Leaving = true
+	l.Responded(at(10), "q", out)
+}
+
 // requestsInHoldOff records a hold-off of two seconds, and requests right after its grace
 // as well as before and after the time that counts.
 func requestsInHoldOff(l *Ledger, count int) {
@@ -234,6 +247,16 @@
 			recordAttempt(l, "r", 12.8, false)
 			recordRun(l, "r", "s1", 12.9)
 		}},
+		{"server said that it leaves before another one was asked", NoWorkAfterNotice, func(l *Ledger, _ *Disturbances) {
+			passOnBeforeRetry(l, "s1", "s2")
+			recordAttempt(l, "r", 12.8, false)
+			recordRun(l, "r", "s1", 12.9)
+		}},
+		{"another server said that it leaves", "", func(l *Ledger, _ *Disturbances) {
+			passOnBeforeRetry(l, "s2", "s1")
+			recordAttempt(l, "r", 12.8, false)
+			recordRun(l, "r", "s1", 12.9)
+		}},
 		{"server said that it leaves, host paused since", "", func(l *Ledger, disturbances *Disturbances) {
 			passOn(l, "q", "s1", 10)
 			disturbances.Disturb(at(11), partProcess("h"))(at(12))
--- a/standin/internal/soak/server.go
+++ b/standin/internal/soak/server.go
@@ -164,7 +164,8 @@
 func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	id := r.Header.Get(platform.HeaderRequestID)
 	h := w.Header()
-	if s.leaving.Load() {
+	leaving := s.leaving.Load()
+	if leaving {
 		h.Set(platform.HeaderLeaving, "1")
 	}
 	if r.URL.Path == healthPath {
@@ -186,6 +187,9 @@
 	}
 	allowed := time.Duration(ms) * time.Millisecond
 	s.ledger.Arrive(time.Now(), id, s.ID, allowed)
+	if leaving {
+		s.ledger.Announce(id, s.ID)
+	}
 	f := *s.fault.Load()
 	switch dice := rand.Float64(); {
 	case dice < f.HoldOff:
