--- a/review/standin-3/silentcrash.go
+++ b/review/standin-3/crash.go
@@ -1,34 +1,58 @@
 package main
 
 import (
-	"bufio"
 	"fmt"
-	"io"
 	"math/rand/v2"
-	"net"
 	"net/http"
-	"strings"
 	"sync"
 	"time"
 )
 
 const (
-	// crashAfter is the work of the request that crashes servers, up to the crash.
-	crashAfter = 700 * time.Millisecond
-	// repeatEvery is the time between two of its attempts, so that one server at most is down.
-	repeatEvery = 3600 * time.Millisecond
+	// repeatEvery is the time between two attempts of the request that crashes servers, so that one
+	// server at most is down with trouble.
+	repeatEvery = 4800 * time.Millisecond
 	// poisonTime is the time during which it comes again.
-	poisonTime = 50 * time.Second
+	poisonTime = 60 * time.Second
 	// mostRetries is the number of retries that the rule allows.
 	mostRetries = 3
+	// early and late are the time from the begin of a run to the crash: within half of the deadline, so
+	// that a second server crashes too, or beyond it.
+	early = 300 * time.Millisecond
+	late  = 700 * time.Millisecond
 )
 
 // poisonPath is the path of the request that crashes each server that begins to run it.
 const poisonPath = "/stock/poison"
 
-// silentCrash is the case of a request that makes servers fall silent and comes again and again. Without
-// trouble the servers crash with their connections and ports closed.
+// crash is the way in which a request crashes servers.
+type crash struct {
+	after  time.Duration
+	silent bool
+}
+
+// plainCrash is the way without trouble: the connections and the port of the server close.
+var plainCrash = crash{after: early}
+
+// silentCrash is the case of a request that makes servers fall silent.
 func silentCrash(r *record, dir string, trouble bool) int {
+	c := plainCrash
+	c.silent = trouble
+	return crashes(r, dir, c)
+}
+
+// lateCrash is the case of a request that crashes servers so late that a second one stops at the
+// deadline and says so.
+func lateCrash(r *record, dir string, trouble bool) int {
+	c := plainCrash
+	if trouble {
+		c.after = late
+	}
+	return crashes(r, dir, c)
+}
+
+// crashes sends a request that crashes servers again and again, beside others.
+func crashes(r *record, dir string, c crash) int {
 	n := freeNetwork()
 	st := newStore()
 	if err := st.serve(fmt.Sprintf("%s:%d", n.ip(1), storePort)); err != nil {
@@ -38,31 +62,40 @@
 	st.put("op", "config", []byte(configText))
 
 	var mu sync.Mutex
-	var arrivals, crashes []time.Time
-	work := func(x *incarnation, q *http.Request) bool {
+	var crashes []time.Time
+	var arrivals int
+	// begun holds when a server first began to run an attempt of the client, by the attempt's id.
+	begun := make(map[string]time.Time)
+	run := func(x *incarnation, q *http.Request, until time.Time) int {
 		if q.URL.Path != poisonPath {
-			time.Sleep(time.Duration(20+rand.IntN(40)) * time.Millisecond)
-			return true
+			return work(until)
 		}
+		id := q.Header.Get("Request-Id")
 		mu.Lock()
-		arrivals = append(arrivals, time.Now())
+		arrivals++
+		if begun[id].IsZero() {
+			begun[id] = time.Now()
+		}
 		mu.Unlock()
-		r.line("server %s (%s) begins to run %s", x.name, x.id, q.Header.Get("Request-Id"))
-		time.Sleep(crashAfter)
+		if time.Until(until) < c.after {
+			stopAt(until)
+			return http.StatusGatewayTimeout
+		}
+		time.Sleep(c.after)
 		mu.Lock()
 		crashes = append(crashes, time.Now())
-		r.line("server %s (%s) crashes by %s, crash %d", x.name, x.id, q.Header.Get("Request-Id"), len(crashes))
+		r.line("server %s (%s) crashes by %s, crash %d", x.name, x.id, id, len(crashes))
 		mu.Unlock()
-		if trouble {
+		if c.silent {
 			x.crashSilently()
 		} else {
 			x.crash()
 		}
-		return false
+		return 0
 	}
 	for i := range 12 {
 		z := zones[i%len(zones)]
-		s := &server{name: fmt.Sprintf("inventario-%d", i+1), service: "inventario", addr: fmt.Sprintf("%s:%d", n.ip(11+i), serverPort), zone: z.name, store: st, record: r, run: work}
+		s := &server{name: fmt.Sprintf("inventario-%d", i+1), service: "inventario", addr: fmt.Sprintf("%s:%d", n.ip(11+i), serverPort), zone: z.name, store: st, record: r, run: run}
 		if err := s.start(false); err != nil {
 			r.tell("could not run: %v", err)
 			return couldnt
@@ -92,7 +125,7 @@
 				case <-time.After(time.Duration(200+rand.IntN(400)) * time.Millisecond):
 				}
 				object := rand.IntN(50)
-				status := request(hosts[(i+k)%len(hosts)], fmt.Sprintf("/stock/item%d", object), object)
+				status := requestOnce(r, hosts[(i+k)%len(hosts)], fmt.Sprintf("/stock/item%d", object), object)
 				mu.Lock()
 				asked++
 				if status == http.StatusOK {
@@ -107,11 +140,8 @@
 		h := hosts[i%len(hosts)]
 		next := time.Now().Add(repeatEvery)
 		r.line("the request comes to %s, attempt %d", h.name, i+1)
-		if status := request(h, poisonPath, 17); status > 0 {
-			r.line("attempt %d was answered with status %d", i+1, status)
-		} else {
-			r.line("attempt %d had no answer before the deadline", i+1)
-		}
+		status := requestOnce(r, h, poisonPath, 17)
+		r.line("attempt %d ended with status %d", i+1, status)
 		time.Sleep(time.Until(next))
 	}
 	time.Sleep(2 * time.Second)
@@ -120,48 +150,22 @@
 
 	mu.Lock()
 	defer mu.Unlock()
-	r.tell("%d arrivals of the request at servers, %d servers crashed by it; %d of %d other requests were served", len(arrivals), len(crashes), served, asked)
+	r.tell("%d attempts of the request reached servers, with %d arrivals; %d servers crashed by it; %d of %d other requests were served", len(begun), arrivals, len(crashes), served, asked)
 	if len(crashes) < 3 {
 		r.tell("could not run: fewer than three servers crashed")
 		return couldnt
 	}
-	late := 0
-	for _, t := range arrivals {
+	retries := 0
+	for _, t := range begun {
 		if t.Sub(crashes[2]) > contact {
-			late++
+			retries++
 		}
 	}
-	r.tell("%d arrivals later than %v after the third crash; the rule allows %d", late, contact, mostRetries)
-	if late > mostRetries {
+	r.tell("%d attempts reached servers later than %v after the third crash; the rule allows %d", retries, contact, mostRetries)
+	if retries > mostRetries {
 		r.tell("BUDGET is broken")
 		return broken
 	}
 	r.tell("BUDGET held")
 	return held
 }
-
-// request sends a request to the host on a connection of its own and returns the status of the
-// answer, 0 for none before the deadline.
-func request(h *host, target string, object int) int {
-	c, err := net.DialTimeout("tcp4", fmt.Sprintf("%s:%d", h.ip, frontPort), time.Second)
-	if err != nil {
-		return 0
-	}
-	defer func() { _ = c.Close() }()
-	const deadline = 1200 * time.Millisecond
-	id := fmt.Sprintf("%016x", rand.Uint64())
-	var b strings.Builder
-	fmt.Fprintf(&b, "GET %s HTTP/1.1\r\nHost: stock.example\r\nRequest-Id: %s\r\nCookie: Affinity-Key=%d\r\nDeadline-Ms: %d\r\n\r\n", target, id, object, deadline.Milliseconds())
-	if _, err := io.WriteString(c, b.String()); err != nil {
-		return 0
-	}
-	_ = c.SetReadDeadline(time.Now().Add(deadline))
-	res, err := http.ReadResponse(bufio.NewReader(c), nil)
-	if err != nil {
-		return 0
-	}
-	if _, err := io.Copy(io.Discard, res.Body); err != nil {
-		return 0
-	}
-	return res.StatusCode
-}
--- a/review/standin-3/idle.go
+++ b/review/standin-3/idle.go
@@ -33,9 +33,8 @@
 	st.put("op", "config", []byte(configText))
 	for i := range 12 {
 		z := zones[i%len(zones)]
-		s := &server{name: fmt.Sprintf("inventario-%d", i+1), service: "inventario", addr: fmt.Sprintf("%s:%d", n.ip(11+i), serverPort), zone: z.name, store: st, record: r, run: func(*incarnation, *http.Request) bool {
-			time.Sleep(time.Duration(20+rand.IntN(40)) * time.Millisecond)
-			return true
+		s := &server{name: fmt.Sprintf("inventario-%d", i+1), service: "inventario", addr: fmt.Sprintf("%s:%d", n.ip(11+i), serverPort), zone: z.name, store: st, record: r, run: func(_ *incarnation, _ *http.Request, until time.Time) int {
+			return work(until)
 		}}
 		if err := s.start(false); err != nil {
 			r.tell("could not run: %v", err)
@@ -109,7 +108,7 @@
 		<-t.C
 		clients.Go(func() {
 			at := time.Now()
-			c, status := requestOn(h, fmt.Sprintf("/stock/item%d", rand.IntN(50)), rand.IntN(50))
+			c, status := request(r, h, fmt.Sprintf("/stock/item%d", rand.IntN(50)), rand.IntN(50))
 			answered(at, status > 0)
 			mu.Lock()
 			defer mu.Unlock()
@@ -142,22 +141,3 @@
 	r.tell("RECOVER held")
 	return held
 }
-
-// requestOn is like request, and leaves the connection open.
-func requestOn(h *host, target string, object int) (net.Conn, int) {
-	c, err := net.DialTimeout("tcp4", fmt.Sprintf("%s:%d", h.ip, frontPort), time.Second)
-	if err != nil {
-		return nil, 0
-	}
-	const deadline = 1200 * time.Millisecond
-	_, _ = fmt.Fprintf(c, "GET %s HTTP/1.1\r\nHost: stock.example\r\nRequest-Id: %016x\r\nCookie: Affinity-Key=%d\r\nDeadline-Ms: %d\r\n\r\n", target, rand.Uint64(), object, deadline.Milliseconds())
-	_ = c.SetReadDeadline(time.Now().Add(deadline))
-	res, err := http.ReadResponse(bufio.NewReader(c), nil)
-	if err != nil {
-		return c, 0
-	}
-	if _, err := io.Copy(io.Discard, res.Body); err != nil {
-		return c, 0
-	}
-	return c, res.StatusCode
-}
--- a/review/standin-3/server.go
+++ b/review/standin-3/server.go
@@ -8,6 +8,8 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"runtime"
+	"strconv"
 	"sync"
 	"syscall"
 	"time"
@@ -27,8 +29,9 @@
 	name, service, addr, zone string
 	store                     *store
 	record                    *record
-	// run runs a request and returns whether its answer is to be sent. It may crash the server.
-	run func(s *incarnation, r *http.Request) bool
+	// run runs a request until the time given and returns the status of the answer, 0 for none. It may
+	// crash the server.
+	run func(s *incarnation, r *http.Request, until time.Time) int
 }
 
 // incarnation is one start of a server.
@@ -209,6 +212,7 @@
 		_, err := fmt.Fprintf(c, "HTTP/1.1 421 Misdirected Request\r\nInstance-Id: %s\r\nContent-Length: 0\r\n\r\n", x.id)
 		return err == nil
 	}
+	arrived := time.Now()
 	x.mu.Lock()
 	full := x.waiting >= slots+9
 	if !full {
@@ -216,8 +220,7 @@
 	}
 	x.mu.Unlock()
 	if full {
-		_, err := fmt.Fprintf(c, "HTTP/1.1 503 Service Unavailable\r\nRequest-Id: %s\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n", id)
-		return err == nil
+		return x.reject(c, id)
 	}
 	x.slots <- struct{}{}
 	done := func() {
@@ -231,14 +234,52 @@
 		_, err := fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nInstance-Id: %s\r\nWarmup-Ms: %d\r\nServer-Load: %s\r\nContent-Length: 0\r\n\r\n", x.id, max(0, time.Until(x.cold).Milliseconds()), x.load())
 		return err == nil
 	}
-	if !x.run(x, r) || x.silent() {
+	// A server stops work at the value that it receives.
+	until := arrived.Add(time.Hour)
+	if ms, err := strconv.ParseInt(r.Header.Get("Deadline-Ms"), 10, 64); err == nil {
+		until = arrived.Add(time.Duration(ms) * time.Millisecond)
+	}
+	if !time.Now().Before(until) {
+		return x.reject(c, id)
+	}
+	x.record.line("server %s (%s) begins to run %s %s", x.name, x.id, id, r.URL.Path)
+	status := x.run(x, r, until)
+	if status == 0 || x.silent() {
+		x.record.line("server %s (%s) gives no answer to %s", x.name, x.id, id)
 		return false
 	}
 	body := "the answer of " + x.id + " to " + id
-	_, err := fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nRequest-Id: %s\r\nServer-Seal: %s.%s\r\nServer-Load: %s\r\nContent-Length: %d\r\n\r\n%s", id, x.id, id, x.load(), len(body), body)
+	_, err := fmt.Fprintf(c, "HTTP/1.1 %d %s\r\nRequest-Id: %s\r\nServer-Seal: %s.%s\r\nServer-Load: %s\r\nContent-Length: %d\r\n\r\n%s", status, http.StatusText(status), id, x.id, id, x.load(), len(body), body)
+	x.record.line("server %s (%s) answers %s with %d", x.name, x.id, id, status)
+	return err == nil
+}
+
+// reject answers that the request has not run.
+func (x *incarnation) reject(c net.Conn, id string) bool {
+	x.record.line("server %s (%s) rejects %s", x.name, x.id, id)
+	_, err := fmt.Fprintf(c, "HTTP/1.1 503 Service Unavailable\r\nRequest-Id: %s\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n", id)
 	return err == nil
 }
 
+// stopAt waits until the time, more exactly than a timer does.
+func stopAt(until time.Time) {
+	time.Sleep(time.Until(until) - 2*time.Millisecond)
+	for time.Now().Before(until) {
+		runtime.Gosched()
+	}
+}
+
+// work is the run of a sound request: it takes 20 to 60 ms.
+func work(until time.Time) int {
+	took := time.Duration(20+rand.IntN(40)) * time.Millisecond
+	if time.Until(until) < took {
+		stopAt(until)
+		return http.StatusGatewayTimeout
+	}
+	time.Sleep(took)
+	return http.StatusOK
+}
+
 func (x *incarnation) load() string {
 	x.mu.Lock()
 	defer x.mu.Unlock()
