--- a/review/standin-3/main.go
+++ b/review/standin-3/main.go
@@ -18,7 +18,7 @@
 
 // cases run by name, with the folder for the record and one for the hosts' files.
 var cases = map[string]func(r *record, dir string, trouble bool) int{
-	"silent-crash": silentCrash, "late-crash": lateCrash, "idle": idle,
+	"silent-crash": silentCrash, "late-crash": lateCrash, "idle": idle, "planned-stop": plannedStop,
 }
 
 func main() {
